--- /dev/null
+++ b/include/corianderpost/clock.h
@@ -0,0 +1,72 @@
+// Time for the router fleet.
+//
+// Decision code receives `TimePoint` values with its events and reads no clock.
+// Runtime code reads a `Clock`, which tests replace by `ManualClock` to pause
+// and advance time.
+#ifndef CORIANDERPOST_CLOCK_H_
+#define CORIANDERPOST_CLOCK_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+
+namespace corianderpost {
+
+// Length of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+// Tag of the fleet's time points. Points of two processes are never compared:
+// a message that needs a time carries one that its sender gets back unchanged.
+struct LocalTime {
+  using duration = Duration;
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using time_point = std::chrono::time_point<LocalTime, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+// Point on one process's own monotonic time line.
+using TimePoint = LocalTime::time_point;
+
+// Source of time. Implementations are safe to call from any thread.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  // Returns the current point on the monotonic time line.
+  virtual TimePoint Now() const = 0;
+  // Returns microseconds since the Unix epoch; may step backwards.
+  virtual std::uint64_t WallMicros() const = 0;
+};
+
+// Clock of the operating system. Thread-safe.
+class SystemClock final : public Clock {
+ public:
+  TimePoint Now() const override {
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
+  std::uint64_t WallMicros() const override {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+  }
+};
+
+// Clock that moves only when told to. Thread-safe.
+class ManualClock final : public Clock {
+ public:
+  TimePoint Now() const override { return TimePoint(Duration(micros_.load())); }
+  std::uint64_t WallMicros() const override {
+    return static_cast<std::uint64_t>(micros_.load());
+  }
+  // Moves time forward by `step`, which must not be negative.
+  void Advance(Duration step) { micros_ += step.count(); }
+
+ private:
+  std::atomic<Duration::rep> micros_{0};
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_CLOCK_H_
--- /dev/null
+++ b/include/corianderpost/ids.h
@@ -0,0 +1,73 @@
+// Compact identifiers for customers, services and VMs.
+//
+// An id is the 32-bit hash of a name, so that every process derives the same id
+// without agreement and messages between routers stay small. The collecting
+// step refuses configurations in which two names share an id.
+#ifndef CORIANDERPOST_IDS_H_
+#define CORIANDERPOST_IDS_H_
+
+#include <xxhash.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace corianderpost {
+
+// Value type; ids of different kinds do not mix.
+template <typename Tag>
+class Id {
+ public:
+  constexpr Id() = default;
+  constexpr explicit Id(std::uint32_t value) : value_(value) {}
+  // Returns the id of `name`.
+  static Id FromName(std::string_view name) {
+    return Id(static_cast<std::uint32_t>(XXH64(name.data(), name.size(), 0)));
+  }
+  constexpr std::uint32_t value() const { return value_; }
+  friend constexpr auto operator<=>(const Id&, const Id&) = default;
+
+ private:
+  std::uint32_t value_ = 0;
+};
+
+using VmId = Id<struct VmTag>;
+using CustomerId = Id<struct CustomerTag>;
+using ServiceId = Id<struct ServiceTag>;
+// A target has the id of the VM it runs on.
+using TargetId = VmId;
+
+// One customer's account with one service; fairness is kept per account.
+using AccountId = Id<struct AccountTag>;
+
+// Returns the account of the pair.
+inline AccountId AccountOf(ServiceId service, CustomerId customer) {
+  const std::uint64_t pair =
+      (static_cast<std::uint64_t>(service.value()) << 32) | customer.value();
+  return AccountId(static_cast<std::uint32_t>(XXH64(&pair, sizeof(pair), 0)));
+}
+
+// Local to one router process; never reused within its life.
+using RequestId = std::uint64_t;
+using AttemptId = std::uint64_t;
+
+// Identifies one life of a router process on a VM. A restart takes a new one.
+using Incarnation = std::uint64_t;
+
+// Returns the rendezvous weight of the pair; the highest weight wins.
+inline std::uint64_t RendezvousWeight(std::uint32_t node, std::uint32_t item) {
+  const std::uint64_t pair = (static_cast<std::uint64_t>(node) << 32) | item;
+  return XXH64(&pair, sizeof(pair), 0);
+}
+
+}  // namespace corianderpost
+
+template <typename Tag>
+struct std::hash<corianderpost::Id<Tag>> {
+  std::size_t operator()(const corianderpost::Id<Tag>& id) const noexcept {
+    return id.value();
+  }
+};
+
+#endif  // CORIANDERPOST_IDS_H_
--- /dev/null
+++ b/src/crash_suspects.cc
@@ -0,0 +1,81 @@
+#include "corianderpost/internal/crash_suspects.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "corianderpost/internal/timing.h"
+
+namespace corianderpost::internal {
+
+void CrashSuspects::NoteCrash(TimePoint now,
+                              const std::vector<std::uint64_t>& aboard) {
+  const bool has_known_suspect =
+      std::any_of(aboard.begin(), aboard.end(),
+                  [&](std::uint64_t it) { return IsSuspect(now, it); });
+  for (const std::uint64_t it : aboard) {
+    if (has_known_suspect && !IsSuspect(now, it)) {
+      continue;
+    }
+    suspects_[it] = {CrashesOf(now, it) + 1, now + kSuspectLifetime};
+    changed_.push_back(it);
+  }
+}
+
+void CrashSuspects::Clear(std::uint64_t fingerprint) {
+  if (suspects_.erase(fingerprint) != 0) {
+    changed_.push_back(fingerprint);
+  }
+}
+
+void CrashSuspects::Merge(TimePoint now, const SuspectUpdate& update) {
+  for (const auto& it : update.entries) {
+    if (it.crashes == 0) {
+      suspects_.erase(it.fingerprint);
+      continue;
+    }
+    if (it.crashes > CrashesOf(now, it.fingerprint)) {
+      suspects_[it.fingerprint] = {it.crashes, now + kSuspectLifetime};
+    }
+  }
+}
+
+std::uint32_t CrashSuspects::CrashesOf(TimePoint now,
+                                       std::uint64_t fingerprint) const {
+  const auto it = suspects_.find(fingerprint);
+  return it == suspects_.end() || now >= it->second.until ? 0
+                                                          : it->second.crashes;
+}
+
+bool CrashSuspects::IsSuspect(TimePoint now, std::uint64_t fingerprint) const {
+  return CrashesOf(now, fingerprint) > 0;
+}
+
+bool CrashSuspects::IsQuarantined(TimePoint now,
+                                  std::uint64_t fingerprint) const {
+  return CrashesOf(now, fingerprint) >= kQuarantineCrashes;
+}
+
+SuspectUpdate CrashSuspects::TakeChanges() {
+  SuspectUpdate update;
+  for (const std::uint64_t it : std::exchange(changed_, {})) {
+    const auto found = suspects_.find(it);
+    update.entries.push_back(
+        {it, found == suspects_.end() ? 0 : found->second.crashes});
+  }
+  return update;
+}
+
+SuspectUpdate CrashSuspects::Everything() const {
+  SuspectUpdate update;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    update.entries.push_back({fingerprint, suspect.crashes});
+  }
+  return update;
+}
+
+void CrashSuspects::Expire(TimePoint now) {
+  std::erase_if(suspects_,
+                [now](const auto& it) { return now >= it.second.until; });
+}
+
+}  // namespace corianderpost::internal
