--- a/include/corianderpost/events.h
+++ b/include/corianderpost/events.h
@@ -92,11 +92,10 @@
 // Time passed. Expected every `kTickInterval` or so.
 struct Tick {};
 
-using Event =
-    std::variant<RequestArrived, RequestAbandoned, AttemptProgress,
-                 AttemptEnded, PeerMessageReceived, BundleSeen,
-                 BundleReadFailed, VmListSeen, LoadReported, LoadReportFailed,
-                 DrainRequested, Tick>;
+using Event = std::variant<RequestArrived, RequestAbandoned, AttemptProgress,
+                           AttemptEnded, PeerMessageReceived, BundleSeen,
+                           BundleReadFailed, VmListSeen, LoadReported,
+                           LoadReportFailed, DrainRequested, Tick>;
 
 // Actions ------------------------------------------------------------------
 
@@ -183,10 +182,9 @@
   TargetId target;
 };
 
-using Action =
-    std::variant<Dispatch, Refuse, Complete, Replay, ForgetAnswer,
-                 CancelAttempt, ForwardToHome, SendToPeer, PullBundle,
-                 ReadConfiguration, PollLoad>;
+using Action = std::variant<Dispatch, Refuse, Complete, Replay, ForgetAnswer,
+                            CancelAttempt, ForwardToHome, SendToPeer,
+                            PullBundle, ReadConfiguration, PollLoad>;
 
 // Returns the names used in problem documents, logs and metrics.
 std::string_view Name(RefusalReason reason);
--- /dev/null
+++ b/include/corianderpost/internal/json_log.h
@@ -0,0 +1,61 @@
+// Structured logs: one JSON object a line, through log4cplus.
+#ifndef CORIANDERPOST_INTERNAL_JSON_LOG_H_
+#define CORIANDERPOST_INTERNAL_JSON_LOG_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "corianderpost/clock.h"
+
+namespace corianderpost::internal {
+
+struct LogField {
+  std::string name;
+  nlohmann::json value;
+};
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// Opens the log. `file` may be empty for standard error. Call once.
+void OpenLog(const std::string& file, LogLevel least);
+// Writes a line. Thread-safe; does nothing before `OpenLog`.
+void Log(LogLevel level, const std::string& message,
+         const std::vector<LogField>& fields = {});
+
+// Where a request is in a trace, as the `traceparent` header says.
+struct TraceContext {
+  std::string trace;
+  std::string parent;
+
+  // Continues the caller's trace, or begins one if the header is malformed.
+  static TraceContext FromHeader(const std::string& traceparent);
+  // Returns the header to send on, with `span` as the parent.
+  std::string ToHeader(const std::string& span) const;
+};
+
+// One hop of a request. Logs itself when it ends. Not thread-safe.
+class Span {
+ public:
+  Span(std::string name, const TraceContext& context);
+  ~Span();
+  Span(const Span&) = delete;
+  Span& operator=(const Span&) = delete;
+
+  void Add(const std::string& name, nlohmann::json value);
+  const std::string& id() const { return id_; }
+  // The context for hops below this one.
+  TraceContext Below() const { return {context_.trace, id_}; }
+
+ private:
+  const std::string name_;
+  const TraceContext context_;
+  const std::string id_;
+  const TimePoint started_at_;
+  std::vector<LogField> fields_;
+};
+
+}  // namespace corianderpost::internal
+
+#endif  // CORIANDERPOST_INTERNAL_JSON_LOG_H_
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# Installs what building and testing need, by apt.
+set -eu
+packages=(
+  build-essential cmake ninja-build ccache clang-format clang-tidy curl
+  libcpp-httplib-dev libjsonrpccpp-dev libabsl-dev libyaml-cpp-dev libboost-dev
+  libboost-program-options-dev liblog4cplus-dev nlohmann-json3-dev doctest-dev
+  librapidcheck-dev libxxhash-dev libssl-dev zlib1g-dev libbrotli-dev
+)
+if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+  apt-get update -qq
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${packages[@]}"
+fi
--- a/src/bundle.cc
+++ b/src/bundle.cc
@@ -21,8 +21,7 @@
   customer.name = json.at("name");
   customer.id = CustomerId::FromName(customer.name);
   customer.weight = json.value("weight", 1.0);
-  customer.key_digests =
-      json.value("key_digests", std::vector<std::string>());
+  customer.key_digests = json.value("key_digests", std::vector<std::string>());
   return customer;
 }
 
@@ -34,8 +33,8 @@
   Service service;
   service.name = json.at("name");
   service.id = ServiceId::FromName(service.name);
-  service.kind = json.at("kind") == "model" ? ServiceKind::kModel
-                                            : ServiceKind::kPlain;
+  service.kind =
+      json.at("kind") == "model" ? ServiceKind::kModel : ServiceKind::kPlain;
   service.slots = json.at("slots");
   service.cold_slots = json.at("cold_slots");
   service.max_wait = std::chrono::milliseconds(json.at("max_wait_ms"));
@@ -161,11 +160,11 @@
 }
 
 const Customer* Bundle::FindCustomer(CustomerId id) const {
-  const auto it = std::lower_bound(
-      customers_.begin(), customers_.end(), id,
-      [](const Customer& customer, CustomerId wanted) {
-        return customer.id < wanted;
-      });
+  const auto it =
+      std::lower_bound(customers_.begin(), customers_.end(), id,
+                       [](const Customer& customer, CustomerId wanted) {
+                         return customer.id < wanted;
+                       });
   return it == customers_.end() || it->id != id ? nullptr : &*it;
 }
 
--- /dev/null
+++ b/src/collect_main.cc
@@ -0,0 +1,119 @@
+// corianderpost-collect: collects the operators' files into one bundle.
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "corianderpost/internal/command_line.h"
+#include "corianderpost/operator_files.h"
+
+namespace {
+
+namespace po = boost::program_options;
+using corianderpost::Bundle;
+using corianderpost::internal::kExitSuccess;
+using corianderpost::internal::UsageError;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) {
+    throw UsageError(path + ": cannot be read");
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::shared_ptr<const Bundle> ParseBundle(const std::string& text,
+                                          const std::string& name) {
+  auto bundle = Bundle::Parse(text, 0);
+  if (!bundle.ok()) {
+    throw UsageError(name + ": " + std::string(bundle.status().message()));
+  }
+  return *bundle;
+}
+
+std::string Collect(const po::variables_map& values) {
+  std::vector<std::string> directories;
+  if (values.count("settings") != 0) {
+    const auto settings = corianderpost::CheckedYaml::FromFile(
+        values["settings"].as<std::string>());
+    settings.RequireMapOf({"directories"});
+    for (const auto& it : settings.Get("directories").Items()) {
+      directories.push_back(it.AsString());
+    }
+  }
+  if (values.count("directory") != 0) {
+    const auto given = values["directory"].as<std::vector<std::string>>();
+    directories.insert(directories.end(), given.begin(), given.end());
+  }
+  if (directories.empty()) {
+    throw UsageError("no directory is given; see --help");
+  }
+  std::vector<std::string> files;
+  for (const auto& it : directories) {
+    const auto found = corianderpost::FindOperatorFiles(it);
+    files.insert(files.end(), found.begin(), found.end());
+  }
+  return corianderpost::CollectBundle(files);
+}
+
+void ShowChanges(const std::string& old_path, const std::string& text) {
+  const auto old = ParseBundle(ReadFile(old_path), old_path);
+  const auto next = ParseBundle(text, "new bundle");
+  const auto lines = corianderpost::DescribeChanges(*old, *next);
+  if (lines.empty()) {
+    std::cout << "nothing changes\n";
+  }
+  for (const auto& it : lines) {
+    std::cout << it << "\n";
+  }
+}
+
+// Writes beside the old file first, so that a failure leaves that whole.
+void WriteFile(const std::string& path, const std::string& text) {
+  const std::string partial = path + ".partial";
+  std::ofstream out(partial);
+  out << text;
+  out.close();
+  if (!out || std::rename(partial.c_str(), path.c_str()) != 0) {
+    throw std::runtime_error(path + ": cannot be written");
+  }
+}
+
+int Run(const po::variables_map& values) {
+  const std::string text = Collect(values);
+  ParseBundle(text, "new bundle");
+  if (values.count("diff") != 0) {
+    ShowChanges(values["diff"].as<std::string>(), text);
+  }
+  if (values.count("check") != 0) {
+    std::cout << "the files are in order\n";
+    return kExitSuccess;
+  }
+  if (values.count("out") != 0) {
+    WriteFile(values["out"].as<std::string>(), text);
+  } else if (values.count("diff") == 0) {
+    std::cout << text;
+  }
+  return kExitSuccess;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  corianderpost::internal::ProgramDescription program{
+      "corianderpost-collect",
+      "collects *.corianderpost.yaml files below the directories into one "
+      "bundle",
+      po::options_description("options"),
+      {"directory"}};
+  program.options.add_options()("directory",
+                                po::value<std::vector<std::string>>(),
+                                "directory to search; may repeat")(
+      "settings", po::value<std::string>(),
+      "YAML file with a list of directories")("check", "only check the files")(
+      "diff", po::value<std::string>(),
+      "say in words what changes against this bundle")(
+      "out", po::value<std::string>(), "write the bundle to this file");
+  return corianderpost::internal::RunProgram(argc, argv, program, Run);
+}
--- a/src/core_impl.cc
+++ b/src/core_impl.cc
@@ -147,9 +147,9 @@
   const Vm* target = membership_.list() == nullptr
                          ? nullptr
                          : membership_.list()->Find(event.target);
-  const Service* service =
-      target == nullptr || !bundle() ? nullptr
-                                     : bundle()->FindService(target->service);
+  const Service* service = target == nullptr || !bundle()
+                               ? nullptr
+                               : bundle()->FindService(target->service);
   if (service == nullptr) {
     return;
   }
@@ -289,8 +289,7 @@
     TargetStatus target;
     target.target = vm.id;
     target.name = vm.name;
-    target.owner =
-        membership_.OwnerOf(now, vm, MayOwn(now)).value_or(VmId());
+    target.owner = membership_.OwnerOf(now, vm, MayOwn(now)).value_or(VmId());
     target.owned_here = target.owner == self_;
     target.outstanding = allocator_.Outstanding(vm.id);
     if (target.owned_here) {
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -15,9 +15,9 @@
 }  // namespace
 
 void CoreImpl::Send(VmId to, PeerMessage message) {
-  actions_.push_back(SendToPeer{{self_, incarnation_, to,
-                                 membership_.IncarnationOf(to),
-                                 std::move(message)}});
+  actions_.push_back(
+      SendToPeer{{self_, incarnation_, to, membership_.IncarnationOf(to),
+                  std::move(message)}});
 }
 
 bool CoreImpl::IsRemote(VmId router) const {
@@ -98,8 +98,8 @@
     // The candidate may seek its majority among routers that were replaced.
     return;
   }
-  auto promised = voter_.Vote(now, from.from, from.from_incarnation,
-                              it.targets);
+  auto promised =
+      voter_.Vote(now, from.from, from.from_incarnation, it.targets);
   if (!promised.empty()) {
     Send(from.from, LeaseVote{it.asked_at_us, std::move(promised)});
   }
@@ -224,9 +224,7 @@
   }
 }
 
-bool CoreImpl::MayOwn(TimePoint now) {
-  return IsServing(now) && !is_draining_;
-}
+bool CoreImpl::MayOwn(TimePoint now) { return IsServing(now) && !is_draining_; }
 
 void CoreImpl::RefreshOwnership(TimePoint now) {
   ownership_at_ = now;
@@ -265,8 +263,7 @@
   std::map<VmId, std::vector<TargetId>> wanted;
   for (const Vm* target : owned_) {
     const Service* service = bundle()->FindService(target->service);
-    if (service == nullptr ||
-        allocator_.IsWarm(now, *target, service->kind)) {
+    if (service == nullptr || allocator_.IsWarm(now, *target, service->kind)) {
       continue;
     }
     for (const VmId it : membership_.Electorate(target->id)) {
@@ -333,8 +330,7 @@
     return local;
   }
   const auto self = std::find(local.begin(), local.end(), self_);
-  return {self != local.end() ? self_
-                              : local[demand_sequence_ % local.size()]};
+  return {self != local.end() ? self_ : local[demand_sequence_ % local.size()]};
 }
 
 void CoreImpl::SendDemands(TimePoint now) {
--- a/src/core_requests.cc
+++ b/src/core_requests.cc
@@ -28,8 +28,8 @@
   request.has_key = !event.idempotent;
   Note(now, event.id,
        "queued for " + CustomerName(event.customer) + " behind " +
-           std::to_string(
-               requests_.WaitingOf(event.service, event.customer) - 1) +
+           std::to_string(requests_.WaitingOf(event.service, event.customer) -
+                          1) +
            " of its own");
   demand_due_ = true;
 }
@@ -171,8 +171,7 @@
   // Suspects stay apart, so that the next crash tells them from one another.
   const auto aboard = requests_.AttemptsOn(target);
   return std::none_of(aboard.begin(), aboard.end(), [&](AttemptId id) {
-    const Request* other =
-        requests_.Find(requests_.FindAttempt(id)->request);
+    const Request* other = requests_.Find(requests_.FindAttempt(id)->request);
     return suspects_.IsSuspect(now, other->arrived.fingerprint);
   });
 }
@@ -182,16 +181,15 @@
   --demand_links_[{grant.service, owner}].unanswered;
   std::optional<AttemptId> begun;
   if (MayUseGrant(now, grant)) {
-    const Attempt attempt{0, grant.target, owner, owner_incarnation,
-                          grant.id, 0, grant.service};
-    begun = requests_.Begin(
-        grant.service, grant.customer, attempt, [&](const Request& request) {
-          return MayRunOn(now, request, grant.target);
-        });
+    const Attempt attempt{0, grant.target, owner, owner_incarnation, grant.id,
+                          0, grant.service};
+    begun = requests_.Begin(grant.service, grant.customer, attempt,
+                            [&](const Request& request) {
+                              return MayRunOn(now, request, grant.target);
+                            });
   }
   if (!begun) {
-    GiveBack(now, owner, owner_incarnation,
-             {grant.id, ReleaseReason::kUnused});
+    GiveBack(now, owner, owner_incarnation, {grant.id, ReleaseReason::kUnused});
     return;
   }
   const Request& request =
@@ -206,8 +204,7 @@
 }
 
 void CoreImpl::GiveBack(TimePoint now, VmId owner,
-                        Incarnation owner_incarnation,
-                        const Release& release) {
+                        Incarnation owner_incarnation, const Release& release) {
   if (owner != self_) {
     Send(owner, release);
     return;
@@ -282,8 +279,8 @@
   const Service* service = bundle()->FindService(request.arrived.service);
   const bool has_begun = outcome == AttemptOutcome::kLostAfterSend;
   const bool may_repeat = !has_begun || request.arrived.idempotent;
-  const bool may_continue =
-      request.delivered_units == 0 || (service != nullptr && service->resumable);
+  const bool may_continue = request.delivered_units == 0 ||
+                            (service != nullptr && service->resumable);
   const bool is_quarantined =
       settings_.guards.quarantine &&
       suspects_.IsQuarantined(now, request.arrived.fingerprint);
--- /dev/null
+++ b/src/json_log.cc
@@ -0,0 +1,134 @@
+#include "corianderpost/internal/json_log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <atomic>
+#include <random>
+
+namespace corianderpost::internal {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kTraceDigits = 32;
+constexpr std::size_t kSpanDigits = 16;
+constexpr std::size_t kTraceparentLength = 55;
+
+std::atomic<bool> is_open{false};
+
+log4cplus::Logger Logger() {
+  return log4cplus::Logger::getInstance("corianderpost");
+}
+
+log4cplus::LogLevel LevelOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      break;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+// Puts time and level before the fields, which come as one JSON object.
+class JsonLayout final : public log4cplus::Layout {
+ public:
+  void formatAndAppend(
+      log4cplus::tostream& out,
+      const log4cplus::spi::InternalLoggingEvent& event) override {
+    const auto at = event.getTimestamp().time_since_epoch();
+    out << "{\"time_us\":"
+        << std::chrono::duration_cast<std::chrono::microseconds>(at).count()
+        << ",\"level\":\""
+        << log4cplus::getLogLevelManager().toString(event.getLogLevel())
+        << "\"," << event.getMessage().substr(1) << "\n";
+  }
+};
+
+std::string RandomHex(std::size_t digits) {
+  static constexpr char kHex[] = "0123456789abcdef";
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  std::string text;
+  for (std::size_t i = 0; i < digits; ++i) {
+    text += kHex[random() % 16];
+  }
+  return text;
+}
+
+bool IsHex(const std::string& text) {
+  return text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+}  // namespace
+
+void OpenLog(const std::string& file, LogLevel least) {
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender;
+  if (file.empty()) {
+    appender = new log4cplus::ConsoleAppender(true, true);
+  } else {
+    appender = new log4cplus::FileAppender(file, std::ios_base::app);
+  }
+  appender->setLayout(std::make_unique<JsonLayout>());
+  Logger().addAppender(appender);
+  Logger().setLogLevel(LevelOf(least));
+  is_open = true;
+}
+
+void Log(LogLevel level, const std::string& message,
+         const std::vector<LogField>& fields) {
+  if (!is_open || !Logger().isEnabledFor(LevelOf(level))) {
+    return;
+  }
+  Json line = {{"message", message}};
+  for (const LogField& it : fields) {
+    line[it.name] = it.value;
+  }
+  Logger().log(LevelOf(level),
+               line.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+TraceContext TraceContext::FromHeader(const std::string& traceparent) {
+  if (traceparent.size() == kTraceparentLength && traceparent[2] == '-') {
+    TraceContext context{traceparent.substr(3, kTraceDigits),
+                         traceparent.substr(4 + kTraceDigits, kSpanDigits)};
+    if (IsHex(context.trace) && IsHex(context.parent)) {
+      return context;
+    }
+  }
+  return {RandomHex(kTraceDigits), ""};
+}
+
+std::string TraceContext::ToHeader(const std::string& span) const {
+  return "00-" + trace + "-" + span + "-01";
+}
+
+Span::Span(std::string name, const TraceContext& context)
+    : name_(std::move(name)),
+      context_(context),
+      id_(RandomHex(kSpanDigits)),
+      started_at_(SystemClock().Now()) {}
+
+Span::~Span() {
+  fields_.push_back({"trace", context_.trace});
+  fields_.push_back({"span", id_});
+  fields_.push_back({"parent", context_.parent});
+  fields_.push_back(
+      {"duration_us", (SystemClock().Now() - started_at_).count()});
+  Log(LogLevel::kInfo, "span " + name_, fields_);
+}
+
+void Span::Add(const std::string& name, Json value) {
+  fields_.push_back({name, std::move(value)});
+}
+
+}  // namespace corianderpost::internal
--- a/src/key_registry.cc
+++ b/src/key_registry.cc
@@ -84,9 +84,7 @@
   number_of_request_.erase(it);
 }
 
-void KeyRegistry::EndNotRun(RequestId request) {
-  End(request, State::kIssued);
-}
+void KeyRegistry::EndNotRun(RequestId request) { End(request, State::kIssued); }
 
 void KeyRegistry::EndAnswered(RequestId request) {
   End(request, State::kAnswered);
--- /dev/null
+++ b/src/metrics.cc
@@ -0,0 +1,91 @@
+#include "corianderpost/internal/metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <sstream>
+
+namespace corianderpost::internal {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr double kQuantiles[] = {0.5, 0.95, 0.99};
+
+using Accumulators =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
+
+}  // namespace
+
+class Metrics::Distribution {
+ public:
+  Distribution()
+      : accumulators_(acc::tag::extended_p_square::probabilities = kQuantiles) {
+  }
+  void Add(double seconds) { accumulators_(seconds); }
+
+  void Write(const std::string& name, std::ostream& out) const {
+    out << "# TYPE " << name << " summary\n";
+    for (const double it : kQuantiles) {
+      out << name << "{quantile=\"" << it << "\"} "
+          << acc::quantile(accumulators_, acc::quantile_probability = it)
+          << "\n";
+    }
+    out << name << "_sum " << acc::sum(accumulators_) << "\n"
+        << name << "_count " << acc::count(accumulators_) << "\n";
+  }
+
+ private:
+  Accumulators accumulators_;
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::Count(const std::string& name, const std::string& labels,
+                    std::uint64_t amount) {
+  const std::lock_guard lock(mutex_);
+  counters_[{name, labels}] += amount;
+}
+
+void Metrics::Observe(const std::string& name, Duration value) {
+  const std::lock_guard lock(mutex_);
+  auto& distribution = distributions_[name];
+  if (!distribution) {
+    distribution = std::make_unique<Distribution>();
+  }
+  distribution->Add(std::chrono::duration<double>(value).count());
+}
+
+void Metrics::Set(const std::string& name, double value) {
+  const std::lock_guard lock(mutex_);
+  gauges_[name] = value;
+}
+
+std::string Metrics::ToText() const {
+  const std::lock_guard lock(mutex_);
+  std::ostringstream out;
+  std::string last;
+  for (const auto& [key, value] : counters_) {
+    if (key.name != last) {
+      out << "# TYPE " << key.name << " counter\n";
+      last = key.name;
+    }
+    out << key.name
+        << (key.labels.empty() ? std::string() : "{" + key.labels + "}") << " "
+        << value << "\n";
+  }
+  for (const auto& [name, value] : gauges_) {
+    out << "# TYPE " << name << " gauge\n" << name << " " << value << "\n";
+  }
+  for (const auto& [name, distribution] : distributions_) {
+    distribution->Write(name, out);
+  }
+  return out.str();
+}
+
+}  // namespace corianderpost::internal
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -120,8 +120,8 @@
   it.sent_at_us = body.at(2);
   const Json& entries = body.at(3);
   for (std::size_t i = 0; i < entries.size(); i += 2) {
-    it.entries.push_back({IdFrom<CustomerId>(entries.at(i)),
-                          entries.at(i + 1)});
+    it.entries.push_back(
+        {IdFrom<CustomerId>(entries.at(i)), entries.at(i + 1)});
   }
   it.held_grants = body.at(4).get<std::vector<std::uint64_t>>();
 }
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -135,9 +135,8 @@
     const std::function<bool(const Request&)>& is_match) const {
   std::vector<RequestId> found;
   for (const auto& [key, queue] : queues_) {
-    std::copy_if(
-        queue.begin(), queue.end(), std::back_inserter(found),
-        [&](RequestId id) { return is_match(requests_.at(id)); });
+    std::copy_if(queue.begin(), queue.end(), std::back_inserter(found),
+                 [&](RequestId id) { return is_match(requests_.at(id)); });
   }
   std::sort(found.begin(), found.end());
   return found;
--- a/src/service_counters.cc
+++ b/src/service_counters.cc
@@ -68,8 +68,8 @@
   const std::uint64_t since = everything ? 0 : sent_up_to_[peer];
   CounterUpdate update;
   for (const auto& [key, entry] : served_) {
-    const bool is_news = entry.changed_at > since &&
-                         (everything || entry.learnt_from != peer);
+    const bool is_news =
+        entry.changed_at > since && (everything || entry.learnt_from != peer);
     if (is_news && relays(key.router)) {
       update.served.push_back(
           {key.router, key.incarnation, key.account, entry.units});
--- a/src/slot_allocator.cc
+++ b/src/slot_allocator.cc
@@ -59,8 +59,7 @@
                                 grant.requester_incarnation == incarnation &&
                                 grant.service == demand.service;
       if (is_from_here && !held.contains(id) &&
-          demand.sent_at_us >
-              grant.demand_sent_at_us + kGrantTtl.count()) {
+          demand.sent_at_us > grant.demand_sent_at_us + kGrantTtl.count()) {
         ended.push_back(id);
       }
     }
@@ -115,8 +114,8 @@
         !IsBackloggedHere(now, demand.service, entry.customer) &&
         !counters.IsBackloggedElsewhere(now, account, kNewcomerWindow);
     if (is_newcomer) {
-      counters.LiftTo(account, static_cast<std::uint64_t>(
-                                   floor * weight_of(account)));
+      counters.LiftTo(account,
+                      static_cast<std::uint64_t>(floor * weight_of(account)));
     }
   }
 }
@@ -263,16 +262,16 @@
     if (now - state.received_at > kDemandLifetime) {
       continue;
     }
-    const bool is_remote = membership.RegionOfRouter(it->first.second) != region;
+    const bool is_remote =
+        membership.RegionOfRouter(it->first.second) != region;
     for (std::size_t i = 0; i < state.demand.entries.size(); ++i) {
       const DemandEntry& entry = state.demand.entries[i];
       if (entry.waiting == 0) {
         continue;
       }
-      const double key =
-          options_.orders_by_service
-              ? KeyOf(service, entry.customer, bundle, counters)
-              : 0.0;
+      const double key = options_.orders_by_service
+                             ? KeyOf(service, entry.customer, bundle, counters)
+                             : 0.0;
       const Rank rank{key, is_remote, state.granted_at};
       if (!best || rank < best_rank) {
         best = Choice{it->first, i};
@@ -296,10 +295,10 @@
   issued.grant = {next_grant_++, target.id, choice.key.first, entry.customer,
                   state.demand.sent_at_us};
   const AccountId account = AccountOf(choice.key.first, entry.customer);
-  slots_.at(target.id)
-      .Add(now, issued.grant.id,
-           {issued.requester, state.incarnation, choice.key.first, account, now,
-            state.demand.sent_at_us});
+  slots_.at(target.id).Add(
+      now, issued.grant.id,
+      {issued.requester, state.incarnation, choice.key.first, account, now,
+       state.demand.sent_at_us});
   target_of_grant_[issued.grant.id] = target.id;
   const auto cost = costs_.find(choice.key.first);
   pending_[account] += cost == costs_.end() ? 1.0 : cost->second.units;
--- a/src/target_slots.cc
+++ b/src/target_slots.cc
@@ -20,10 +20,9 @@
   }
   // A cold target gets work from its lease holder alone, so that foreign work
   // can only become less. The other estimate fits a warm one.
-  foreign_ = cold
-                 ? std::min(foreign_,
-                            std::max(0, in_flight - MinOutstanding(now)))
-                 : std::max(0, in_flight - MaxOutstanding(now));
+  foreign_ =
+      cold ? std::min(foreign_, std::max(0, in_flight - MinOutstanding(now)))
+           : std::max(0, in_flight - MaxOutstanding(now));
 }
 
 void TargetSlots::RequireNewReport(TimePoint now) {
@@ -45,8 +44,8 @@
   if (IsWarm(now)) {
     return service.slots - outstanding - foreign_;
   }
-  const bool knows_load = has_report_ && is_trusted_ &&
-                          now - reported_at_ <= kLoadReportFresh;
+  const bool knows_load =
+      has_report_ && is_trusted_ && now - reported_at_ <= kLoadReportFresh;
   if (!covered || !knows_load) {
     return 0;
   }
