Randomised run over router cores with fakes and a paused clock

Cause: promises need witnesses outside the core. Change: fake callers, targets, configuration service and network around several cores; corianderpost-soak; heartbeats echo times so that late ones show their age; lists spread by peers.

--- a/include/corianderpost/bundle.h
+++ b/include/corianderpost/bundle.h
@@ -144,6 +144,8 @@
                                               std::vector<Vm> vms);
 
   std::uint64_t revision() const { return revision_; }
+  // The text that `Parse` was given; empty for a list made by `Create`.
+  const std::string& text() const { return text_; }
   const std::vector<Vm>& vms() const { return vms_; }
   // Returns null if the list has no such VM.
   const Vm* Find(VmId id) const;
@@ -152,7 +154,10 @@
 
  private:
   VmList() = default;
+  static std::shared_ptr<VmList> Build(std::uint64_t revision,
+                                       std::vector<Vm> vms);
   std::uint64_t revision_ = 0;
+  std::string text_;
   std::vector<Vm> vms_;
   std::vector<VmId> routers_;
   std::map<VmId, std::size_t> index_;
--- a/include/corianderpost/checked_yaml.h
+++ b/include/corianderpost/checked_yaml.h
@@ -55,7 +55,7 @@
   [[noreturn]] void Fail(const std::string& reason) const;
 
  private:
-  CheckedYaml(std::string file, YAML::Node node);
+  CheckedYaml(std::string file, const YAML::Node& node);
   std::string file_;
   YAML::Node node_;
 };
--- a/include/corianderpost/clock.h
+++ b/include/corianderpost/clock.h
@@ -22,6 +22,7 @@
   using rep = Duration::rep;
   using period = Duration::period;
   using time_point = std::chrono::time_point<LocalTime, Duration>;
+  // NOLINTNEXTLINE(readability-identifier-naming): named by the standard.
   static constexpr bool is_steady = true;
 };
 
--- a/include/corianderpost/events.h
+++ b/include/corianderpost/events.h
@@ -171,6 +171,10 @@
   VmId from;
 };
 
+struct PullVmList {
+  VmId from;
+};
+
 // Reads the configuration service once, answering with BundleSeen or
 // BundleReadFailed. With `watch`, waits there for a newer revision.
 struct ReadConfiguration {
@@ -182,9 +186,10 @@
   TargetId target;
 };
 
-using Action = std::variant<Dispatch, Refuse, Complete, Replay, ForgetAnswer,
-                            CancelAttempt, ForwardToHome, SendToPeer,
-                            PullBundle, ReadConfiguration, PollLoad>;
+using Action =
+    std::variant<Dispatch, Refuse, Complete, Replay, ForgetAnswer,
+                 CancelAttempt, ForwardToHome, SendToPeer, PullBundle,
+                 PullVmList, ReadConfiguration, PollLoad>;
 
 // Returns the names used in problem documents, logs and metrics.
 std::string_view Name(RefusalReason reason);
--- a/include/corianderpost/internal/configuration_keeper.h
+++ b/include/corianderpost/internal/configuration_keeper.h
@@ -30,6 +30,8 @@
   std::uint64_t revision() const { return bundle_ ? bundle_->revision() : 0; }
   // Time since this router or a peer read the configuration service.
   Duration Age(TimePoint now, const Membership& membership) const;
+  // True if no peer announced a newer revision than the one in force here.
+  bool IsNewest(const Membership& membership) const;
   // False while peers have held a newer revision for longer than the grace.
   bool IsCurrent(TimePoint now, const Membership& membership);
 
--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -168,6 +168,7 @@
   std::map<VmId, TimePoint> counters_repaired_at_;
   TimePoint leases_asked_at_;
   TimePoint housekeeping_at_;
+  TimePoint list_pulled_at_;
   std::map<DemandLinkKey, DemandLink> demand_links_;
   std::uint64_t demand_sequence_ = 0;
   std::uint64_t gossip_round_ = 0;
--- a/include/corianderpost/internal/membership.h
+++ b/include/corianderpost/internal/membership.h
@@ -42,8 +42,10 @@
   bool UsesRing() const;
 
   bool IsHeard(TimePoint now, VmId router, Duration window) const;
-  // True if this router hears a majority of itself and its neighbours.
+  // True if a majority of this router and its neighbours answered it lately.
   bool HearsMajority(TimePoint now) const;
+  // The time to echo in the next heartbeat to the router.
+  std::int64_t EchoFor(VmId router) const;
   // Returns 0 if no heartbeat was taken from the router.
   Incarnation IncarnationOf(VmId router) const;
   // The bundle revision that the router last announced; 0 if none.
@@ -52,6 +54,8 @@
   std::uint64_t highest_revision() const { return highest_revision_; }
   // A router that announced the highest revision and is still heard.
   std::optional<VmId> HolderOfHighestRevision(TimePoint now) const;
+  // A router that announced a newer VM list than this one's.
+  std::optional<VmId> HolderOfNewerList(TimePoint now) const;
   // Time since anybody read the configuration, as far as peers told.
   Duration ConfigurationAge(TimePoint now) const;
 
@@ -82,6 +86,8 @@
   struct Peer {
     Incarnation incarnation = 0;
     TimePoint heard_at;
+    // When the heartbeat that the peer last answered was sent, on own clock.
+    TimePoint answered_at;
     Heartbeat last;
     // Earliest time that the configuration may have been read, on own clock.
     TimePoint read_at;
--- a/include/corianderpost/internal/platform_tasks.h
+++ b/include/corianderpost/internal/platform_tasks.h
@@ -36,17 +36,22 @@
   std::thread thread_;
 };
 
-// Fetches newer bundles from peers.
-class BundlePullTask {
+// Fetches newer bundles and VM lists from peers.
+class PeerPullTask {
  public:
-  explicit BundlePullTask(EventSink sink);
-  ~BundlePullTask();
-  void Pull(const HostPort& peer) { inbox_.Push(peer); }
+  explicit PeerPullTask(EventSink sink);
+  ~PeerPullTask();
+  void PullBundleFrom(const HostPort& peer) { inbox_.Push({peer, false}); }
+  void PullListFrom(const HostPort& peer) { inbox_.Push({peer, true}); }
 
  private:
+  struct Pull {
+    HostPort peer;
+    bool is_list = false;
+  };
   void Run();
   const EventSink sink_;
-  Mailbox<HostPort> inbox_;
+  Mailbox<Pull> inbox_;
   std::thread thread_;
 };
 
--- a/include/corianderpost/internal/router_process.h
+++ b/include/corianderpost/internal/router_process.h
@@ -58,6 +58,7 @@
   void Do(const ForwardToHome& it);
   void Do(const SendToPeer& it);
   void Do(const PullBundle& it);
+  void Do(const PullVmList& it);
   void Do(const ReadConfiguration& it);
   void Do(const PollLoad& it);
 
@@ -71,6 +72,7 @@
   void ServeModel(const httplib::Request& req, httplib::Response& res);
   void ServePlain(const httplib::Request& req, httplib::Response& res);
   void ServeBundle(httplib::Response& res);
+  void ServeVmList(httplib::Response& res);
   void ServeHealth(httplib::Response& res);
   void ServeExchange(ExchangeRequest request, const httplib::Request& req,
                      httplib::Response& res);
@@ -101,7 +103,7 @@
 
   std::unique_ptr<PeerSocket> peers_;
   std::unique_ptr<ConfigurationTask> configuration_;
-  std::unique_ptr<BundlePullTask> pulls_;
+  std::unique_ptr<PeerPullTask> pulls_;
   std::unique_ptr<VmListTask> vm_list_;
   std::unique_ptr<LoadTask> loads_;
   std::unique_ptr<CoreTask> core_;
--- a/include/corianderpost/internal/timing.h
+++ b/include/corianderpost/internal/timing.h
@@ -54,7 +54,7 @@
 // Longest time by which a load report lags behind the target's state.
 inline constexpr Duration kLoadReportLag = milliseconds(1000);
 // A target whose last report is older than this is not taken for warm.
-inline constexpr Duration kLoadReportFresh = seconds(3);
+inline constexpr Duration kLoadReportFresh = milliseconds(1500);
 
 inline constexpr Duration kConfigurationRetry = milliseconds(500);
 // A router that is no watcher reads for itself if nobody read for this long.
--- a/include/corianderpost/peer_message.h
+++ b/include/corianderpost/peer_message.h
@@ -26,6 +26,10 @@
   std::uint64_t list_revision = 0;
   // Milliseconds since anyone the sender knows of read the configuration.
   std::uint32_t configuration_age_ms = 0;
+  // Sender's local time in microseconds, and the receiver's as the sender last
+  // heard it; 0 if it heard none. A late message so shows its age.
+  std::int64_t sent_at_us = 0;
+  std::int64_t echo_us = 0;
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
 
--- a/src/bundle.cc
+++ b/src/bundle.cc
@@ -228,11 +228,18 @@
     return absl::InvalidArgumentError(std::string("malformed VM list: ") +
                                       ex.what());
   }
-  return Create(revision, std::move(vms));
+  auto list = Build(revision, std::move(vms));
+  list->text_ = text;
+  return std::shared_ptr<const VmList>(std::move(list));
 }
 
 std::shared_ptr<const VmList> VmList::Create(std::uint64_t revision,
                                              std::vector<Vm> vms) {
+  return Build(revision, std::move(vms));
+}
+
+std::shared_ptr<VmList> VmList::Build(std::uint64_t revision,
+                                      std::vector<Vm> vms) {
   std::shared_ptr<VmList> list(new VmList);
   list->revision_ = revision;
   list->vms_ = std::move(vms);
--- a/src/checked_yaml.cc
+++ b/src/checked_yaml.cc
@@ -50,8 +50,8 @@
   return nearest;
 }
 
-CheckedYaml::CheckedYaml(std::string file, YAML::Node node)
-    : file_(std::move(file)), node_(std::move(node)) {}
+CheckedYaml::CheckedYaml(std::string file, const YAML::Node& node)
+    : file_(std::move(file)), node_(node) {}
 
 CheckedYaml CheckedYaml::FromFile(const std::string& path) {
   std::ifstream in(path);
@@ -108,7 +108,7 @@
 }
 
 CheckedYaml CheckedYaml::Get(const std::string& key) const {
-  const auto value = Find(key);
+  auto value = Find(key);
   if (!value) {
     Fail("key '" + key + "' is missing");
   }
--- a/src/configuration_keeper.cc
+++ b/src/configuration_keeper.cc
@@ -50,12 +50,16 @@
   return std::min(own, membership.ConfigurationAge(now));
 }
 
+bool ConfigurationKeeper::IsNewest(const Membership& membership) const {
+  return bundle_ && membership.highest_revision() <= revision();
+}
+
 bool ConfigurationKeeper::IsCurrent(TimePoint now,
                                     const Membership& membership) {
   if (!bundle_) {
     return false;
   }
-  if (membership.highest_revision() <= revision()) {
+  if (IsNewest(membership)) {
     behind_since_.reset();
     return true;
   }
--- a/src/core_impl.cc
+++ b/src/core_impl.cc
@@ -59,6 +59,7 @@
 
 constexpr std::size_t kMaxDecisions = 4096;
 constexpr Duration kHousekeepingInterval = seconds(1);
+constexpr Duration kListPullInterval = seconds(1);
 
 AllocatorOptions OptionsFrom(const Guards& guards) {
   AllocatorOptions options;
@@ -107,8 +108,12 @@
 bool CoreImpl::IsServing(TimePoint now) {
   const bool is_connected =
       membership_.HearsMajority(now) || !settings_.guards.majority_to_serve;
-  return is_connected && membership_.list() != nullptr &&
-         configuration_.IsCurrent(now, membership_);
+  if (!is_connected || membership_.list() == nullptr) {
+    return false;
+  }
+  // A router that comes back from a pause or a cut has no time of grace.
+  return was_serving_ ? configuration_.IsCurrent(now, membership_)
+                      : configuration_.IsNewest(membership_);
 }
 
 bool CoreImpl::IsDrained() const {
@@ -217,6 +222,11 @@
   if (const auto pull = configuration_.NextPull(now, membership_)) {
     actions_.push_back(*pull);
   }
+  const auto newer = membership_.HolderOfNewerList(now);
+  if (newer && now - list_pulled_at_ >= kListPullInterval) {
+    list_pulled_at_ = now;
+    actions_.push_back(PullVmList{*newer});
+  }
 }
 
 void CoreImpl::PollLoads(TimePoint now) {
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -137,6 +137,8 @@
     const auto sent = heartbeat_sent_at_.find(it);
     if (sent == heartbeat_sent_at_.end() || now - sent->second >= interval) {
       heartbeat_sent_at_[it] = now;
+      heartbeat.sent_at_us = now.time_since_epoch().count();
+      heartbeat.echo_us = membership_.EchoFor(it);
       Send(it, heartbeat);
     }
   }
--- a/src/http_util.cc
+++ b/src/http_util.cc
@@ -20,6 +20,8 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  // Ends the wait when no stop was asked for.
+  sigaddset(&signals, SIGUSR1);
   return signals;
 }
 
@@ -94,13 +96,15 @@
     const sigset_t signals = StopSignals();
     int signal = 0;
     sigwait(&signals, &signal);
-    on_stop();
+    if (signal != SIGUSR1) {
+      on_stop();
+    }
   });
 }
 
 StopSignal::~StopSignal() {
   if (waiter_.joinable()) {
-    pthread_kill(waiter_.native_handle(), SIGTERM);
+    pthread_kill(waiter_.native_handle(), SIGUSR1);
     waiter_.join();
   }
 }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -99,6 +99,13 @@
   const bool is_new = incarnation != peer.incarnation;
   peer.incarnation = incarnation;
   peer.heard_at = now;
+  if (heartbeat.echo_us > 0) {
+    peer.answered_at =
+        std::max(peer.answered_at, TimePoint(Duration(heartbeat.echo_us)));
+  }
+  if (!is_new && heartbeat.sent_at_us < peer.last.sent_at_us) {
+    return false;
+  }
   peer.last = heartbeat;
   peer.read_at =
       now - std::chrono::milliseconds(heartbeat.configuration_age_ms);
@@ -122,7 +129,11 @@
   }
   std::size_t heard = 1;
   for (const VmId it : neighbours_) {
-    heard += IsHeard(now, it, kHeardWindow) ? 1 : 0;
+    const auto peer = peers_.find(it);
+    const bool has_answered = peer != peers_.end() &&
+                              peer->second.answered_at != TimePoint() &&
+                              now - peer->second.answered_at <= kHeardWindow;
+    heard += has_answered ? 1 : 0;
   }
   return 2 * heard > neighbours_.size() + 1;
 }
@@ -132,6 +143,21 @@
   return it == peers_.end() ? 0 : it->second.incarnation;
 }
 
+std::int64_t Membership::EchoFor(VmId router) const {
+  const auto it = peers_.find(router);
+  return it == peers_.end() ? 0 : it->second.last.sent_at_us;
+}
+
+std::optional<VmId> Membership::HolderOfNewerList(TimePoint now) const {
+  for (const auto& [vm, peer] : peers_) {
+    if (list_ && peer.last.list_revision > list_->revision() &&
+        now - peer.heard_at <= kHeardWindow) {
+      return vm;
+    }
+  }
+  return std::nullopt;
+}
+
 std::uint64_t Membership::RevisionOf(VmId router) const {
   const auto it = peers_.find(router);
   return it == peers_.end() ? 0 : it->second.last.bundle_revision;
--- a/src/operator_files.cc
+++ b/src/operator_files.cc
@@ -118,7 +118,7 @@
   }
 
   std::string Digest(const CheckedYaml& digest) {
-    const std::string text = digest.AsString();
+    std::string text = digest.AsString();
     const bool is_hex = std::all_of(text.begin(), text.end(), [](char c) {
       return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
     });
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -41,7 +41,8 @@
 
 Json Body(const Heartbeat& it) {
   return Json::array({it.draining, it.serving, it.bundle_revision,
-                      it.list_revision, it.configuration_age_ms});
+                      it.list_revision, it.configuration_age_ms, it.sent_at_us,
+                      it.echo_us});
 }
 
 Json Body(const CounterUpdate& it) {
@@ -97,7 +98,8 @@
 }
 
 void Parse(const Json& body, Heartbeat& it) {
-  it = {body.at(0), body.at(1), body.at(2), body.at(3), body.at(4)};
+  it = {body.at(0), body.at(1), body.at(2), body.at(3),
+        body.at(4), body.at(5), body.at(6)};
 }
 
 void Parse(const Json& body, CounterUpdate& it) {
--- a/src/platform_tasks.cc
+++ b/src/platform_tasks.cc
@@ -34,6 +34,17 @@
   return *bundle;
 }
 
+// Returns null, logging why, if the response has no valid list.
+std::shared_ptr<const VmList> ListFrom(const httplib::Response& res) {
+  auto list = VmList::Parse(res.body);
+  if (!list.ok()) {
+    Log(LogLevel::kError, "refused a VM list",
+        {{"reason", std::string(list.status().message())}});
+    return nullptr;
+  }
+  return *list;
+}
+
 }  // namespace
 
 ConfigurationTask::ConfigurationTask(const HostPort& service, EventSink sink)
@@ -75,22 +86,29 @@
   return BundleReadFailed{};
 }
 
-BundlePullTask::BundlePullTask(EventSink sink) : sink_(std::move(sink)) {
+PeerPullTask::PeerPullTask(EventSink sink) : sink_(std::move(sink)) {
   thread_ = std::thread([this] { Run(); });
 }
 
-BundlePullTask::~BundlePullTask() {
+PeerPullTask::~PeerPullTask() {
   inbox_.Close();
   thread_.join();
 }
 
-void BundlePullTask::Run() {
-  while (const auto peer = inbox_.Pop()) {
-    const auto client = MakeClient(*peer, kConnectTimeout, kReadTimeout);
-    const auto res = client->Get("/internal/bundle");
+void PeerPullTask::Run() {
+  while (const auto pull = inbox_.Pop()) {
+    const auto client = MakeClient(pull->peer, kConnectTimeout, kReadTimeout);
+    const auto res =
+        client->Get(pull->is_list ? "/internal/vms" : "/internal/bundle");
     if (!res || res->status != 200) {
       continue;
     }
+    if (pull->is_list) {
+      if (auto list = ListFrom(*res)) {
+        sink_(VmListSeen{std::move(list)});
+      }
+      continue;
+    }
     if (auto bundle = BundleFrom(*res)) {
       sink_(BundleSeen{std::move(bundle), false});
     }
@@ -112,12 +130,8 @@
   while (!stop_.IsClosed()) {
     const auto res = client->Get("/vms");
     if (res && res->status == 200) {
-      auto list = VmList::Parse(res->body);
-      if (list.ok()) {
-        sink_(VmListSeen{*list});
-      } else {
-        Log(LogLevel::kError, "refused a VM list",
-            {{"reason", std::string(list.status().message())}});
+      if (auto list = ListFrom(*res)) {
+        sink_(VmListSeen{std::move(list)});
       }
     }
     stop_.PopFor(kListInterval);
--- a/src/router_process.cc
+++ b/src/router_process.cc
@@ -136,7 +136,7 @@
   const EventSink sink = [this](Event event) { core_->Post(std::move(event)); };
   configuration_ =
       std::make_unique<ConfigurationTask>(settings_.configuration, sink);
-  pulls_ = std::make_unique<BundlePullTask>(sink);
+  pulls_ = std::make_unique<PeerPullTask>(sink);
   loads_ = std::make_unique<LoadTask>(sink);
   peers_ = std::make_unique<PeerSocket>(
       settings_.peer_listen,
@@ -295,7 +295,13 @@
 
 void RouterProcess::Do(const PullBundle& it) {
   if (const auto address = AddressOf(it.from)) {
-    pulls_->Pull(*address);
+    pulls_->PullBundleFrom(*address);
+  }
+}
+
+void RouterProcess::Do(const PullVmList& it) {
+  if (const auto address = AddressOf(it.from)) {
+    pulls_->PullListFrom(*address);
   }
 }
 
@@ -336,6 +342,8 @@
   server_.Delete(pattern, plain);
   server_.Get("/internal/bundle",
               [this](const auto&, auto& res) { ServeBundle(res); });
+  server_.Get("/internal/vms",
+              [this](const auto&, auto& res) { ServeVmList(res); });
   server_.Get("/health", [this](const auto&, auto& res) { ServeHealth(res); });
   server_.Get("/metrics", [this](const auto&, auto& res) {
     RefreshGauges();
@@ -371,6 +379,15 @@
   res.set_content(bundle->text(), "application/json");
 }
 
+void RouterProcess::ServeVmList(httplib::Response& res) {
+  const auto list = core_->vm_list();
+  if (!list) {
+    res.status = 503;
+    return;
+  }
+  res.set_content(list->text(), "application/json");
+}
+
 const Customer* RouterProcess::Authenticate(const Bundle& bundle,
                                             const httplib::Request& req,
                                             httplib::Response& res) {
--- /dev/null
+++ b/tests/soak_run.cc
@@ -0,0 +1,191 @@
+#include "soak_run.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace corianderpost::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kFaultInterval = seconds(8);
+constexpr int kCustomers = 12;
+constexpr int kEngines = 9;
+constexpr int kRouters = 6;
+
+struct NamedGuard {
+  const char* name;
+  bool Guards::*member;
+};
+
+constexpr NamedGuard kGuards[] = {
+    {"fair_order", &Guards::fair_order},
+    {"idle_earns_no_credit", &Guards::idle_earns_no_credit},
+    {"cold_needs_lease", &Guards::cold_needs_lease},
+    {"voter_waits_after_start", &Guards::voter_waits_after_start},
+    {"grants_expire", &Guards::grants_expire},
+    {"key_has_home", &Guards::key_has_home},
+    {"revisions_only_grow", &Guards::revisions_only_grow},
+    {"peers_spread_revisions", &Guards::peers_spread_revisions},
+    {"majority_to_serve", &Guards::majority_to_serve},
+    {"lost_means_unknown", &Guards::lost_means_unknown},
+    {"quarantine", &Guards::quarantine},
+    {"retry_budget", &Guards::retry_budget},
+    {"drain_finishes_requests", &Guards::drain_finishes_requests},
+    {"spreads_demand", &Guards::spreads_demand},
+};
+
+// Throws the faults of the brief's list at a fleet.
+class FaultPlan {
+ public:
+  explicit FaultPlan(FakeFleet& fleet) : fleet_(fleet) {}
+
+  // Begins a fault, or two at once, and ends those whose time is over.
+  void Act() {
+    End();
+    const int count = fleet_.Chance() < 0.4 ? 2 : 1;
+    for (int i = 0; i < count; ++i) {
+      Begin();
+      ++faults_;
+    }
+  }
+  std::uint64_t faults() const { return faults_; }
+
+ private:
+  int AnyRouter() { return static_cast<int>(fleet_.Pick(kRouters)); }
+  int AnyEngine() { return static_cast<int>(fleet_.Pick(kEngines)); }
+
+  void End() {
+    if (fleet_.Chance() < 0.6) {
+      fleet_.HealCuts();
+    }
+    fleet_.SetLoss(0);
+    fleet_.SetLateness(0);
+    if (fleet_.Chance() < 0.5) {
+      fleet_.SetConfigurationDown(false);
+      fleet_.SetConfigurationStale(false);
+    }
+    for (int i = 0; i < kRouters; ++i) {
+      fleet_.CutFromVmList(i, false);
+      fleet_.StartRouter(i);
+    }
+    if (!zone_out_.empty() && fleet_.Chance() < 0.5) {
+      fleet_.PublishZone(zone_out_, false);
+      zone_out_.clear();
+    }
+    if (leaving_ >= 0) {
+      fleet_.AnnounceLeaving(leaving_, false);
+      leaving_ = -1;
+    }
+  }
+
+  void Begin() {
+    static const std::vector<std::string> kZones = {"colombo", "negombo",
+                                                    "kandy"};
+    switch (fleet_.Pick(15)) {
+      case 0:
+        return fleet_.RestartRouter(AnyRouter());
+      case 1:
+        return fleet_.RestartRouter(AnyRouter(), true);
+      case 2:
+        return fleet_.ReplaceRouter(AnyRouter());
+      case 3:
+        return fleet_.PauseRouter(AnyRouter(),
+                                  milliseconds(500 + fleet_.Pick(20'000)));
+      case 4:
+        return fleet_.CutZones({kZones[fleet_.Pick(kZones.size())]});
+      case 5:
+        return fleet_.CutRouters({AnyRouter(), AnyRouter()});
+      case 6:
+        return fleet_.SetConfigurationDown(true);
+      case 7:
+        return fleet_.SetConfigurationStale(true);
+      case 8:
+        if (zone_out_.empty()) {
+          zone_out_ = kZones[fleet_.Pick(kZones.size())];
+          fleet_.PublishZone(zone_out_, true);
+        }
+        return;
+      case 9:
+        return fleet_.TurnCold(AnyEngine(), seconds(5 + fleet_.Pick(15)));
+      case 10:
+        return fleet_.RestartEngine(AnyEngine(), seconds(5 + fleet_.Pick(15)));
+      case 11:
+        leaving_ = AnyEngine();
+        return fleet_.AnnounceLeaving(leaving_, true);
+      case 12:
+        fleet_.SetLoss(0.3);
+        return fleet_.SetLateness(0.1);
+      case 13:
+        return fleet_.SendPoison(static_cast<int>(fleet_.Pick(kCustomers)), 8);
+      default:
+        fleet_.CutFromVmList(AnyRouter(), true);
+        return fleet_.DrainRouter(AnyRouter());
+    }
+  }
+
+  FakeFleet& fleet_;
+  std::string zone_out_;
+  int leaving_ = -1;
+  std::uint64_t faults_ = 0;
+};
+
+std::vector<CustomerLoad> MixedLoad() {
+  std::vector<CustomerLoad> load;
+  // Two flood from few routers, the others ask now and then.
+  load.push_back({0, 40, {0, 1}, false});
+  load.push_back({1, 25, {2, 3, 4}, false});
+  for (int i = 2; i < kCustomers; ++i) {
+    load.push_back({i, 1.5, {}, false});
+  }
+  load.push_back({2, 4, {}, true});
+  load.push_back({3, 4, {}, true});
+  return load;
+}
+
+}  // namespace
+
+SoakResult RunSoak(std::uint64_t seed, std::uint64_t steps,
+                   const Guards& guards) {
+  FleetOptions options;
+  options.seed = seed;
+  options.routers = kRouters;
+  options.engines = kEngines;
+  options.customers = kCustomers;
+  options.guards = guards;
+  options.duplicates = 0.01;
+  FakeFleet fleet(options);
+  FaultPlan plan(fleet);
+  fleet.RunFor(seconds(8));
+  fleet.SetLoad(MixedLoad());
+  const Duration end = fleet.now() + static_cast<Duration::rep>(steps) * kStep;
+  while (fleet.now() < end) {
+    fleet.RunFor(std::min<Duration>(kFaultInterval, end - fleet.now()));
+    plan.Act();
+  }
+  return {fleet.violations(), fleet.stats(), plan.faults(),
+          fleet.InvariantChecks(), fleet.now()};
+}
+
+Guards WithGuardOff(const std::string& name) {
+  for (const NamedGuard& it : kGuards) {
+    if (name == it.name) {
+      Guards guards;
+      guards.*it.member = false;
+      return guards;
+    }
+  }
+  throw std::invalid_argument("no guard is named '" + name + "'");
+}
+
+std::vector<std::string> GuardNames() {
+  std::vector<std::string> names;
+  for (const NamedGuard& it : kGuards) {
+    names.emplace_back(it.name);
+  }
+  return names;
+}
+
+}  // namespace corianderpost::testing
