--- a/include/corianderpost/events.h
+++ b/include/corianderpost/events.h
@@ -81,6 +81,8 @@
   TargetId target;
   int in_flight = 0;
   bool cold = false;
+  // The time in the PollLoad that this answers.
+  TimePoint asked_at;
 };
 
 struct LoadReportFailed {
@@ -184,6 +186,8 @@
 
 struct PollLoad {
   TargetId target;
+  // Comes back in the report, whose state is not much older than this.
+  TimePoint asked_at;
 };
 
 using Action =
--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -85,6 +85,9 @@
                    const Claim& claim);
   void TakeGrant(TimePoint now, VmId owner, Incarnation owner_incarnation,
                  const Grant& grant);
+  // Returns false for a copy of a grant that came before.
+  bool NoteGrant(TimePoint now, VmId owner, Incarnation owner_incarnation,
+                 const Grant& grant);
   bool MayUseGrant(TimePoint now, const Grant& grant);
   bool MayRunOn(TimePoint now, const Request& request, TargetId target);
   void GiveBack(TimePoint now, VmId owner, Incarnation owner_incarnation,
@@ -162,6 +165,15 @@
   // When a target was last seen to die.
   std::map<TargetId, TimePoint> crash_noted_at_;
 
+  // Grants that came in, until none of them can be used any more.
+  struct GrantKey {
+    VmId owner;
+    Incarnation owner_incarnation = 0;
+    std::uint64_t id = 0;
+    friend auto operator<=>(const GrantKey&, const GrantKey&) = default;
+  };
+  std::map<GrantKey, TimePoint> grants_seen_;
+
   // Exchange with peers.
   std::map<VmId, TimePoint> heartbeat_sent_at_;
   std::map<VmId, TimePoint> counters_sent_at_;
--- a/include/corianderpost/internal/crash_suspects.h
+++ b/include/corianderpost/internal/crash_suspects.h
@@ -28,7 +28,8 @@
   bool IsSuspect(TimePoint now, std::uint64_t fingerprint) const;
   bool IsQuarantined(TimePoint now, std::uint64_t fingerprint) const;
 
-  // Returns what changed since the last call, for all peers.
+  // Returns what changed lately, for all peers. Each change is returned a few
+  // times, as messages may be lost.
   SuspectUpdate TakeChanges();
   // Returns everything, for a peer that restarted.
   SuspectUpdate Everything() const;
@@ -42,7 +43,8 @@
   std::uint32_t CrashesOf(TimePoint now, std::uint64_t fingerprint) const;
 
   std::map<std::uint64_t, Suspect> suspects_;
-  std::vector<std::uint64_t> changed_;
+  // Changes and how often they are still to be returned.
+  std::map<std::uint64_t, int> changed_;
 };
 
 }  // namespace corianderpost::internal
--- a/include/corianderpost/internal/platform_tasks.h
+++ b/include/corianderpost/internal/platform_tasks.h
@@ -74,11 +74,11 @@
  public:
   explicit LoadTask(EventSink sink);
   ~LoadTask();
-  void Poll(TargetId target, const HostPort& address);
+  void Poll(const PollLoad& poll, const HostPort& address);
 
  private:
   struct Request {
-    TargetId target;
+    PollLoad poll;
     HostPort address;
   };
   void Run();
--- a/include/corianderpost/internal/slot_allocator.h
+++ b/include/corianderpost/internal/slot_allocator.h
@@ -49,7 +49,7 @@
                   const Demand& demand, ServiceCounters& counters);
   void TakeRelease(TimePoint now, VmId requester, const Release& release);
   void TakeReport(TimePoint now, const Vm& target, ServiceKind kind,
-                  int in_flight, bool cold);
+                  const TargetReport& report);
   // Forgets what a router's earlier life held.
   void ForgetRequester(TimePoint now, VmId requester);
   void RequireNewReport(TimePoint now, TargetId target);
--- a/include/corianderpost/internal/target_slots.h
+++ b/include/corianderpost/internal/target_slots.h
@@ -27,14 +27,22 @@
   std::int64_t demand_sent_at_us = 0;
 };
 
+// What a target said of its load.
+struct TargetReport {
+  int in_flight = 0;
+  bool cold = false;
+  // When it was asked. Its state is at most the report lag older.
+  TimePoint asked_at;
+};
+
 // One target's slots. Belongs to one core; not thread-safe.
 class TargetSlots {
  public:
   explicit TargetSlots(ServiceKind kind) : kind_(kind) {}
 
-  void TakeReport(TimePoint now, int in_flight, bool cold);
-  // Distrusts what is known of the target until a report that must have been
-  // made after `now`.
+  void TakeReport(TimePoint now, const TargetReport& report);
+  // Distrusts what is known of the target until a report whose state must be
+  // of after `now`.
   void RequireNewReport(TimePoint now);
 
   // True if the target is known to be warm. Plain services always are.
@@ -58,21 +66,27 @@
     TimePoint at;
     int outstanding = 0;
   };
+  bool IsReportFresh(TimePoint now) const;
+  // Upper bound of what runs on a cold target, and a fair guess for a warm one.
+  int ColdLoad() const;
+  int WarmLoad() const;
   void Record(TimePoint now);
-  // Bounds of the number of outstanding grants within the report lag.
-  int MinOutstanding(TimePoint now) const;
-  int MaxOutstanding(TimePoint now) const;
+  int MaxOutstandingSince(TimePoint since) const;
 
   const ServiceKind kind_;
   std::map<std::uint64_t, OutstandingGrant> grants_;
+  // Outstanding grants over time.
   std::deque<Sample> history_;
   bool has_report_ = false;
-  bool reported_cold_ = true;
-  TimePoint reported_at_;
-  int foreign_ = 0;
-  // Reports received before this may be of an earlier state.
-  TimePoint trust_reports_from_;
-  bool is_trusted_ = false;
+  TargetReport report_;
+  // Work that others may have given it and that may still run.
+  int foreign_when_cold_ = 0;
+  int foreign_when_warm_ = 0;
+  // Reports that were asked for before this may be of an earlier state.
+  TimePoint trust_warm_from_;
+  // Before this, others may give it work that they take for warm.
+  TimePoint trust_cold_from_;
+  bool is_cold_load_known_ = false;
 };
 
 }  // namespace corianderpost::internal
--- a/include/corianderpost/internal/timing.h
+++ b/include/corianderpost/internal/timing.h
@@ -35,7 +35,7 @@
 inline constexpr Duration kListOverlap = seconds(10);
 
 // A grant may be used until this long after the demand it answers was sent.
-inline constexpr Duration kGrantTtl = milliseconds(1500);
+inline constexpr Duration kGrantTtl = milliseconds(1000);
 // Grants of a router that was silent for this long are taken back.
 inline constexpr Duration kHolderTimeout = seconds(5);
 
@@ -54,7 +54,13 @@
 // Longest time by which a load report lags behind the target's state.
 inline constexpr Duration kLoadReportLag = milliseconds(1000);
 // A target whose last report is older than this is not taken for warm.
-inline constexpr Duration kLoadReportFresh = milliseconds(1500);
+inline constexpr Duration kLoadReportFresh = milliseconds(1200);
+
+// Longest time in which another router may still give work to a target that it
+// takes for warm, after the target turned cold.
+inline constexpr Duration kForeignGrantsEnd = kLoadReportFresh + kGrantTtl;
+// Longest way of a request to its target, and of a grant to its user.
+inline constexpr Duration kTransit = milliseconds(200);
 
 inline constexpr Duration kConfigurationRetry = milliseconds(500);
 // A router that is no watcher reads for itself if nobody read for this long.
--- a/include/corianderpost/router_core.h
+++ b/include/corianderpost/router_core.h
@@ -38,6 +38,7 @@
   bool cold_needs_lease = true;
   bool voter_waits_after_start = true;
   bool grants_expire = true;
+  bool grants_are_used_once = true;
   bool key_has_home = true;
   bool revisions_only_grow = true;
   bool peers_spread_revisions = true;
@@ -108,8 +109,11 @@
   std::string text;
 };
 
-// Returns the incarnation to start with, from the wall clock.
-Incarnation NextIncarnation(std::uint64_t wall_micros);
+// Returns the incarnation to start with: the wall clock's milliseconds above
+// random bits, which keep two lives apart that reach the same time.
+Incarnation NextIncarnation(std::uint64_t wall_micros, std::uint64_t random);
+// Returns an incarnation above `seen` with the random bits of `own`.
+Incarnation IncarnationAfter(Incarnation seen, Incarnation own);
 
 // Not thread-safe: one task owns it.
 class RouterCore {
--- a/src/core_impl.cc
+++ b/src/core_impl.cc
@@ -7,8 +7,20 @@
 
 namespace corianderpost {
 
-Incarnation NextIncarnation(std::uint64_t wall_micros) {
-  return std::max<std::uint64_t>(wall_micros, 1);
+namespace {
+
+// Low bits of an incarnation that are random.
+constexpr int kRandomBits = 22;
+constexpr std::uint64_t kRandomMask = (std::uint64_t{1} << kRandomBits) - 1;
+
+}  // namespace
+
+Incarnation NextIncarnation(std::uint64_t wall_micros, std::uint64_t random) {
+  return ((wall_micros / 1000 + 1) << kRandomBits) | (random & kRandomMask);
+}
+
+Incarnation IncarnationAfter(Incarnation seen, Incarnation own) {
+  return (((seen >> kRandomBits) + 1) << kRandomBits) | (own & kRandomMask);
 }
 
 absl::StatusOr<std::unique_ptr<RouterCore>> RouterCore::Create(
@@ -158,8 +170,8 @@
   if (service == nullptr) {
     return;
   }
-  allocator_.TakeReport(now, *target, service->kind, event.in_flight,
-                        event.cold);
+  allocator_.TakeReport(now, *target, service->kind,
+                        {event.in_flight, event.cold, event.asked_at});
   allocation_due_ = true;
 }
 
@@ -203,6 +215,8 @@
     housekeeping_at_ = now;
     allocator_.DropSilent(now);
     suspects_.Expire(now);
+    std::erase_if(grants_seen_,
+                  [now](const auto& it) { return now > it.second; });
     for (const RequestId id : keys_.Expire(now)) {
       actions_.push_back(ForgetAnswer{id});
     }
@@ -241,7 +255,7 @@
     TargetSlots& slots = allocator_.SlotsOf(*target, service->kind);
     if (now - slots.polled_at >= kLoadPollInterval) {
       slots.polled_at = now;
-      actions_.push_back(PollLoad{target->id});
+      actions_.push_back(PollLoad{target->id, now});
     }
   }
 }
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -33,7 +33,7 @@
     // A peer knows a later life of this VM than this one: the wall clock went
     // back across the restart. As in a hybrid logical clock, continue above
     // the highest number seen.
-    incarnation_ = envelope.to_incarnation + 1;
+    incarnation_ = IncarnationAfter(envelope.to_incarnation, incarnation_);
     counters_.SetIncarnation(incarnation_);
     keys_.SetIncarnation(incarnation_);
     Note(now, 0, "took a later incarnation than the wall clock gives");
@@ -48,7 +48,13 @@
 void CoreImpl::OnMessage(TimePoint now, const PeerEnvelope& from,
                          const Heartbeat& it) {
   const bool is_restart = membership_.IncarnationOf(from.from) != 0;
-  if (!membership_.TakeHeartbeat(now, from.from, from.from_incarnation, it)) {
+  Heartbeat heartbeat = it;
+  if (from.to_incarnation != incarnation_) {
+    // The echo is of another life, whose clock began elsewhere.
+    heartbeat.echo_us = 0;
+  }
+  if (!membership_.TakeHeartbeat(now, from.from, from.from_incarnation,
+                                 heartbeat)) {
     return;
   }
   if (is_restart) {
--- a/src/core_requests.cc
+++ b/src/core_requests.cc
@@ -151,6 +151,17 @@
   demand_due_ = true;
 }
 
+bool CoreImpl::NoteGrant(TimePoint now, VmId owner,
+                         Incarnation owner_incarnation, const Grant& grant) {
+  if (owner == self_ || !settings_.guards.grants_are_used_once) {
+    return true;
+  }
+  // A copy that comes later than this is refused for its age.
+  return grants_seen_
+      .try_emplace({owner, owner_incarnation, grant.id}, now + 2 * kGrantTtl)
+      .second;
+}
+
 bool CoreImpl::MayUseGrant(TimePoint now, const Grant& grant) {
   const TimePoint demand_sent_at{Duration(grant.demand_sent_at_us)};
   if (settings_.guards.grants_expire && now - demand_sent_at > kGrantTtl) {
@@ -178,6 +189,9 @@
 
 void CoreImpl::TakeGrant(TimePoint now, VmId owner,
                          Incarnation owner_incarnation, const Grant& grant) {
+  if (!NoteGrant(now, owner, owner_incarnation, grant)) {
+    return;
+  }
   --demand_links_[{grant.service, owner}].unanswered;
   std::optional<AttemptId> begun;
   if (MayUseGrant(now, grant)) {
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -6,6 +6,12 @@
 #include "corianderpost/internal/timing.h"
 
 namespace corianderpost::internal {
+namespace {
+
+// How often a change is sent.
+constexpr int kRepeats = 5;
+
+}  // namespace
 
 void CrashSuspects::NoteCrash(TimePoint now,
                               const std::vector<std::uint64_t>& aboard) {
@@ -17,13 +23,13 @@
       continue;
     }
     suspects_[it] = {CrashesOf(now, it) + 1, now + kSuspectLifetime};
-    changed_.push_back(it);
+    changed_[it] = kRepeats;
   }
 }
 
 void CrashSuspects::Clear(std::uint64_t fingerprint) {
   if (suspects_.erase(fingerprint) != 0) {
-    changed_.push_back(fingerprint);
+    changed_[fingerprint] = kRepeats;
   }
 }
 
@@ -57,10 +63,11 @@
 
 SuspectUpdate CrashSuspects::TakeChanges() {
   SuspectUpdate update;
-  for (const std::uint64_t it : std::exchange(changed_, {})) {
-    const auto found = suspects_.find(it);
+  for (auto it = changed_.begin(); it != changed_.end();) {
+    const auto found = suspects_.find(it->first);
     update.entries.push_back(
-        {it, found == suspects_.end() ? 0 : found->second.crashes});
+        {it->first, found == suspects_.end() ? 0 : found->second.crashes});
+    it = --it->second == 0 ? changed_.erase(it) : std::next(it);
   }
   return update;
 }
--- a/src/platform_tasks.cc
+++ b/src/platform_tasks.cc
@@ -151,8 +151,8 @@
   }
 }
 
-void LoadTask::Poll(TargetId target, const HostPort& address) {
-  inbox_.Push({target, address});
+void LoadTask::Poll(const PollLoad& poll, const HostPort& address) {
+  inbox_.Push({poll, address});
 }
 
 void LoadTask::Run() {
@@ -166,9 +166,10 @@
                           : nlohmann::json();
     if (json.is_object() && json.contains("in_flight") &&
         json.contains("cold")) {
-      sink_(LoadReported{request->target, json["in_flight"], json["cold"]});
+      sink_(LoadReported{request->poll.target, json["in_flight"], json["cold"],
+                         request->poll.asked_at});
     } else {
-      sink_(LoadReportFailed{request->target});
+      sink_(LoadReportFailed{request->poll.target});
     }
   }
 }
--- a/src/router_process.cc
+++ b/src/router_process.cc
@@ -3,6 +3,7 @@
 #include <openssl/sha.h>
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "corianderpost/internal/status_json.h"
 
@@ -121,7 +122,8 @@
   RouterCoreSettings core;
   core.self = VmId::FromName(settings_.vm);
   core.zone = settings_.zone;
-  core.incarnation = NextIncarnation(clock_.WallMicros());
+  core.incarnation =
+      NextIncarnation(clock_.WallMicros(), std::random_device{}());
   core.on_violation = [this](const InvariantViolation& it) {
     metrics_.Count("corianderpost_invariant_violations_total",
                    "name=\"" + it.name + "\"");
@@ -311,7 +313,7 @@
 
 void RouterProcess::Do(const PollLoad& it) {
   if (const auto address = AddressOf(it.target)) {
-    loads_->Poll(it.target, *address);
+    loads_->Poll(it, *address);
   }
 }
 
--- a/src/slot_allocator.cc
+++ b/src/slot_allocator.cc
@@ -144,8 +144,8 @@
 }
 
 void SlotAllocator::TakeReport(TimePoint now, const Vm& target,
-                               ServiceKind kind, int in_flight, bool cold) {
-  SlotsOf(target, kind).TakeReport(now, in_flight, cold);
+                               ServiceKind kind, const TargetReport& report) {
+  SlotsOf(target, kind).TakeReport(now, report);
 }
 
 void SlotAllocator::RequireNewReport(TimePoint now, TargetId target) {
--- a/tests/fake_fleet.cc
+++ b/tests/fake_fleet.cc
@@ -72,9 +72,9 @@
   settings.self = router.vm;
   settings.zone = router.zone;
   settings.guards = options_.guards;
+  const Duration wall = now_ + router.wall_skew;
   settings.incarnation = NextIncarnation(
-      kEpochMicros + static_cast<std::uint64_t>(std::max<Duration::rep>(
-                         1, now_.count() + router.wall_skew.count())));
+      kEpochMicros + static_cast<std::uint64_t>(wall.count()), random_());
   settings.on_violation = [this, index](const InvariantViolation& it) {
     Violate("router " + std::to_string(index) + ": invariant " + it.name + " " +
             it.detail);
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -212,6 +212,9 @@
   void CrashEngine(int engine, Duration cold_time);
   void CheckDispatch(int router, int engine);
   void CheckConcurrency(int engine);
+  // Who runs work on the engine, and who takes itself for its owner.
+  std::string DescribeRunning(int engine);
+  std::string DescribePeers(int router);
 
   FleetOptions options_;
   std::mt19937_64 random_;
--- a/tests/fake_fleet_state.h
+++ b/tests/fake_fleet_state.h
@@ -95,7 +95,7 @@
   AttemptId attempt = 0;
   int engine = 0;
   std::uint64_t next_unit = 0;
-  bool has_arrived = false;
+  Duration arrived_at{0};
 };
 
 struct FakeFleet::Work {
--- a/tests/fake_fleet_work.cc
+++ b/tests/fake_fleet_work.cc
@@ -230,7 +230,8 @@
   if (!bundle || bundle->revision() < RevisionInForce()) {
     Violate("router " + std::to_string(index) + " works under revision " +
             std::to_string(bundle ? bundle->revision() : 0) + ", " +
-            std::to_string(RevisionInForce()) + " is in force");
+            std::to_string(RevisionInForce()) + " is in force" +
+            DescribePeers(index));
   }
   const Bundle& in_force =
       *published_[std::max<std::uint64_t>(1, RevisionInForce()) - 1];
@@ -287,6 +288,44 @@
   }
 }
 
+std::string FakeFleet::DescribePeers(int index) {
+  const RouterStatus status = core(index).Status(LocalTime(index));
+  std::string text = "; serving " + std::to_string(status.serving) +
+                     ", highest " + std::to_string(status.highest_revision) +
+                     ", list " + std::to_string(status.list_revision) +
+                     ", hears";
+  for (const PeerStatus& it : status.peers) {
+    text += " " + std::to_string(RouterOf(it.router)) + (it.heard ? "+" : "-") +
+            std::to_string(it.bundle_revision);
+  }
+  return text;
+}
+
+std::string FakeFleet::DescribeRunning(int index) {
+  std::string text;
+  for (const std::uint64_t id :
+       engines_[static_cast<std::size_t>(index)]->running) {
+    const Execution& it = *executions_.at(id);
+    text += " router " + std::to_string(it.router) + " since " +
+            std::to_string((now_ - it.arrived_at).count() / 1000) + " ms;";
+  }
+  for (int i = 0; i < router_count(); ++i) {
+    if (!routers_[static_cast<std::size_t>(i)]->is_alive) {
+      continue;
+    }
+    for (const TargetStatus& it : core(i).Status(LocalTime(i)).targets) {
+      if (it.owned_here &&
+          it.target == engines_[static_cast<std::size_t>(index)]->vm) {
+        text += " owner " + std::to_string(i) + " with " +
+                std::to_string(it.outstanding) + " out, lease " +
+                std::to_string(it.lease_held) + ", warm " +
+                std::to_string(it.warm) + ";";
+      }
+    }
+  }
+  return text;
+}
+
 void FakeFleet::CheckConcurrency(int index) {
   Engine& engine = *engines_[static_cast<std::size_t>(index)];
   if (engine.is_plain || !engine.IsCold(now_)) {
@@ -299,7 +338,8 @@
   if (now_ - engine.cold_since > kColdKnownWithin) {
     Violate("cold " + engine.name + " got " +
             std::to_string(engine.running.size()) + " at once, cold for " +
-            std::to_string((now_ - engine.cold_since).count() / 1000) + " ms");
+            std::to_string((now_ - engine.cold_since).count() / 1000) +
+            " ms:" + DescribeRunning(index));
   } else {
     ++stats_.unknowable_overloads;
   }
@@ -316,7 +356,7 @@
     EndExecution(id, AttemptOutcome::kNotSent);
     return;
   }
-  execution.has_arrived = true;
+  execution.arrived_at = now_;
   engine.running.insert(id);
   engine.Record(now_);
   Router& router = *routers_[static_cast<std::size_t>(execution.router)];
@@ -430,7 +470,8 @@
   if (!IsCut(router.zone, target.zone) && now_ >= target.away_until) {
     target.Record(now_);
     const auto& sample = target.history.front();
-    answer = LoadReported{it.target, sample.in_flight, sample.cold};
+    answer =
+        LoadReported{it.target, sample.in_flight, sample.cold, it.asked_at};
   }
   At(2 * Latency(router.zone, target.zone),
      [this, index, life, answer] { Deliver(index, life, answer); });
--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -45,6 +45,11 @@
   std::cout << "seed " << seed << ", steps " << steps << "\n";
   const ct::SoakResult result = ct::RunSoak(seed, steps, guards);
   ShowCounts(result);
+  if (values.count("trace") != 0) {
+    for (const auto& it : result.trace) {
+      std::cout << it.at.count() / 1000 << " ms: " << it.what << "\n";
+    }
+  }
   for (const auto& it : result.violations) {
     std::cout << "VIOLATION at " << it.at.count() / 1000 << " ms: " << it.what
               << "\n";
@@ -65,6 +70,7 @@
       "seed", po::value<std::uint64_t>()->default_value(1), "random seed")(
       "steps", po::value<std::uint64_t>()->default_value(20'000),
       "steps of 10 ms")("without", po::value<std::string>(),
-                        "switch a guard off, to see what it prevents");
+                        "switch a guard off, to see what it prevents")(
+      "trace", "show the faults");
   return in::RunProgram(argc, argv, program, Run);
 }
--- a/tests/soak_run.cc
+++ b/tests/soak_run.cc
@@ -26,6 +26,7 @@
     {"cold_needs_lease", &Guards::cold_needs_lease},
     {"voter_waits_after_start", &Guards::voter_waits_after_start},
     {"grants_expire", &Guards::grants_expire},
+    {"grants_are_used_once", &Guards::grants_are_used_once},
     {"key_has_home", &Guards::key_has_home},
     {"revisions_only_grow", &Guards::revisions_only_grow},
     {"peers_spread_revisions", &Guards::peers_spread_revisions},
@@ -52,6 +53,7 @@
     }
   }
   std::uint64_t faults() const { return faults_; }
+  const std::vector<Violation>& trace() const { return trace_; }
 
  private:
   int AnyRouter() { return static_cast<int>(fleet_.Pick(kRouters)); }
@@ -59,11 +61,13 @@
 
   void End() {
     if (fleet_.Chance() < 0.6) {
+      Note("cuts heal");
       fleet_.HealCuts();
     }
     fleet_.SetLoss(0);
     fleet_.SetLateness(0);
     if (fleet_.Chance() < 0.5) {
+      Note("configuration up");
       fleet_.SetConfigurationDown(false);
       fleet_.SetConfigurationStale(false);
     }
@@ -72,6 +76,7 @@
       fleet_.StartRouter(i);
     }
     if (!zone_out_.empty() && fleet_.Chance() < 0.5) {
+      Note("bring back zone " + zone_out_);
       fleet_.PublishZone(zone_out_, false);
       zone_out_.clear();
     }
@@ -81,48 +86,79 @@
     }
   }
 
-  void Begin() {
+  void Note(const std::string& fault) {
+    trace_.push_back({fleet_.now(), fault});
+  }
+
+  // Notes the fault and the router that it meets.
+  int NoteRouter(const std::string& fault) {
+    const int router = AnyRouter();
+    Note(fault + " router " + std::to_string(router));
+    return router;
+  }
+
+  int NoteEngine(const std::string& fault) {
+    const int engine = AnyEngine();
+    Note(fault + " engine " + std::to_string(engine));
+    return engine;
+  }
+
+  std::string NoteZone(const std::string& fault) {
     static const std::vector<std::string> kZones = {"colombo", "negombo",
                                                     "kandy"};
+    const std::string zone = kZones[fleet_.Pick(kZones.size())];
+    Note(fault + " zone " + zone);
+    return zone;
+  }
+
+  void Begin() {
     switch (fleet_.Pick(15)) {
       case 0:
-        return fleet_.RestartRouter(AnyRouter());
+        return fleet_.RestartRouter(NoteRouter("restart"));
       case 1:
-        return fleet_.RestartRouter(AnyRouter(), true);
+        return fleet_.RestartRouter(NoteRouter("clock back"), true);
       case 2:
-        return fleet_.ReplaceRouter(AnyRouter());
+        return fleet_.ReplaceRouter(NoteRouter("replace"));
       case 3:
-        return fleet_.PauseRouter(AnyRouter(),
+        return fleet_.PauseRouter(NoteRouter("pause"),
                                   milliseconds(500 + fleet_.Pick(20'000)));
       case 4:
-        return fleet_.CutZones({kZones[fleet_.Pick(kZones.size())]});
-      case 5:
-        return fleet_.CutRouters({AnyRouter(), AnyRouter()});
+        return fleet_.CutZones({NoteZone("cut")});
+      case 5: {
+        const int first = NoteRouter("cut");
+        return fleet_.CutRouters({first, NoteRouter("and cut with it")});
+      }
       case 6:
+        Note("configuration down");
         return fleet_.SetConfigurationDown(true);
       case 7:
+        Note("configuration stale");
         return fleet_.SetConfigurationStale(true);
       case 8:
         if (zone_out_.empty()) {
-          zone_out_ = kZones[fleet_.Pick(kZones.size())];
+          zone_out_ = NoteZone("take out");
           fleet_.PublishZone(zone_out_, true);
         }
         return;
       case 9:
-        return fleet_.TurnCold(AnyEngine(), seconds(5 + fleet_.Pick(15)));
+        return fleet_.TurnCold(NoteEngine("cold"),
+                               seconds(5 + fleet_.Pick(15)));
       case 10:
-        return fleet_.RestartEngine(AnyEngine(), seconds(5 + fleet_.Pick(15)));
+        return fleet_.RestartEngine(NoteEngine("restart"),
+                                    seconds(5 + fleet_.Pick(15)));
       case 11:
-        leaving_ = AnyEngine();
+        leaving_ = NoteEngine("leaving");
         return fleet_.AnnounceLeaving(leaving_, true);
       case 12:
+        Note("loss and lateness");
         fleet_.SetLoss(0.3);
         return fleet_.SetLateness(0.1);
       case 13:
+        Note("poison");
         return fleet_.SendPoison(static_cast<int>(fleet_.Pick(kCustomers)), 8);
       default:
-        fleet_.CutFromVmList(AnyRouter(), true);
-        return fleet_.DrainRouter(AnyRouter());
+        fleet_.CutFromVmList(NoteRouter("no VM list for"), true);
+        return fleet_.DrainRouter(NoteRouter("drain"));
     }
   }
 
@@ -130,6 +166,7 @@
   std::string zone_out_;
   int leaving_ = -1;
   std::uint64_t faults_ = 0;
+  std::vector<Violation> trace_;
 };
 
 std::vector<CustomerLoad> MixedLoad() {
@@ -165,8 +202,8 @@
     fleet.RunFor(std::min<Duration>(kFaultInterval, end - fleet.now()));
     plan.Act();
   }
-  return {fleet.violations(), fleet.stats(), plan.faults(),
-          fleet.InvariantChecks(), fleet.now()};
+  return {fleet.violations(),      fleet.stats(), plan.faults(),
+          fleet.InvariantChecks(), fleet.now(),   plan.trace()};
 }
 
 Guards WithGuardOff(const std::string& name) {
--- a/tests/soak_run.h
+++ b/tests/soak_run.h
@@ -16,6 +16,8 @@
   std::uint64_t faults = 0;
   std::uint64_t invariant_checks = 0;
   Duration simulated{0};
+  // What was done to the fleet, and when.
+  std::vector<Violation> trace;
 };
 
 // Runs `steps` steps of 10 ms. The same seed, steps and guards give the same
