--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -41,6 +41,8 @@
     }
     if (it.crashes > CrashesOf(now, it.fingerprint)) {
       suspects_[it.fingerprint] = {it.crashes, now + kSuspectLifetime};
+      // Passed on, as the peer that saw it may not reach everybody.
+      changed_[it.fingerprint] = kRepeats;
     }
   }
 }
--- a/tests/fake_fleet.cc
+++ b/tests/fake_fleet.cc
@@ -64,6 +64,8 @@
   Router& router = *routers_[static_cast<std::size_t>(index)];
   router.vm = VmId::FromName(router.name);
   router.life = next_life_++;
+  ++stats_.lives;
+  router.dispatched.clear();
   router.is_alive = true;
   router.is_draining = false;
   router.paused_until = Duration(0);
@@ -244,7 +246,8 @@
 }
 
 bool FakeFleet::ArePeersCut(int from, int to) const {
-  return cut_routers_.contains(from) != cut_routers_.contains(to) ||
+  return cut_pairs_.contains({std::min(from, to), std::max(from, to)}) ||
+         cut_routers_.contains(from) != cut_routers_.contains(to) ||
          IsCut(routers_[static_cast<std::size_t>(from)]->zone,
                routers_[static_cast<std::size_t>(to)]->zone);
 }
@@ -257,7 +260,12 @@
 
 void FakeFleet::CutRouters(const std::set<int>& side) { cut_routers_ = side; }
 
+void FakeFleet::CutPair(int a, int b) {
+  cut_pairs_.insert({std::min(a, b), std::max(a, b)});
+}
+
 void FakeFleet::HealCuts() {
+  cut_pairs_.clear();
   NoteVisible();
   cut_zones_.clear();
   cut_routers_.clear();
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -72,6 +72,8 @@
   std::uint64_t lost_with_router = 0;
   std::uint64_t dispatches = 0;
   std::uint64_t resumed = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t lives = 0;
   std::uint64_t cold_arrivals = 0;
   // Arrivals over the cold limit before anybody could know of the cold.
   std::uint64_t unknowable_overloads = 0;
@@ -113,6 +115,8 @@
   void CutZones(const std::set<std::string>& side);
   // Cuts peer messages between routers on different sides.
   void CutRouters(const std::set<int>& side);
+  // Cuts peer messages between two routers alone.
+  void CutPair(int a, int b);
   void HealCuts();
   void SetConfigurationDown(bool is_down);
   void SetConfigurationStale(bool is_stale);
@@ -231,6 +235,12 @@
   std::uint64_t load_generation_ = 0;
   std::set<std::string> cut_zones_;
   std::set<int> cut_routers_;
+  struct Pair {
+    int a;
+    int b;
+    friend auto operator<=>(const Pair&, const Pair&) = default;
+  };
+  std::set<Pair> cut_pairs_;
   std::set<std::string> zones_out_;
   bool configuration_down_ = false;
   std::uint64_t stale_revision_ = 0;
--- a/tests/fake_fleet_state.h
+++ b/tests/fake_fleet_state.h
@@ -53,6 +53,7 @@
   std::unique_ptr<RouterCore> core;
   std::map<RequestId, std::uint64_t> work_of_request;
   std::set<RequestId> open_when_drained;
+  std::set<RequestId> dispatched;
   std::map<AttemptId, std::uint64_t> execution_of_attempt;
   // Requests that a target has begun.
   std::set<RequestId> begun;
--- a/tests/fake_fleet_work.cc
+++ b/tests/fake_fleet_work.cc
@@ -258,6 +258,9 @@
   }
   stats_.resumed += it.resume_from > 0 ? 1 : 0;
   ++stats_.dispatches;
+  if (!router.dispatched.insert(it.request).second) {
+    ++stats_.retries;
+  }
   CheckDispatch(index, engine);
   auto execution = std::make_unique<Execution>();
   execution->id = next_id_++;
--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -23,8 +23,9 @@
             << stats.resumed << ", on cold targets " << stats.cold_arrivals
             << ", over the limit before it could be known "
             << stats.unknowable_overloads << ", once-only runs "
-            << stats.once_only_run << ", crashes by poison "
-            << stats.crashes_by_poison << "\nrefusals:";
+            << stats.once_only_run << ", retries " << stats.retries
+            << ", crashes by poison " << stats.crashes_by_poison
+            << "\nrefusals:";
   for (const auto& [reason, count] : stats.refusals) {
     std::cout << " " << reason << " " << count;
   }
--- a/tests/soak_run.cc
+++ b/tests/soak_run.cc
@@ -14,6 +14,9 @@
 constexpr int kCustomers = 12;
 constexpr int kEngines = 9;
 constexpr int kRouters = 6;
+// The stated budget: a tenth of the requests, and some for each router's life.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetriesAtStart = 20;
 
 struct NamedGuard {
   const char* name;
@@ -112,7 +115,7 @@
   }
 
   void Begin() {
-    switch (fleet_.Pick(15)) {
+    switch (fleet_.Pick(16)) {
       case 0:
         return fleet_.RestartRouter(NoteRouter("restart"));
       case 1:
@@ -151,11 +154,15 @@
         return fleet_.AnnounceLeaving(leaving_, true);
       case 12:
         Note("loss and lateness");
-        fleet_.SetLoss(0.3);
-        return fleet_.SetLateness(0.1);
+        fleet_.SetLoss(fleet_.Chance() < 0.5 ? 0.3 : 0.0);
+        return fleet_.SetLateness(0.3);
       case 13:
         Note("poison");
         return fleet_.SendPoison(static_cast<int>(fleet_.Pick(kCustomers)), 8);
+      case 14: {
+        const int first = NoteRouter("cut pair");
+        return fleet_.CutPair(first, NoteRouter("and"));
+      }
       default:
         fleet_.CutFromVmList(NoteRouter("no VM list for"), true);
         return fleet_.DrainRouter(NoteRouter("drain"));
@@ -202,8 +209,18 @@
     fleet.RunFor(std::min<Duration>(kFaultInterval, end - fleet.now()));
     plan.Act();
   }
-  return {fleet.violations(),      fleet.stats(), plan.faults(),
-          fleet.InvariantChecks(), fleet.now(),   plan.trace()};
+  std::vector<Violation> violations = fleet.violations();
+  const FleetStats& stats = fleet.stats();
+  const auto allowed = static_cast<std::uint64_t>(
+      kRetryShare * static_cast<double>(stats.requests) +
+      kRetriesAtStart * static_cast<double>(stats.lives));
+  if (stats.retries > allowed) {
+    violations.push_back(
+        {fleet.now(), std::to_string(stats.retries) + " retries, " +
+                          std::to_string(allowed) + " allowed"});
+  }
+  return {violations,  stats,       plan.faults(), fleet.InvariantChecks(),
+          fleet.now(), plan.trace()};
 }
 
 Guards WithGuardOff(const std::string& name) {
