Every message tells of its sender's life, so large fleets release slots

Cause: beyond nine routers only neighbours exchange heartbeats, so a release to another owner named incarnation 0 and was dropped; slots leaked. Change: Membership::NoteLife takes the incarnation from any envelope.

--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -114,6 +114,8 @@
   void OnMessage(TimePoint now, const PeerEnvelope& from, const LeaseVote& it);
   void OnMessage(TimePoint now, const PeerEnvelope& from,
                  const SuspectUpdate& it);
+  // Tells a router that is new here what a new life needs.
+  void Welcome(TimePoint now, VmId peer);
   void Send(VmId to, PeerMessage message);
   void SendHeartbeats(TimePoint now);
   void SendCounters(TimePoint now);
--- a/include/corianderpost/internal/membership.h
+++ b/include/corianderpost/internal/membership.h
@@ -26,9 +26,11 @@
   bool TakeList(TimePoint now, std::shared_ptr<const VmList> list);
   // Takes the zones' regions from the bundle.
   void TakeRegions(const Bundle& bundle);
-  // Notes a heartbeat. Returns true if it tells of a new incarnation.
-  bool TakeHeartbeat(TimePoint now, VmId from, Incarnation incarnation,
-                     const Heartbeat& heartbeat);
+  // Notes the life that a message came from, of any kind.
+  enum class Life { kKnown, kFirst, kRestarted, kEnded };
+  Life NoteLife(VmId from, Incarnation incarnation);
+  // Notes a heartbeat of the router's known life.
+  void TakeHeartbeat(TimePoint now, VmId from, const Heartbeat& heartbeat);
   // Notes that a router did not answer; it owns nothing until `until`.
   void Avoid(VmId router, TimePoint until);
 
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -38,34 +38,41 @@
     keys_.SetIncarnation(incarnation_);
     Note(now, 0, "took a later incarnation than the wall clock gives");
   }
-  if (envelope.from_incarnation < membership_.IncarnationOf(envelope.from)) {
-    return;
+  switch (membership_.NoteLife(envelope.from, envelope.from_incarnation)) {
+    case Membership::Life::kEnded:
+      return;
+    case Membership::Life::kKnown:
+      break;
+    case Membership::Life::kRestarted:
+      allocator_.ForgetRequester(now, envelope.from);
+      Welcome(now, envelope.from);
+      break;
+    case Membership::Life::kFirst:
+      Welcome(now, envelope.from);
+      break;
   }
   std::visit([&](const auto& it) { OnMessage(now, envelope, it); },
              envelope.message);
 }
 
+void CoreImpl::Welcome(TimePoint now, VmId peer) {
+  // A new router knows nothing: send it everything at once.
+  counters_repaired_at_.erase(peer);
+  SendCountersTo(now, peer, IsRemote(peer));
+  const SuspectUpdate all = suspects_.Everything();
+  if (!all.entries.empty()) {
+    Send(peer, all);
+  }
+}
+
 void CoreImpl::OnMessage(TimePoint now, const PeerEnvelope& from,
                          const Heartbeat& it) {
-  const bool is_restart = membership_.IncarnationOf(from.from) != 0;
   Heartbeat heartbeat = it;
   if (from.to_incarnation != incarnation_) {
     // The echo is of another life, whose clock began elsewhere.
     heartbeat.echo_us = 0;
   }
-  if (!membership_.TakeHeartbeat(now, from.from, from.from_incarnation,
-                                 heartbeat)) {
-    return;
-  }
-  if (is_restart) {
-    allocator_.ForgetRequester(now, from.from);
-  }
-  // A new router knows nothing: send it everything at once.
-  SendCountersTo(now, from.from, IsRemote(from.from));
-  const SuspectUpdate all = suspects_.Everything();
-  if (!all.entries.empty()) {
-    Send(from.from, all);
-  }
+  membership_.TakeHeartbeat(now, from.from, heartbeat);
 }
 
 void CoreImpl::OnMessage(TimePoint now, const PeerEnvelope& from,
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -88,30 +88,37 @@
   own_region_ = RegionOfZone(own_zone_);
 }
 
-bool Membership::TakeHeartbeat(TimePoint now, VmId from,
-                               Incarnation incarnation,
-                               const Heartbeat& heartbeat) {
+Membership::Life Membership::NoteLife(VmId from, Incarnation incarnation) {
   Peer& peer = peers_[from];
-  // Incarnations grow, so a late message of an earlier life changes nothing.
+  if (incarnation == peer.incarnation) {
+    return Life::kKnown;
+  }
+  // Incarnations grow, so this is a late message of an earlier life.
   if (incarnation < peer.incarnation) {
-    return false;
+    return Life::kEnded;
   }
-  const bool is_new = incarnation != peer.incarnation;
+  const bool is_first = peer.incarnation == 0;
+  peer = Peer();
   peer.incarnation = incarnation;
+  return is_first ? Life::kFirst : Life::kRestarted;
+}
+
+void Membership::TakeHeartbeat(TimePoint now, VmId from,
+                               const Heartbeat& heartbeat) {
+  Peer& peer = peers_[from];
   peer.heard_at = now;
   if (heartbeat.echo_us > 0) {
     peer.answered_at =
         std::max(peer.answered_at, TimePoint(Duration(heartbeat.echo_us)));
   }
-  if (!is_new && heartbeat.sent_at_us < peer.last.sent_at_us) {
-    return false;
+  if (heartbeat.sent_at_us < peer.last.sent_at_us) {
+    return;
   }
   peer.last = heartbeat;
   peer.read_at =
       now - std::chrono::milliseconds(heartbeat.configuration_age_ms);
   highest_revision_ = std::max(highest_revision_, heartbeat.bundle_revision);
   avoided_until_.erase(from);
-  return is_new;
 }
 
 void Membership::Avoid(VmId router, TimePoint until) {
@@ -120,7 +127,8 @@
 
 bool Membership::IsHeard(TimePoint now, VmId router, Duration window) const {
   const auto it = peers_.find(router);
-  return it != peers_.end() && now - it->second.heard_at <= window;
+  return it != peers_.end() && it->second.heard_at != TimePoint() &&
+         now - it->second.heard_at <= window;
 }
 
 bool Membership::HearsMajority(TimePoint now) const {
@@ -193,7 +201,7 @@
     return false;
   }
   const auto it = peers_.find(router.id);
-  if (it != peers_.end() && now - it->second.heard_at <= kSuspectAfter) {
+  if (IsHeard(now, router.id, kSuspectAfter)) {
     return it->second.last.serving && !it->second.last.draining;
   }
   // In a large fleet only neighbours are heard; others are taken to live.
