--- a/include/corianderpost/internal/leases.h
+++ b/include/corianderpost/internal/leases.h
@@ -36,8 +36,8 @@
     Incarnation incarnation = 0;
     TimePoint until;
   };
-  const TimePoint started_at_;
-  const bool waits_after_start_;
+  TimePoint started_at_;
+  bool waits_after_start_;
   std::map<TargetId, Promise> promises_;
 };
 
--- /dev/null
+++ b/src/operator_files_test.cc
@@ -0,0 +1,146 @@
+#include "corianderpost/operator_files.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace corianderpost {
+namespace {
+
+// A folder with operators' files, removed at the end.
+class OperatorFolder {
+ public:
+  OperatorFolder() : path_(std::filesystem::temp_directory_path() / Name()) {
+    std::filesystem::create_directories(path_);
+    Write("zones", "zones:\n  - {name: a, region: west}\n");
+    Write("customers",
+          "customers:\n  - {name: club, key_digests: []}\n"
+          "  - {name: other-club, weight: 2, key_digests: []}\n");
+    Write("service", Service("assistant", ""));
+  }
+  ~OperatorFolder() { std::filesystem::remove_all(path_); }
+
+  void Write(const std::string& name, const std::string& text) const {
+    std::ofstream(path_ / (name + kOperatorFileSuffix)) << text;
+  }
+  std::string Collect() const {
+    return CollectBundle(FindOperatorFiles(path_.string()));
+  }
+  // Returns the error that collecting gives, without the folder.
+  std::string Fault() const {
+    try {
+      Collect();
+    } catch (const YamlError& ex) {
+      std::string text = ex.what();
+      for (std::size_t at = text.find(path_.string()); at != std::string::npos;
+           at = text.find(path_.string())) {
+        text.erase(at, path_.string().size() + 1);
+      }
+      return text;
+    }
+    return "no fault";
+  }
+  static std::string Service(const std::string& name, const std::string& rest) {
+    return "service:\n  name: " + name +
+           "\n  kind: model\n  limits: {slots: 8, cold_slots: 1, "
+           "max_wait_ms: 1000, max_waiting: 9}\n" +
+           rest;
+  }
+
+ private:
+  static std::string Name() {
+    static int count = 0;
+    return "corianderpost-test-" + std::to_string(getpid()) + "-" +
+           std::to_string(count++);
+  }
+  const std::filesystem::path path_;
+};
+
+TEST_CASE("files in order become one bundle") {
+  const OperatorFolder folder;
+  const auto bundle = Bundle::Parse(folder.Collect(), 3);
+  REQUIRE(bundle.ok());
+  CHECK((*bundle)->revision() == 3);
+  CHECK((*bundle)->services().size() == 1);
+  CHECK((*bundle)->WeightOf(ServiceId::FromName("assistant"),
+                            CustomerId::FromName("other-club")) == 2);
+}
+
+TEST_CASE("a misspelt key is pointed at, with the nearest known one") {
+  const OperatorFolder folder;
+  folder.Write("service", "service:\n  name: x\n  knid: model\n");
+  CHECK(folder.Fault() ==
+        "service.corianderpost.yaml:3:3: unknown key 'knid'; did you mean "
+        "'kind'?");
+}
+
+TEST_CASE("two files that claim one service are both named") {
+  const OperatorFolder folder;
+  folder.Write("twice", OperatorFolder::Service("assistant", ""));
+  CHECK(folder.Fault() ==
+        "twice.corianderpost.yaml:2:9: service 'assistant' is already given "
+        "at service.corianderpost.yaml:2:9");
+}
+
+TEST_CASE("a weight of zero is refused") {
+  const OperatorFolder folder;
+  folder.Write("customers",
+               "customers:\n  - {name: club, weight: 0, key_digests: []}\n");
+  CHECK(folder.Fault() ==
+        "customers.corianderpost.yaml:2:26: a number greater than zero is "
+        "expected here");
+}
+
+TEST_CASE("a share for an unknown customer is refused") {
+  const OperatorFolder folder;
+  folder.Write("service",
+               OperatorFolder::Service("assistant", "  shares: {clubb: 2}\n"));
+  CHECK(folder.Fault() ==
+        "service.corianderpost.yaml:5:12: unknown customer 'clubb'; did you "
+        "mean 'club'?");
+}
+
+TEST_CASE("more cold slots than slots are refused") {
+  const OperatorFolder folder;
+  folder.Write("service",
+               "service:\n  name: x\n  kind: model\n  limits: {slots: 2, "
+               "cold_slots: 3, max_wait_ms: 1, max_waiting: 1}\n");
+  CHECK(folder.Fault() ==
+        "service.corianderpost.yaml:4:34: a number from 1 to 2 is expected "
+        "here, not 3");
+}
+
+TEST_CASE("a bundle over the limit is refused") {
+  const OperatorFolder folder;
+  std::string many = "customers:\n";
+  for (int i = 0; i < 16'000; ++i) {
+    many += "  - {name: customer-with-a-rather-long-name-" + std::to_string(i) +
+            ", weight: 1.5, key_digests: []}\n";
+  }
+  folder.Write("customers", many);
+  CHECK(folder.Fault().ends_with("bytes; the limit is 1000000"));
+}
+
+TEST_CASE("text that is no YAML is pointed at") {
+  const OperatorFolder folder;
+  folder.Write("zones", "zones: [\n");
+  CHECK(folder.Fault().starts_with("zones.corianderpost.yaml:2:1: "));
+}
+
+TEST_CASE("changes are said in words") {
+  const OperatorFolder folder;
+  const auto old = *Bundle::Parse(folder.Collect(), 0);
+  folder.Write("zones", "zones:\n  - {name: a, region: west, state: out}\n");
+  folder.Write("customers",
+               "customers:\n  - {name: club, weight: 3, key_digests: []}\n");
+  const auto next = *Bundle::Parse(folder.Collect(), 0);
+  CHECK(DescribeChanges(*old, *next) ==
+        std::vector<std::string>{"zone a is taken out",
+                                 "customer other-club is removed",
+                                 "customer club changes weight from 1 to 3"});
+}
+
+}  // namespace
+}  // namespace corianderpost
