--- a/include/corianderpost/internal/caller_exchange.h
+++ b/include/corianderpost/internal/caller_exchange.h
@@ -104,12 +104,16 @@
   // Writes what came since; returns false to cut the caller's connection.
   bool WriteStream(httplib::DataSink& sink);
   void Abandon();
+  void ReportProgress(AttemptId attempt);
 
   const ExchangeRequest request_;
   ExchangeHost& host_;
   Span span_;
   const TimePoint started_at_;
   Mailbox<ExchangeMessage> inbox_;
+  // Of the running attempt; belong to its thread.
+  std::uint32_t unreported_units_ = 0;
+  TimePoint reported_at_;
   std::unique_ptr<UpstreamAttempt> attempt_;
   std::unique_ptr<Span> attempt_span_;
   State state_ = State::kWaiting;
--- a/src/caller_exchange.cc
+++ b/src/caller_exchange.cc
@@ -7,6 +7,8 @@
 
 using Json = nlohmann::json;
 
+// Progress is charged this often; no finer than routers exchange counters.
+constexpr Duration kReportInterval = std::chrono::milliseconds(100);
 constexpr Duration kForwardConnectTimeout = std::chrono::seconds(1);
 constexpr Duration kForwardReadTimeout = std::chrono::seconds(60);
 
@@ -273,14 +275,23 @@
 }
 
 void CallerExchange::OnPart(AttemptId attempt, AnswerPart part) {
-  const std::uint32_t units = part.units;
+  unreported_units_ += part.units;
   inbox_.Push(std::move(part));
-  if (units > 0) {
-    host_.Post(AttemptProgress{attempt, units});
+  const TimePoint now = SystemClock().Now();
+  if (now - reported_at_ >= kReportInterval) {
+    reported_at_ = now;
+    ReportProgress(attempt);
+  }
+}
+
+void CallerExchange::ReportProgress(AttemptId attempt) {
+  if (unreported_units_ > 0) {
+    host_.Post(AttemptProgress{attempt, std::exchange(unreported_units_, 0)});
   }
 }
 
 void CallerExchange::OnEnd(AttemptId attempt, AttemptOutcome outcome) {
+  ReportProgress(attempt);
   host_.Post(AttemptEnded{attempt, outcome});
 }
 
