Large fleets: an account's home sums its counters, owners are asked a few at once

Cause: in fleets beyond nine routers every router passed every counter on, which cost 232 KB/s a node at 30 routers and 636 KB/s at 100. Change: each account has a home router by hash that sums reports and answers with the fleet's total, which demands carry to owners; a router asks at most eight owners, others each second; one random heartbeat spreads revisions.

--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -114,12 +114,17 @@
   void OnMessage(TimePoint now, const PeerEnvelope& from, const LeaseVote& it);
   void OnMessage(TimePoint now, const PeerEnvelope& from,
                  const SuspectUpdate& it);
+  void OnMessage(TimePoint now, const PeerEnvelope& from,
+                 const AccountTotals& it);
   // Tells a router that is new here what a new life needs.
   void Welcome(TimePoint now, VmId peer);
   void Send(VmId to, PeerMessage message);
   void SendHeartbeats(TimePoint now);
   void SendCounters(TimePoint now);
   void SendCountersTo(TimePoint now, VmId peer, bool is_remote);
+  // In large fleets: tells accounts' homes what changed, and answers as one.
+  void ReportToHomes(TimePoint now);
+  void AnswerAsHome(VmId reporter, const CounterUpdate& update);
   void SendSuspects();
   void RenewLeases(TimePoint now);
   void CountVote(TimePoint now, VmId voter, TimePoint asked_at,
@@ -130,6 +135,9 @@
   void AllocateSlots(TimePoint now);
   void SendDemands(TimePoint now);
   void SendDemand(TimePoint now, ServiceId service, VmId owner, bool asks);
+  // A few of many owners, others from time to time.
+  std::vector<VmId> SomeOf(TimePoint now,
+                           const std::vector<VmId>& owners) const;
   std::vector<VmId> OwnersToAsk(TimePoint now, ServiceId service);
   bool IsRemote(VmId router) const;
 
@@ -163,6 +171,7 @@
   std::shared_ptr<const VmList> owned_from_;
   std::map<ServiceId, std::vector<VmId>> owners_;
   TimePoint ownership_at_;
+  TimePoint exchanged_at_;
   std::set<TargetId> owned_before_;
   // When a target was last seen to die.
   std::map<TargetId, TimePoint> crash_noted_at_;
@@ -186,6 +195,9 @@
   std::map<DemandLinkKey, DemandLink> demand_links_;
   std::uint64_t demand_sequence_ = 0;
   std::uint64_t gossip_round_ = 0;
+  TimePoint gossiped_at_;
+  TimePoint homes_told_at_;
+  TimePoint homes_repaired_at_;
 };
 
 }  // namespace corianderpost::internal
--- a/include/corianderpost/internal/membership.h
+++ b/include/corianderpost/internal/membership.h
@@ -73,6 +73,12 @@
   // Routers that may vote on the target under the current list.
   std::vector<VmId> Electorate(TargetId target) const;
 
+  // Returns the router that sums up an account in a large fleet. Every router
+  // with the same list gives the same answer.
+  VmId HomeOf(AccountId account) const;
+  // A router of the list, by `pick`.
+  VmId AnyRouter(std::uint64_t pick) const;
+
   std::string RegionOfRouter(VmId router) const;
   std::string RegionOfZone(const std::string& zone) const;
   const std::string& own_region() const { return own_region_; }
@@ -117,6 +123,7 @@
   std::uint64_t highest_revision_ = 0;
   // Memory of `FirstOwner` under the current list.
   mutable std::map<TargetId, std::size_t> first_owners_;
+  mutable std::map<AccountId, VmId> homes_;
 };
 
 }  // namespace corianderpost::internal
--- a/include/corianderpost/internal/service_counters.h
+++ b/include/corianderpost/internal/service_counters.h
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <vector>
@@ -48,6 +49,15 @@
   // returns all entries that pass the filter.
   CounterUpdate ChangesFor(VmId peer, bool everything, const Filter& relays);
 
+  // In large fleets: returns this router's own counters and all lifts that
+  // changed lately, by the account's home. Each change comes a few times.
+  using HomeOf = std::function<VmId(AccountId account)>;
+  std::map<VmId, CounterUpdate> ChangesByHome(const HomeOf& home_of);
+  // Makes the next report to homes carry everything.
+  void ReportEverything() { reported_changes_.clear(); }
+  // Notes what a home says that an account received over the fleet.
+  void NoteFleetTotal(AccountId account, std::uint64_t units);
+
   std::size_t entries() const { return served_.size(); }
 
  private:
@@ -73,6 +83,9 @@
   std::map<AccountId, TimePoint> backlogged_elsewhere_;
   std::map<VmId, std::uint64_t> sent_up_to_;
   std::uint64_t change_ = 0;
+  std::map<AccountId, std::uint64_t> fleet_totals_;
+  // `change_` at the last reports to homes, oldest first.
+  std::deque<std::uint64_t> reported_changes_;
 };
 
 }  // namespace corianderpost::internal
--- a/include/corianderpost/peer_message.h
+++ b/include/corianderpost/peer_message.h
@@ -61,6 +61,9 @@
 struct DemandEntry {
   CustomerId customer;
   std::uint32_t waiting = 0;
+  // In large fleets, what the account received as far as the sender knows;
+  // otherwise 0.
+  std::uint64_t total = 0;
   friend bool operator==(const DemandEntry&, const DemandEntry&) = default;
 };
 
@@ -124,9 +127,22 @@
   friend bool operator==(const SuspectUpdate&, const SuspectUpdate&) = default;
 };
 
+struct AccountTotal {
+  AccountId account;
+  std::uint64_t units = 0;
+  friend bool operator==(const AccountTotal&, const AccountTotal&) = default;
+};
+
+// In large fleets, an account's home answers a counter update with what the
+// accounts received over the whole fleet.
+struct AccountTotals {
+  std::vector<AccountTotal> totals;
+  friend bool operator==(const AccountTotals&, const AccountTotals&) = default;
+};
+
 using PeerMessage =
     std::variant<Heartbeat, CounterUpdate, Demand, Grant, Release, LeaseRequest,
-                 LeaseVote, SuspectUpdate>;
+                 LeaseVote, SuspectUpdate, AccountTotals>;
 
 struct PeerEnvelope {
   VmId from;
--- a/src/checked_yaml.cc
+++ b/src/checked_yaml.cc
@@ -177,7 +177,7 @@
 
 std::string CheckedYaml::AsOneOf(
     const std::vector<std::string>& choices) const {
-  const std::string value = AsString();
+  std::string value = AsString();
   if (std::find(choices.begin(), choices.end(), value) == choices.end()) {
     Fail("one of " + Join(choices) + " is expected here, not '" + value + "'");
   }
--- a/src/core_impl.cc
+++ b/src/core_impl.cc
@@ -72,6 +72,8 @@
 constexpr std::size_t kMaxDecisions = 4096;
 constexpr Duration kHousekeepingInterval = seconds(1);
 constexpr Duration kListPullInterval = seconds(1);
+// Looking at every target costs time in a large fleet.
+constexpr Duration kLargeFleetOwnershipInterval = seconds(1);
 
 AllocatorOptions OptionsFrom(const Guards& guards) {
   AllocatorOptions options;
@@ -203,8 +205,13 @@
   }
   ReadPlatform(now);
   SendHeartbeats(now);
-  if (now - ownership_at_ >= kCounterInterval) {
+  const Duration ownership_interval =
+      membership_.UsesRing() ? kLargeFleetOwnershipInterval : kCounterInterval;
+  if (now - ownership_at_ >= ownership_interval) {
     RefreshOwnership(now);
+  }
+  if (now - exchanged_at_ >= kCounterInterval) {
+    exchanged_at_ = now;
     SendCounters(now);
     SendSuspects();
   }
@@ -220,6 +227,9 @@
     for (const RequestId id : keys_.Expire(now)) {
       actions_.push_back(ForgetAnswer{id});
     }
+    std::erase_if(demand_links_, [](const auto& it) {
+      return !it.second.had_demand && !it.second.had_grants;
+    });
     CheckInvariants(now);
   }
   demand_due_ = true;
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -9,8 +9,11 @@
 
 // Entries that one counter message carries, so that it fits a datagram.
 constexpr std::size_t kMaxCounterEntries = 48;
-// Random peers that hear of news in fleets too large for full exchange.
-constexpr int kGossipPeers = 2;
+// Owners that a router asks at once about one service.
+constexpr std::size_t kMaxOwnersAsked = 8;
+// How long it asks the same ones in a large fleet.
+constexpr Duration kOwnerRotation = seconds(1);
+constexpr Duration kHomeReportInterval = milliseconds(500);
 
 }  // namespace
 
@@ -57,8 +60,10 @@
 
 void CoreImpl::Welcome(TimePoint now, VmId peer) {
   // A new router knows nothing: send it everything at once.
-  counters_repaired_at_.erase(peer);
-  SendCountersTo(now, peer, IsRemote(peer));
+  if (!membership_.UsesRing()) {
+    counters_repaired_at_.erase(peer);
+    SendCountersTo(now, peer, IsRemote(peer));
+  }
   const SuspectUpdate all = suspects_.Everything();
   if (!all.entries.empty()) {
     Send(peer, all);
@@ -78,10 +83,26 @@
 void CoreImpl::OnMessage(TimePoint now, const PeerEnvelope& from,
                          const CounterUpdate& it) {
   counters_.Merge(now, from.from, it);
+  if (membership_.UsesRing()) {
+    AnswerAsHome(from.from, it);
+  }
+}
+
+void CoreImpl::OnMessage(TimePoint, const PeerEnvelope&,
+                         const AccountTotals& it) {
+  for (const AccountTotal& entry : it.totals) {
+    counters_.NoteFleetTotal(entry.account, entry.units);
+  }
 }
 
 void CoreImpl::OnMessage(TimePoint now, const PeerEnvelope& from,
                          const Demand& it) {
+  for (const DemandEntry& entry : it.entries) {
+    if (entry.total > 0) {
+      counters_.NoteFleetTotal(AccountOf(it.service, entry.customer),
+                               entry.total);
+    }
+  }
   allocator_.TakeDemand(now, from.from, from.from_incarnation, it, counters_);
   allocation_due_ = true;
 }
@@ -144,7 +165,17 @@
   const auto age = std::chrono::duration_cast<milliseconds>(
       configuration_.Age(now, membership_));
   heartbeat.configuration_age_ms = static_cast<std::uint32_t>(age.count());
-  for (const VmId it : membership_.neighbours()) {
+  std::vector<VmId> receivers = membership_.neighbours();
+  if (membership_.UsesRing() && now - gossiped_at_ >= kHeartbeatInterval) {
+    // One more, anywhere, so that a new revision reaches all in few rounds.
+    gossiped_at_ = now;
+    const VmId any = membership_.AnyRouter(RendezvousWeight(
+        self_.value(), static_cast<std::uint32_t>(++gossip_round_)));
+    if (any != self_) {
+      receivers.push_back(any);
+    }
+  }
+  for (const VmId it : receivers) {
     const Duration interval =
         IsRemote(it) ? kRemoteHeartbeatInterval : kHeartbeatInterval;
     const auto sent = heartbeat_sent_at_.find(it);
@@ -169,19 +200,7 @@
     }
   };
   if (membership_.UsesRing()) {
-    for (const VmId it : membership_.neighbours()) {
-      send_if_due(it, false);
-    }
-    const auto& routers = membership_.list()->routers();
-    for (int i = 0; i < kGossipPeers; ++i) {
-      ++gossip_round_;
-      const std::uint64_t pick = RendezvousWeight(
-          self_.value(), static_cast<std::uint32_t>(gossip_round_));
-      const VmId peer = routers[pick % routers.size()];
-      if (peer != self_) {
-        SendCountersTo(now, peer, false);
-      }
-    }
+    ReportToHomes(now);
     return;
   }
   for (const VmId it : membership_.neighbours()) {
@@ -197,6 +216,36 @@
   }
 }
 
+void CoreImpl::ReportToHomes(TimePoint now) {
+  if (now - homes_told_at_ < kHomeReportInterval) {
+    return;
+  }
+  homes_told_at_ = now;
+  if (now - homes_repaired_at_ >= kCounterRepairInterval) {
+    homes_repaired_at_ = now;
+    counters_.ReportEverything();
+  }
+  const auto updates = counters_.ChangesByHome(
+      [this](AccountId account) { return membership_.HomeOf(account); });
+  for (const auto& [home, update] : updates) {
+    if (home != self_) {
+      Send(home, update);
+    }
+  }
+}
+
+void CoreImpl::AnswerAsHome(VmId reporter, const CounterUpdate& update) {
+  AccountTotals answer;
+  for (const ServedEntry& it : update.served) {
+    if (membership_.HomeOf(it.account) == self_) {
+      answer.totals.push_back({it.account, counters_.Total(it.account)});
+    }
+  }
+  if (!answer.totals.empty()) {
+    Send(reporter, std::move(answer));
+  }
+}
+
 void CoreImpl::SendCountersTo(TimePoint now, VmId peer, bool is_remote) {
   TimePoint& repaired_at = counters_repaired_at_[peer];
   const bool everything =
@@ -208,7 +257,7 @@
   const bool is_delegate = membership_.IsRegionDelegate(now);
   const std::string peer_region = membership_.RegionOfRouter(peer);
   const auto relays = [&](VmId origin) {
-    return everything || membership_.UsesRing() || origin == self_ ||
+    return everything || origin == self_ ||
            (is_delegate &&
             (is_remote || membership_.RegionOfRouter(origin) != peer_region));
   };
@@ -327,6 +376,22 @@
   }
 }
 
+std::vector<VmId> CoreImpl::SomeOf(TimePoint now,
+                                   const std::vector<VmId>& owners) const {
+  if (owners.size() <= kMaxOwnersAsked) {
+    return owners;
+  }
+  const auto round = static_cast<std::uint64_t>(now.time_since_epoch().count() /
+                                                kOwnerRotation.count());
+  const std::uint64_t first =
+      RendezvousWeight(self_.value(), static_cast<std::uint32_t>(round));
+  std::vector<VmId> some;
+  for (std::size_t i = 0; i < kMaxOwnersAsked; ++i) {
+    some.push_back(owners[(first + i) % owners.size()]);
+  }
+  return some;
+}
+
 std::vector<VmId> CoreImpl::OwnersToAsk(TimePoint now, ServiceId service) {
   const auto oldest = requests_.OldestWaiting(service);
   const auto found = owners_.find(service);
@@ -339,10 +404,10 @@
                [this](VmId it) { return !IsRemote(it); });
   const Duration waited = now - *oldest;
   if (local.empty() || waited >= kSpreadEverywhereAfter) {
-    return found->second;
+    return SomeOf(now, found->second);
   }
   if (waited >= kSpreadInRegionAfter || local.size() == 1) {
-    return local;
+    return SomeOf(now, local);
   }
   const auto self = std::find(local.begin(), local.end(), self_);
   return {self != local.end() ? self_ : local[demand_sequence_ % local.size()]};
@@ -385,6 +450,11 @@
   demand.sent_at_us = now.time_since_epoch().count();
   if (asks) {
     demand.entries = requests_.Waiting(service, kMaxDemandPerAccount);
+    if (membership_.UsesRing()) {
+      for (DemandEntry& it : demand.entries) {
+        it.total = counters_.Total(AccountOf(service, it.customer));
+      }
+    }
   }
   demand.held_grants = requests_.HeldGrants(
       owner, owner == self_ ? incarnation_ : membership_.IncarnationOf(owner),
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -60,6 +60,7 @@
 void Membership::RebuildNeighbours() {
   neighbours_.clear();
   first_owners_.clear();
+  homes_.clear();
   const auto& routers = list_->routers();
   const auto self = std::find(routers.begin(), routers.end(), self_);
   if (routers.size() <= kFullMeshRouters || self == routers.end()) {
@@ -281,6 +282,23 @@
                      });
 }
 
+VmId Membership::HomeOf(AccountId account) const {
+  const auto [it, is_new] = homes_.try_emplace(account, self_);
+  if (is_new) {
+    const auto& routers = list_->routers();
+    // Mixed, so that an account and a target of equal number part.
+    const TargetId item(~account.value());
+    it->second =
+        routers.empty() ? self_ : routers[FirstOwnerIndex(routers, item)];
+  }
+  return it->second;
+}
+
+VmId Membership::AnyRouter(std::uint64_t pick) const {
+  const auto& routers = list_->routers();
+  return routers.empty() ? self_ : routers[pick % routers.size()];
+}
+
 std::string Membership::RegionOfRouter(VmId router) const {
   if (router == self_) {
     return own_region_;
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -66,6 +66,7 @@
   for (const auto& entry : it.entries) {
     entries.push_back(entry.customer.value());
     entries.push_back(entry.waiting);
+    entries.push_back(entry.total);
   }
   return Json::array({ToJson(it.service), it.sequence, it.sent_at_us, entries,
                       it.held_grants});
@@ -97,6 +98,15 @@
   return Json::array({entries});
 }
 
+Json Body(const AccountTotals& it) {
+  Json totals = Json::array();
+  for (const auto& entry : it.totals) {
+    totals.push_back(entry.account.value());
+    totals.push_back(entry.units);
+  }
+  return Json::array({totals});
+}
+
 void Parse(const Json& body, Heartbeat& it) {
   it = {body.at(0), body.at(1), body.at(2), body.at(3),
         body.at(4), body.at(5), body.at(6)};
@@ -121,9 +131,9 @@
   it.sequence = body.at(1);
   it.sent_at_us = body.at(2);
   const Json& entries = body.at(3);
-  for (std::size_t i = 0; i < entries.size(); i += 2) {
-    it.entries.push_back(
-        {IdFrom<CustomerId>(entries.at(i)), entries.at(i + 1)});
+  for (std::size_t i = 0; i < entries.size(); i += 3) {
+    it.entries.push_back({IdFrom<CustomerId>(entries.at(i)), entries.at(i + 1),
+                          entries.at(i + 2)});
   }
   it.held_grants = body.at(4).get<std::vector<std::uint64_t>>();
 }
@@ -156,6 +166,13 @@
   }
 }
 
+void Parse(const Json& body, AccountTotals& it) {
+  const Json& totals = body.at(0);
+  for (std::size_t i = 0; i < totals.size(); i += 2) {
+    it.totals.push_back({IdFrom<AccountId>(totals.at(i)), totals.at(i + 1)});
+  }
+}
+
 // Parses the message of kind `index`, trying the kinds from `Index` on.
 template <std::size_t Index = 0>
 PeerMessage ParseKind(std::size_t index, const Json& body) {
@@ -175,8 +192,8 @@
 
 std::string_view KindName(const PeerMessage& message) {
   static constexpr std::string_view kNames[] = {
-      "heartbeat", "counters",      "demand",     "grant",
-      "release",   "lease-request", "lease-vote", "suspects"};
+      "heartbeat",     "counters",   "demand",   "grant", "release",
+      "lease-request", "lease-vote", "suspects", "totals"};
   static_assert(std::size(kNames) == std::variant_size_v<PeerMessage>);
   return kNames[message.index()];
 }
--- a/src/peer_message_test.cc
+++ b/src/peer_message_test.cc
@@ -11,12 +11,13 @@
           CounterUpdate{{{VmId(a), b, AccountId(a), b}},
                         {{AccountId(a), b}},
                         {AccountId(a), AccountId(1)}},
-          Demand{ServiceId(a), b, 12, {{CustomerId(a), 3}}, {b, 1, 2}},
+          Demand{ServiceId(a), b, 12, {{CustomerId(a), 3, b}}, {b, 1, 2}},
           Grant{b, VmId(a), ServiceId(a), CustomerId(a), -5},
           Release{b, ReleaseReason::kTargetFailed},
           LeaseRequest{b, 9, {VmId(a)}},
           LeaseVote{9, {VmId(a), VmId(2)}},
-          SuspectUpdate{{{b, a}}}};
+          SuspectUpdate{{{b, a}}},
+          AccountTotals{{{AccountId(a), b}}}};
 }
 
 TEST_CASE("every kind of message survives encoding") {
--- a/src/service_counters.cc
+++ b/src/service_counters.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace corianderpost::internal {
+namespace {
+
+// How often a change is reported to its account's home.
+constexpr std::size_t kReportRepeats = 3;
+
+}  // namespace
 
 void ServiceCounters::Charge(AccountId account, std::uint64_t units) {
   const Key key{account, self_, incarnation_};
@@ -45,7 +51,38 @@
 
 std::uint64_t ServiceCounters::Total(AccountId account) const {
   const auto it = lifts_.find(account);
-  return Served(account) + (it == lifts_.end() ? 0 : it->second.units);
+  const std::uint64_t own =
+      Served(account) + (it == lifts_.end() ? 0 : it->second.units);
+  const auto fleet = fleet_totals_.find(account);
+  return fleet == fleet_totals_.end() ? own : std::max(own, fleet->second);
+}
+
+void ServiceCounters::NoteFleetTotal(AccountId account, std::uint64_t units) {
+  std::uint64_t& total = fleet_totals_[account];
+  total = std::max(total, units);
+}
+
+std::map<VmId, CounterUpdate> ServiceCounters::ChangesByHome(
+    const HomeOf& home_of) {
+  const std::uint64_t since =
+      reported_changes_.empty() ? 0 : reported_changes_.front();
+  reported_changes_.push_back(change_);
+  if (reported_changes_.size() > kReportRepeats) {
+    reported_changes_.pop_front();
+  }
+  std::map<VmId, CounterUpdate> updates;
+  for (const auto& [key, entry] : served_) {
+    if (key.router == self_ && entry.changed_at > since) {
+      updates[home_of(key.account)].served.push_back(
+          {key.router, key.incarnation, key.account, entry.units});
+    }
+  }
+  for (const auto& [account, entry] : lifts_) {
+    if (entry.changed_at > since && entry.learnt_from == self_) {
+      updates[home_of(account)].lifts.push_back({account, entry.units});
+    }
+  }
+  return updates;
 }
 
 void ServiceCounters::LiftTo(AccountId account, std::uint64_t floor) {
--- a/tests/bench_main.cc
+++ b/tests/bench_main.cc
@@ -36,6 +36,7 @@
 
 std::vector<double> FlooderWeights(const ct::FleetOptions& options) {
   std::vector<double> weights;
+  weights.reserve(ct::kFlooders.size());
   for (const int it : ct::kFlooders) {
     const auto i = static_cast<std::size_t>(it);
     weights.push_back(i < options.weights.size() ? options.weights[i] : 1.0);
--- a/tests/central_queue.cc
+++ b/tests/central_queue.cc
@@ -44,8 +44,8 @@
 }
 
 void CentralQueue::Fill() {
-  const auto slots =
-      static_cast<std::size_t>(options_.engines * options_.slots);
+  const auto slots = static_cast<std::size_t>(options_.engines) *
+                     static_cast<std::size_t>(options_.slots);
   while (running_.size() < slots) {
     std::optional<std::size_t> next;
     const auto key = [&](std::size_t i) {
--- a/tests/fake_fleet.cc
+++ b/tests/fake_fleet.cc
@@ -110,7 +110,7 @@
   At(kTick, [this, index, life] { TickRouter(index, life); });
 }
 
-void FakeFleet::Deliver(int index, std::uint64_t life, Event event) {
+void FakeFleet::Deliver(int index, std::uint64_t life, const Event& event) {
   Router& router = *routers_[static_cast<std::size_t>(index)];
   if (!router.is_alive || router.life != life) {
     return;
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -168,7 +168,7 @@
   void Boot(int router);
   void TickRouter(int router, std::uint64_t life);
   // Hands an event to a router's life, later if it is paused.
-  void Deliver(int router, std::uint64_t life, Event event);
+  void Deliver(int router, std::uint64_t life, const Event& event);
   void Perform(int router, const Action& action);
   void Do(int router, const Dispatch& it);
   void Do(int router, const Refuse& it);
--- a/tests/fake_fleet_work.cc
+++ b/tests/fake_fleet_work.cc
@@ -48,8 +48,8 @@
   work->routers = load.routers;
   work->tries_left = load.is_once_only ? kOnceOnlyTries : 1;
   work->units = static_cast<std::uint64_t>(options_.least_units) +
-                Pick(static_cast<std::uint64_t>(options_.most_units -
-                                                options_.least_units + 1));
+                Pick(static_cast<std::uint64_t>(options_.most_units) -
+                     static_cast<std::uint64_t>(options_.least_units) + 1);
   const std::uint64_t id = work->id;
   works_[id] = std::move(work);
   SendWork(id);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -215,6 +215,50 @@
   CHECK(Describe(fleet.violations()) == "");
 }
 
+// A fleet too large for full exchange, with as much load for each router.
+struct LargeFleet {
+  double bytes_a_second_a_node = 0;
+  double gap = 0;
+  double one_interval = 0;
+};
+
+LargeFleet MeasureLargeFleet(int routers) {
+  FleetOptions options = RanwalaOptions(13);
+  options.routers = routers;
+  options.engines = 3 * routers;
+  FakeFleet fleet(options);
+  fleet.RunFor(seconds(4));
+  const double rate = 12.0 * routers;
+  fleet.SetLoad({{0, rate, {0, 1, 2, 3}, false},
+                 {1, rate, {}, false},
+                 {2, 0.5 * rate, {}, false}});
+  fleet.RunFor(seconds(8));
+  const FleetStats before = fleet.stats();
+  const std::uint64_t units = fleet.UnitsTotal();
+  GapMeter gap({1, 2}, {1.0, 1.0});
+  for (int i = 0; i < 10; ++i) {
+    gap.Sample([&](int it) { return fleet.UnitsOf(it); });
+    fleet.RunFor(seconds(1));
+  }
+  const double bytes = static_cast<double>(fleet.stats().bytes - before.bytes);
+  return {bytes / 10 / routers, gap.largest(),
+          static_cast<double>(fleet.UnitsTotal() - units) / 10 * 0.5};
+}
+
+TEST_CASE("control traffic of a node stays under 18 KB/s as the fleet grows") {
+  for (const int routers : {10, 30, 60}) {
+    CAPTURE(routers);
+    const LargeFleet fleet = MeasureLargeFleet(routers);
+    CHECK(fleet.bytes_a_second_a_node <= 18'000);
+  }
+}
+
+TEST_CASE("a large fleet passes a randomised run with faults") {
+  const SoakResult result = RunSoak(1, 4'000, Guards(), 20);
+  CHECK(Describe(result.violations) == "");
+  CHECK(result.stats.whole > 0);
+}
+
 TEST_CASE("configuration calls grow far less than the fleet") {
   const auto calls_of = [](int routers) {
     FleetOptions options = RanwalaOptions(11);
--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -44,7 +44,8 @@
     }
   }
   std::cout << "seed " << seed << ", steps " << steps << "\n";
-  const ct::SoakResult result = ct::RunSoak(seed, steps, guards);
+  const ct::SoakResult result =
+      ct::RunSoak(seed, steps, guards, values["routers"].as<int>());
   ShowCounts(result);
   if (values.count("trace") != 0) {
     for (const auto& it : result.trace) {
@@ -70,8 +71,10 @@
   program.options.add_options()(
       "seed", po::value<std::uint64_t>()->default_value(1), "random seed")(
       "steps", po::value<std::uint64_t>()->default_value(20'000),
-      "steps of 10 ms")("without", po::value<std::string>(),
-                        "switch a guard off, to see what it prevents")(
+      "steps of 10 ms")(
+      "routers", po::value<int>()->default_value(ct::kSoakRouters),
+      "routers of the fleet")("without", po::value<std::string>(),
+                              "switch a guard off, to see what it prevents")(
       "trace", "show the faults");
   return in::RunProgram(argc, argv, program, Run);
 }
--- a/tests/soak_run.cc
+++ b/tests/soak_run.cc
@@ -12,8 +12,6 @@
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kFaultInterval = seconds(8);
 constexpr int kCustomers = 12;
-constexpr int kEngines = 9;
-constexpr int kRouters = 6;
 // The stated budget: a tenth of the requests, and some for each router's life.
 constexpr double kRetryShare = 0.1;
 constexpr double kRetriesAtStart = 20;
@@ -59,8 +57,14 @@
   const std::vector<Violation>& trace() const { return trace_; }
 
  private:
-  int AnyRouter() { return static_cast<int>(fleet_.Pick(kRouters)); }
-  int AnyEngine() { return static_cast<int>(fleet_.Pick(kEngines)); }
+  int AnyRouter() {
+    return static_cast<int>(
+        fleet_.Pick(static_cast<std::uint64_t>(fleet_.router_count())));
+  }
+  int AnyEngine() {
+    return static_cast<int>(
+        fleet_.Pick(static_cast<std::uint64_t>(fleet_.router_count()) * 3 / 2));
+  }
 
   void End() {
     if (fleet_.Chance() < 0.6) {
@@ -74,7 +78,7 @@
       fleet_.SetConfigurationDown(false);
       fleet_.SetConfigurationStale(false);
     }
-    for (int i = 0; i < kRouters; ++i) {
+    for (int i = 0; i < fleet_.router_count(); ++i) {
       fleet_.CutFromVmList(i, false);
       fleet_.StartRouter(i);
     }
@@ -107,9 +111,8 @@
   }
 
   std::string NoteZone(const std::string& fault) {
-    static const std::vector<std::string> kZones = {"colombo", "negombo",
-                                                    "kandy"};
-    const std::string zone = kZones[fleet_.Pick(kZones.size())];
+    static constexpr const char* kZones[] = {"colombo", "negombo", "kandy"};
+    std::string zone = kZones[fleet_.Pick(std::size(kZones))];
     Note(fault + " zone " + zone);
     return zone;
   }
@@ -192,11 +195,11 @@
 }  // namespace
 
 SoakResult RunSoak(std::uint64_t seed, std::uint64_t steps,
-                   const Guards& guards) {
+                   const Guards& guards, int routers) {
   FleetOptions options;
   options.seed = seed;
-  options.routers = kRouters;
-  options.engines = kEngines;
+  options.routers = routers;
+  options.engines = routers * 3 / 2;
   options.customers = kCustomers;
   options.guards = guards;
   options.duplicates = 0.01;
--- a/tests/soak_run.h
+++ b/tests/soak_run.h
@@ -20,10 +20,11 @@
   std::vector<Violation> trace;
 };
 
-// Runs `steps` steps of 10 ms. The same seed, steps and guards give the same
-// result.
+inline constexpr int kSoakRouters = 6;
+
+// Runs `steps` steps of 10 ms. The same arguments give the same result.
 SoakResult RunSoak(std::uint64_t seed, std::uint64_t steps,
-                   const Guards& guards);
+                   const Guards& guards, int routers = kSoakRouters);
 
 // Returns guards with the named one off. Throws std::invalid_argument if there
 // is none of that name.
