--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -132,11 +132,12 @@
   bool MayOwn(TimePoint now);
   void RefreshOwnership(TimePoint now);
   bool HoldsLease(TimePoint now, TargetId target);
+  double UnseenScale() const;
   void AllocateSlots(TimePoint now);
   void SendDemands(TimePoint now);
   void SendDemand(TimePoint now, ServiceId service, VmId owner, bool asks);
   // A few of many owners, others from time to time.
-  std::vector<VmId> SomeOf(TimePoint now,
+  std::vector<VmId> SomeOf(TimePoint now, ServiceId service,
                            const std::vector<VmId>& owners) const;
   std::vector<VmId> OwnersToAsk(TimePoint now, ServiceId service);
   bool IsRemote(VmId router) const;
--- a/include/corianderpost/internal/request_table.h
+++ b/include/corianderpost/internal/request_table.h
@@ -71,6 +71,7 @@
   // Waiting requests of each customer with the service.
   std::vector<DemandEntry> Waiting(ServiceId service, int limit) const;
   std::size_t WaitingOf(ServiceId service, CustomerId customer) const;
+  std::size_t WaitingOf(ServiceId service) const;
   std::size_t WaitingTotal() const { return waiting_total_; }
   // When the service's longest waiting request began to wait.
   std::optional<TimePoint> OldestWaiting(ServiceId service) const;
--- a/include/corianderpost/internal/slot_allocator.h
+++ b/include/corianderpost/internal/slot_allocator.h
@@ -58,11 +58,14 @@
   using CoversTarget = std::function<bool(TargetId target)>;
 
   // Hands out free slots of `owned`, the targets that this router owns.
+  // `unseen_scale` tells how much more service accounts get than this owner's
+  // outstanding grants before the counters show it; 1 where counters are fresh.
   std::vector<AddressedGrant> Allocate(TimePoint now, const Bundle& bundle,
                                        const std::vector<const Vm*>& owned,
                                        const Membership& membership,
                                        const ServiceCounters& counters,
-                                       const CoversTarget& covers);
+                                       const CoversTarget& covers,
+                                       double unseen_scale);
 
   // Takes back grants of routers that were silent for too long.
   void DropSilent(TimePoint now);
@@ -125,6 +128,7 @@
   std::map<ServiceId, Cost> costs_;
   std::map<AccountId, double> pending_;
   std::map<AccountId, double> weights_;
+  double unseen_scale_ = 1;
   std::uint64_t next_grant_ = 1;
 };
 
--- a/include/corianderpost/internal/timing.h
+++ b/include/corianderpost/internal/timing.h
@@ -39,7 +39,7 @@
 // Grants of a router that was silent for this long are taken back.
 inline constexpr Duration kHolderTimeout = seconds(5);
 
-inline constexpr Duration kDemandInterval = milliseconds(50);
+inline constexpr Duration kDemandInterval = milliseconds(100);
 inline constexpr Duration kRemoteDemandInterval = milliseconds(200);
 // Held grants are confirmed this often although nothing waits.
 inline constexpr Duration kHeldRefreshInterval = seconds(1);
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -10,7 +10,10 @@
 // Entries that one counter message carries, so that it fits a datagram.
 constexpr std::size_t kMaxCounterEntries = 48;
 // Owners that a router asks at once about one service.
-constexpr std::size_t kMaxOwnersAsked = 8;
+constexpr std::size_t kMinOwnersAsked = 8;
+constexpr std::size_t kMaxOwnersAsked = 48;
+// Waiting requests for which one more is asked.
+constexpr std::size_t kWaitingForAnOwner = 8;
 // How long it asks the same ones in a large fleet.
 constexpr Duration kOwnerRotation = seconds(1);
 constexpr Duration kHomeReportInterval = milliseconds(500);
@@ -359,13 +362,25 @@
   return leases_.CoversGrant(now, target, membership_);
 }
 
+double CoreImpl::UnseenScale() const {
+  if (!membership_.UsesRing()) {
+    return 1;
+  }
+  // Other owners give as much to the same accounts before totals come back.
+  std::size_t most = 1;
+  for (const auto& [service, owners] : owners_) {
+    most = std::max(most, owners.size());
+  }
+  return static_cast<double>(most);
+}
+
 void CoreImpl::AllocateSlots(TimePoint now) {
   if (owned_.empty() || !MayOwn(now)) {
     return;
   }
   const auto issued = allocator_.Allocate(
       now, *bundle(), owned_, membership_, counters_,
-      [&](TargetId target) { return HoldsLease(now, target); });
+      [&](TargetId target) { return HoldsLease(now, target); }, UnseenScale());
   for (const AddressedGrant& it : issued) {
     if (it.requester == self_) {
       TakeGrant(now, self_, incarnation_, it.grant);
@@ -376,9 +391,14 @@
   }
 }
 
-std::vector<VmId> CoreImpl::SomeOf(TimePoint now,
+std::vector<VmId> CoreImpl::SomeOf(TimePoint now, ServiceId service,
                                    const std::vector<VmId>& owners) const {
-  if (owners.size() <= kMaxOwnersAsked) {
+  // A router with much to do asks more, as its customers may come nowhere
+  // else.
+  const std::size_t count =
+      std::clamp(requests_.WaitingOf(service) / kWaitingForAnOwner,
+                 kMinOwnersAsked, kMaxOwnersAsked);
+  if (owners.size() <= count) {
     return owners;
   }
   const auto round = static_cast<std::uint64_t>(now.time_since_epoch().count() /
@@ -386,7 +406,7 @@
   const std::uint64_t first =
       RendezvousWeight(self_.value(), static_cast<std::uint32_t>(round));
   std::vector<VmId> some;
-  for (std::size_t i = 0; i < kMaxOwnersAsked; ++i) {
+  for (std::size_t i = 0; i < count; ++i) {
     some.push_back(owners[(first + i) % owners.size()]);
   }
   return some;
@@ -404,10 +424,10 @@
                [this](VmId it) { return !IsRemote(it); });
   const Duration waited = now - *oldest;
   if (local.empty() || waited >= kSpreadEverywhereAfter) {
-    return SomeOf(now, found->second);
+    return SomeOf(now, service, found->second);
   }
   if (waited >= kSpreadInRegionAfter || local.size() == 1) {
-    return SomeOf(now, local);
+    return SomeOf(now, service, local);
   }
   const auto self = std::find(local.begin(), local.end(), self_);
   return {self != local.end() ? self_ : local[demand_sequence_ % local.size()]};
@@ -428,8 +448,9 @@
   }
   for (auto& [key, link] : demand_links_) {
     const bool asks = asked.contains(key);
-    const Duration interval =
-        IsRemote(key.second) ? kRemoteDemandInterval : kDemandInterval;
+    const Duration interval = IsRemote(key.second) || membership_.UsesRing()
+                                  ? kRemoteDemandInterval
+                                  : kDemandInterval;
     const Duration waited = now - link.sent_at;
     const bool is_due =
         (asks && (link.unanswered <= 0 || waited >= interval)) ||
--- a/src/request_table.cc
+++ b/src/request_table.cc
@@ -102,6 +102,15 @@
   return it == queues_.end() ? 0 : it->second.size();
 }
 
+std::size_t RequestTable::WaitingOf(ServiceId service) const {
+  std::size_t count = 0;
+  for (auto it = queues_.lower_bound({service, CustomerId()});
+       it != queues_.end() && it->first.first == service; ++it) {
+    count += it->second.size();
+  }
+  return count;
+}
+
 std::optional<TimePoint> RequestTable::OldestWaiting(ServiceId service) const {
   std::optional<TimePoint> oldest;
   for (auto it = queues_.lower_bound({service, CustomerId()});
--- a/src/slot_allocator.cc
+++ b/src/slot_allocator.cc
@@ -238,8 +238,9 @@
                             const ServiceCounters& counters) const {
   const AccountId account = AccountOf(service.id, customer);
   const auto it = pending_.find(account);
-  const double units = static_cast<double>(counters.Total(account)) +
-                       (it == pending_.end() ? 0.0 : it->second);
+  const double units =
+      static_cast<double>(counters.Total(account)) +
+      (it == pending_.end() ? 0.0 : unseen_scale_ * it->second);
   return units / bundle.WeightOf(service.id, customer);
 }
 
@@ -337,7 +338,8 @@
 std::vector<AddressedGrant> SlotAllocator::Allocate(
     TimePoint now, const Bundle& bundle, const std::vector<const Vm*>& owned,
     const Membership& membership, const ServiceCounters& counters,
-    const CoversTarget& covers) {
+    const CoversTarget& covers, double unseen_scale) {
+  unseen_scale_ = unseen_scale;
   std::vector<AddressedGrant> issued;
   if (demands_.empty()) {
     return issued;
