--- a/src/bundle.cc
+++ b/src/bundle.cc
@@ -43,8 +43,8 @@
   for (const Json& it : json.value("calls", Json::array())) {
     service.calls.push_back(CallRuleFrom(it));
   }
-  for (const auto& [name, weight] :
-       json.value("weights", Json::object()).items()) {
+  const Json weights = json.value("weights", Json::object());
+  for (const auto& [name, weight] : weights.items()) {
     service.weights[CustomerId::FromName(name)] = weight;
   }
   return service;
--- a/src/operator_files_test.cc
+++ b/src/operator_files_test.cc
@@ -112,6 +112,18 @@
         "here, not 3");
 }
 
+TEST_CASE("a service's share goes before the customer's weight") {
+  const OperatorFolder folder;
+  folder.Write("service", OperatorFolder::Service(
+                              "assistant", "  shares: {other-club: 2.5}\n"));
+  const auto bundle = Bundle::Parse(folder.Collect(), 1);
+  REQUIRE(bundle.ok());
+  const ServiceId service = ServiceId::FromName("assistant");
+  CHECK((*bundle)->WeightOf(service, CustomerId::FromName("other-club")) ==
+        2.5);
+  CHECK((*bundle)->WeightOf(service, CustomerId::FromName("club")) == 1);
+}
+
 TEST_CASE("a bundle over the limit is refused") {
   const OperatorFolder folder;
   std::string many = "customers:\n";
--- a/tests/fake_fleet.cc
+++ b/tests/fake_fleet.cc
@@ -26,6 +26,7 @@
     engine->name =
         (engine->is_plain ? "ledger-" : "engine-") + std::to_string(i);
     engine->vm = VmId::FromName(engine->name);
+    engine_of_[engine->vm] = i;
     engines_.push_back(std::move(engine));
   }
   Publish(BundleText());
@@ -274,7 +275,7 @@
 
 int FakeFleet::RouterOf(VmId vm) const {
   for (std::size_t i = 0; i < routers_.size(); ++i) {
-    if (VmId::FromName(routers_[i]->name) == vm) {
+    if (routers_[i]->vm == vm) {
       return static_cast<int>(i);
     }
   }
@@ -282,12 +283,8 @@
 }
 
 int FakeFleet::EngineOf(VmId vm) const {
-  for (std::size_t i = 0; i < engines_.size(); ++i) {
-    if (engines_[i]->vm == vm) {
-      return static_cast<int>(i);
-    }
-  }
-  return -1;
+  const auto it = engine_of_.find(vm);
+  return it == engine_of_.end() ? -1 : it->second;
 }
 
 void FakeFleet::Do(int from, const SendToPeer& it) {
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -227,6 +227,7 @@
   std::priority_queue<Scheduled> queue_;
   std::vector<std::unique_ptr<Router>> routers_;
   std::vector<std::unique_ptr<Engine>> engines_;
+  std::map<VmId, int> engine_of_;
   std::map<std::uint64_t, std::unique_ptr<Execution>> executions_;
   std::map<std::uint64_t, std::unique_ptr<Work>> works_;
   std::uint64_t next_id_ = 1;
