--- a/include/corianderpost/internal/core_impl.h
+++ b/include/corianderpost/internal/core_impl.h
@@ -67,7 +67,9 @@
   void Settle(TimePoint now);
   void ReadPlatform(TimePoint now);
   void PollLoads(TimePoint now);
-  void CheckInvariants(TimePoint now);
+  void CheckInvariants();
+  std::vector<TargetStatus> TargetStatuses(TimePoint now);
+  std::vector<AccountStatus> AccountStatuses() const;
   void Note(TimePoint now, RequestId request, std::string text);
   std::string TargetName(TargetId target) const;
   std::string CustomerName(CustomerId customer) const;
@@ -173,7 +175,6 @@
   std::map<ServiceId, std::vector<VmId>> owners_;
   TimePoint ownership_at_;
   TimePoint exchanged_at_;
-  std::set<TargetId> owned_before_;
   // When a target was last seen to die.
   std::map<TargetId, TimePoint> crash_noted_at_;
 
--- a/include/corianderpost/internal/membership.h
+++ b/include/corianderpost/internal/membership.h
@@ -31,8 +31,6 @@
   Life NoteLife(VmId from, Incarnation incarnation);
   // Notes a heartbeat of the router's known life.
   void TakeHeartbeat(TimePoint now, VmId from, const Heartbeat& heartbeat);
-  // Notes that a router did not answer; it owns nothing until `until`.
-  void Avoid(VmId router, TimePoint until);
 
   const VmList* list() const { return list_.get(); }
   std::shared_ptr<const VmList> shared_list() const { return list_; }
@@ -118,7 +116,6 @@
   std::vector<PastList> past_lists_;
   std::vector<VmId> neighbours_;
   std::map<VmId, Peer> peers_;
-  std::map<VmId, TimePoint> avoided_until_;
   std::map<std::string, std::string, std::less<>> region_of_zone_;
   std::uint64_t highest_revision_ = 0;
   // Memory of `FirstOwner` under the current list.
--- a/include/corianderpost/internal/router_process.h
+++ b/include/corianderpost/internal/router_process.h
@@ -76,10 +76,14 @@
   void ServeHealth(httplib::Response& res);
   void ServeExchange(ExchangeRequest request, const httplib::Request& req,
                      httplib::Response& res);
-  // Finds the caller's customer; answers 401 if there is none.
-  const Customer* Authenticate(const Bundle& bundle,
-                               const httplib::Request& req,
-                               httplib::Response& res);
+  struct Caller {
+    std::shared_ptr<const Bundle> bundle;
+    // Points into the bundle.
+    const Customer* customer = nullptr;
+  };
+  // Finds the caller's customer; answers the request if there is none.
+  std::optional<Caller> Authenticate(const httplib::Request& req,
+                                     httplib::Response& res);
   std::string AnswerRpc(const std::string& method,
                         const std::string& parameters);
   // Returns false if the request is gone.
@@ -93,7 +97,6 @@
   httplib::Server server_;
   std::atomic<RequestId> next_request_{1};
   std::atomic<bool> is_draining_{false};
-  std::atomic<bool> is_serving_{false};
 
   std::mutex exchanges_mutex_;
   std::map<RequestId, std::shared_ptr<CallerExchange>> exchanges_;
--- a/src/core_impl.cc
+++ b/src/core_impl.cc
@@ -230,7 +230,7 @@
     std::erase_if(demand_links_, [](const auto& it) {
       return !it.second.had_demand && !it.second.had_grants;
     });
-    CheckInvariants(now);
+    CheckInvariants();
   }
   demand_due_ = true;
   allocation_due_ = true;
@@ -270,7 +270,7 @@
   }
 }
 
-void CoreImpl::CheckInvariants(TimePoint now) {
+void CoreImpl::CheckInvariants() {
   for (const auto& [id, attempt] : requests_.attempts()) {
     const Request* request = requests_.Find(attempt.request);
     invariants_.Check(request != nullptr && request->attempt == id,
@@ -279,7 +279,6 @@
   invariants_.Check(membership_.highest_revision() >= last_revision_ ||
                         configuration_.revision() >= last_revision_,
                     "configuration-never-reverts");
-  static_cast<void>(now);
 }
 
 void CoreImpl::Note(TimePoint now, RequestId request, std::string text) {
@@ -301,20 +300,8 @@
   return found == nullptr ? std::to_string(customer.value()) : found->name;
 }
 
-RouterStatus CoreImpl::Status(TimePoint now) {
-  RouterStatus status;
-  status.serving = IsServing(now);
-  status.draining = is_draining_;
-  status.bundle_revision = configuration_.revision();
-  status.highest_revision = membership_.highest_revision();
-  status.waiting = requests_.WaitingTotal();
-  status.running = requests_.attempts().size();
-  status.invariant_checks = invariants_.checks();
-  status.invariant_violations = invariants_.violations();
-  if (membership_.list() == nullptr || !bundle()) {
-    return status;
-  }
-  status.list_revision = membership_.list()->revision();
+std::vector<TargetStatus> CoreImpl::TargetStatuses(TimePoint now) {
+  std::vector<TargetStatus> targets;
   for (const Vm& vm : membership_.list()->vms()) {
     const Service* service = bundle()->FindService(vm.service);
     if (vm.role != VmRole::kTarget || service == nullptr) {
@@ -332,19 +319,43 @@
       target.free = std::max(
           0, allocator_.FreeSlots(now, vm, *service, target.lease_held));
     }
-    status.targets.push_back(std::move(target));
+    targets.push_back(std::move(target));
   }
+  return targets;
+}
+
+std::vector<AccountStatus> CoreImpl::AccountStatuses() const {
+  std::vector<AccountStatus> accounts;
   for (const Service& service : bundle()->services()) {
     for (const Customer& customer : bundle()->customers()) {
       const AccountId account = AccountOf(service.id, customer.id);
       const std::size_t waiting = requests_.WaitingOf(service.id, customer.id);
       const std::uint64_t served = counters_.Served(account);
       if (waiting > 0 || served > 0) {
-        status.accounts.push_back(
+        accounts.push_back(
             {account, service.name, customer.name, served, waiting});
       }
     }
   }
+  return accounts;
+}
+
+RouterStatus CoreImpl::Status(TimePoint now) {
+  RouterStatus status;
+  status.serving = IsServing(now);
+  status.draining = is_draining_;
+  status.bundle_revision = configuration_.revision();
+  status.highest_revision = membership_.highest_revision();
+  status.waiting = requests_.WaitingTotal();
+  status.running = requests_.attempts().size();
+  status.invariant_checks = invariants_.checks();
+  status.invariant_violations = invariants_.violations();
+  if (membership_.list() == nullptr || !bundle()) {
+    return status;
+  }
+  status.list_revision = membership_.list()->revision();
+  status.targets = TargetStatuses(now);
+  status.accounts = AccountStatuses();
   for (const VmId it : membership_.neighbours()) {
     status.peers.push_back({it, membership_.IsHeard(now, it, kHeardWindow),
                             membership_.RevisionOf(it)});
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -119,11 +119,6 @@
   peer.read_at =
       now - std::chrono::milliseconds(heartbeat.configuration_age_ms);
   highest_revision_ = std::max(highest_revision_, heartbeat.bundle_revision);
-  avoided_until_.erase(from);
-}
-
-void Membership::Avoid(VmId router, TimePoint until) {
-  avoided_until_[router] = until;
 }
 
 bool Membership::IsHeard(TimePoint now, VmId router, Duration window) const {
@@ -197,10 +192,6 @@
   if (router.id == self_) {
     return self_may_own;
   }
-  const auto avoided = avoided_until_.find(router.id);
-  if (avoided != avoided_until_.end() && now < avoided->second) {
-    return false;
-  }
   const auto it = peers_.find(router.id);
   if (IsHeard(now, router.id, kSuspectAfter)) {
     return it->second.last.serving && !it->second.last.draining;
--- a/src/router_process.cc
+++ b/src/router_process.cc
@@ -390,31 +390,32 @@
   res.set_content(list->text(), "application/json");
 }
 
-const Customer* RouterProcess::Authenticate(const Bundle& bundle,
-                                            const httplib::Request& req,
-                                            httplib::Response& res) {
+std::optional<RouterProcess::Caller> RouterProcess::Authenticate(
+    const httplib::Request& req, httplib::Response& res) {
   static constexpr std::string_view kScheme = "Bearer ";
+  Caller caller;
+  caller.bundle = core_->bundle();
+  if (!caller.bundle) {
+    WriteSimpleProblem(503, "no configuration yet", res);
+    return std::nullopt;
+  }
   const std::string header = req.get_header_value("Authorization");
-  const Customer* customer = header.starts_with(kScheme)
-                                 ? bundle.FindCustomerByDigest(
-                                       Sha256Hex(header.substr(kScheme.size())))
-                                 : nullptr;
-  if (customer == nullptr) {
+  if (header.starts_with(kScheme)) {
+    caller.customer = caller.bundle->FindCustomerByDigest(
+        Sha256Hex(header.substr(kScheme.size())));
+  }
+  if (caller.customer == nullptr) {
     res.set_header("WWW-Authenticate", "Bearer");
     WriteSimpleProblem(401, "unknown API key", res);
+    return std::nullopt;
   }
-  return customer;
+  return caller;
 }
 
 void RouterProcess::ServeModel(const httplib::Request& req,
                                httplib::Response& res) {
-  const auto bundle = core_->bundle();
-  if (!bundle) {
-    WriteSimpleProblem(503, "no configuration yet", res);
-    return;
-  }
-  const Customer* customer = Authenticate(*bundle, req, res);
-  if (customer == nullptr) {
+  const auto caller = Authenticate(req, res);
+  if (!caller) {
     return;
   }
   const Json body = Json::parse(req.body, nullptr, false);
@@ -424,18 +425,19 @@
     return;
   }
   const std::string name = body["model"];
-  const Service* service = bundle->FindService(name);
+  const Service* service = caller->bundle->FindService(name);
   if (service == nullptr || service->kind != ServiceKind::kModel) {
     WriteSimpleProblem(404, "unknown model", res);
     return;
   }
   ExchangeRequest request;
-  request.arrived.customer = customer->id;
+  request.arrived.customer = caller->customer->id;
   request.arrived.service = service->id;
-  request.arrived.fingerprint = FingerprintOf(customer->id, service->id, req);
+  request.arrived.fingerprint =
+      FingerprintOf(caller->customer->id, service->id, req);
   request.arrived.initial_units =
       static_cast<std::uint32_t>(1 + req.body.size() / kCharactersPerToken);
-  request.customer = customer->name;
+  request.customer = caller->customer->name;
   request.service = service->name;
   request.is_stream = body.value("stream", false);
   request.upstream = {{}, "POST", req.path, UpstreamHeaders(req), req.body};
@@ -444,30 +446,26 @@
 
 void RouterProcess::ServePlain(const httplib::Request& req,
                                httplib::Response& res) {
-  const auto bundle = core_->bundle();
-  if (!bundle) {
-    WriteSimpleProblem(503, "no configuration yet", res);
-    return;
-  }
-  const Customer* customer = Authenticate(*bundle, req, res);
-  if (customer == nullptr) {
+  const auto caller = Authenticate(req, res);
+  if (!caller) {
     return;
   }
-  const Service* service = bundle->FindService(req.matches[1].str());
+  const Service* service = caller->bundle->FindService(req.matches[1].str());
   if (service == nullptr || service->kind != ServiceKind::kPlain) {
     WriteSimpleProblem(404, "unknown service", res);
     return;
   }
   const std::string path = req.matches[2].str();
   ExchangeRequest request;
-  request.arrived.customer = customer->id;
+  request.arrived.customer = caller->customer->id;
   request.arrived.service = service->id;
   request.arrived.idempotent = service->IsIdempotent(req.method, path);
   if (req.has_header("Idempotency-Key")) {
     request.arrived.key = req.get_header_value("Idempotency-Key");
   }
-  request.arrived.fingerprint = FingerprintOf(customer->id, service->id, req);
-  request.customer = customer->name;
+  request.arrived.fingerprint =
+      FingerprintOf(caller->customer->id, service->id, req);
+  request.customer = caller->customer->name;
   request.service = service->name;
   request.upstream = {{}, req.method, path, UpstreamHeaders(req), req.body};
   request.forward_headers = ForwardHeaders(req);
--- a/tests/fake_fleet.cc
+++ b/tests/fake_fleet.cc
@@ -316,39 +316,36 @@
   }
 }
 
-void FakeFleet::Do(int index, const PullBundle& it) {
-  const int peer = RouterOf(it.from);
-  if (peer < 0 || ArePeersCut(index, peer)) {
-    return;
-  }
-  const Router& holder = *routers_[static_cast<std::size_t>(peer)];
-  if (!holder.is_alive || holder.paused_until > now_) {
-    return;
+const FakeFleet::Router* FakeFleet::ReachablePeer(int from, VmId vm) const {
+  const int peer = RouterOf(vm);
+  if (peer < 0 || ArePeersCut(from, peer)) {
+    return nullptr;
   }
-  const std::uint64_t life = routers_[static_cast<std::size_t>(index)]->life;
-  const auto bundle = holder.core->bundle();
-  if (bundle) {
-    At(2 * Latency(holder.zone,
-                   routers_[static_cast<std::size_t>(index)]->zone),
-       [this, index, life, bundle] {
-         Deliver(index, life, BundleSeen{bundle, false});
-       });
+  const Router* found = routers_[static_cast<std::size_t>(peer)].get();
+  return found->is_alive && found->paused_until <= now_ ? found : nullptr;
+}
+
+void FakeFleet::AnswerPull(int index, const Router& holder,
+                           const Event& answer) {
+  const Router& router = *routers_[static_cast<std::size_t>(index)];
+  At(2 * Latency(holder.zone, router.zone),
+     [this, index, life = router.life, answer] {
+       Deliver(index, life, answer);
+     });
+}
+
+void FakeFleet::Do(int index, const PullBundle& it) {
+  const Router* holder = ReachablePeer(index, it.from);
+  if (holder != nullptr && holder->core->bundle()) {
+    AnswerPull(index, *holder, BundleSeen{holder->core->bundle(), false});
   }
 }
 
 void FakeFleet::Do(int index, const PullVmList& it) {
-  const int peer = RouterOf(it.from);
-  if (peer < 0 || ArePeersCut(index, peer)) {
-    return;
+  const Router* holder = ReachablePeer(index, it.from);
+  if (holder != nullptr) {
+    AnswerPull(index, *holder, VmListSeen{holder->core->vm_list()});
   }
-  const Router& holder = *routers_[static_cast<std::size_t>(peer)];
-  if (!holder.is_alive || holder.paused_until > now_) {
-    return;
-  }
-  const std::uint64_t life = routers_[static_cast<std::size_t>(index)]->life;
-  const auto list = holder.core->vm_list();
-  At(2 * Latency(holder.zone, routers_[static_cast<std::size_t>(index)]->zone),
-     [this, index, life, list] { Deliver(index, life, VmListSeen{list}); });
 }
 
 // Platform -----------------------------------------------------------------
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -186,6 +186,9 @@
   Duration Latency(const std::string& from, const std::string& to);
   bool IsCut(const std::string& from, const std::string& to) const;
   bool ArePeersCut(int from, int to) const;
+  // Returns the router if it runs and is not cut off from the other.
+  const Router* ReachablePeer(int from, VmId vm) const;
+  void AnswerPull(int index, const Router& holder, const Event& answer);
   int RouterOf(VmId vm) const;
   int EngineOf(VmId vm) const;
 
