Capacity page: no verdict where there is no limit

Cause: the row of messages a second has no limit but was called missed. Conclusion: a page fault only.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -35,7 +35,7 @@
 }
 function row(name, col, unit, limit, carrier,   at) {
   at = fit(col)
-  printf "| %s | %.1f + %.2f log2 n, within %.1f | %.1f %s | %s | %s | %s |\n", name, a, b, worst, at, unit, limit, (limit + 0 >= at ? "met" : "MISSED"), carrier
+  printf "| %s | %.1f + %.2f log2 n, within %.1f | %.1f %s | %s | %s | %s |\n", name, a, b, worst, at, unit, limit, (limit == "-" ? "-" : (limit + 0 >= at ? "met" : "MISSED")), carrier
 }
 BEGIN {
   while ((getline line < slopes) > 0) {
