--- a/include/corianderpost/router_core.h
+++ b/include/corianderpost/router_core.h
@@ -48,6 +48,7 @@
   bool retry_budget = true;
   bool drain_finishes_requests = true;
   bool spreads_demand = true;
+  bool incarnations_go_on = true;
   friend bool operator==(const Guards&, const Guards&) = default;
 };
 
--- a/src/core_peers.cc
+++ b/src/core_peers.cc
@@ -35,7 +35,8 @@
   if (envelope.to != self_ || envelope.from == self_) {
     return;
   }
-  if (envelope.to_incarnation > incarnation_) {
+  if (settings_.guards.incarnations_go_on &&
+      envelope.to_incarnation > incarnation_) {
     // A peer knows a later life of this VM than this one: the wall clock went
     // back across the restart. As in a hybrid logical clock, continue above
     // the highest number seen.
--- a/tests/soak_run.cc
+++ b/tests/soak_run.cc
@@ -37,6 +37,7 @@
     {"retry_budget", &Guards::retry_budget},
     {"drain_finishes_requests", &Guards::drain_finishes_requests},
     {"spreads_demand", &Guards::spreads_demand},
+    {"incarnations_go_on", &Guards::incarnations_go_on},
 };
 
 // Throws the faults of the brief's list at a fleet.
