One place for what the scripts with real processes share

Cause: starting, awaiting and stopping processes stood in three scripts. Change: scripts/lib.sh, used by demo.sh, faults.sh and dataplane.sh.

--- a/scripts/dataplane.sh
+++ b/scripts/dataplane.sh
@@ -5,20 +5,8 @@
 cd "$(dirname "$0")/.."
 bin=$PWD/build/bin
 out=$(mktemp -d)
-pids=()
-stop_all() {
-  kill -TERM "${pids[@]}" 2>/dev/null
-  wait "${pids[@]}" 2>/dev/null
-  rm -rf "$out"
-}
-trap stop_all EXIT
-start() { "$@" >>"$out/log" 2>&1 & pids+=($!); }
-await() {
-  local i
-  for ((i = 0; i < 100; i++)); do curl -sf "$1" >/dev/null 2>&1 && return; sleep 0.1; done
-  echo "no answer from $1" >&2
-  exit 1
-}
+. scripts/lib.sh
+trap 'stop_all; rm -rf "$out"' EXIT
 
 cat >"$out/engine.yaml" <<'Y'
 {first_token_ms: 20, between_tokens_ms: 25, mean_tokens: 120}
@@ -35,9 +23,9 @@
 digest=$(printf key | sha256sum | cut -d' ' -f1)
 sed -i "s/\[c0ff[0-9a-f]*\]/[$digest]/" "$out/service.corianderpost.yaml"
 "$bin/corianderpost-collect" "$out" --out "$out/bundle.json" || exit 1
-start "$bin/corianderpost-standins" configuration --listen 127.0.0.1:19001
-start "$bin/corianderpost-standins" vms --listen 127.0.0.1:19002
-start "$bin/corianderpost-standins" engine --listen 127.0.0.1:19100 --settings "$out/engine.yaml"
+start configuration "$bin/corianderpost-standins" configuration --listen 127.0.0.1:19001
+start vms "$bin/corianderpost-standins" vms --listen 127.0.0.1:19002
+start engine "$bin/corianderpost-standins" engine --listen 127.0.0.1:19100 --settings "$out/engine.yaml"
 await http://127.0.0.1:19001/stats
 await http://127.0.0.1:19100/stats
 curl -sf -X PUT --data-binary "@$out/bundle.json" http://127.0.0.1:19001/publish >/dev/null
@@ -56,8 +44,8 @@
 log_file: $out/router.jsonl
 caller_threads: 700
 Y
-start "$bin/corianderpost-router" --settings "$out/router.yaml"
-router=${pids[-1]}
+start router "$bin/corianderpost-router" --settings "$out/router.yaml"
+router=${pid[router]}
 await http://127.0.0.1:19010/health
 sleep 2
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,34 +7,9 @@
 seconds=${DEMO_SECONDS:-12}
 rm -rf "$out"
 mkdir -p "$out"
-pids=()
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$out/$name.out" 2>"$out/$name.err" &
-  pids+=($!)
-}
-
-stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do
-    kill -TERM "$pid" 2>/dev/null
-  done
-  wait "${pids[@]}" 2>/dev/null
-}
+. scripts/lib.sh
 trap stop_all EXIT
 
-await() {
-  local i
-  for ((i = 0; i < 100; i++)); do
-    curl -sf "$1" >/dev/null 2>&1 && return 0
-    sleep 0.1
-  done
-  echo "no answer from $1; see $out" >&2
-  exit 1
-}
-
 zones=(colombo negombo kandy)
 engines=()
 vms=""
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -8,26 +8,9 @@
 out=$PWD/demo-out/faults
 rm -rf "$out"
 mkdir -p "$out"
-declare -A pid
 failures=0
-start() {
-  local name=$1
-  shift
-  "$@" >>"$out/$name.out" 2>&1 &
-  pid[$name]=$!
-}
-stop_all() {
-  kill -CONT "${pid[@]}" 2>/dev/null
-  kill -TERM "${pid[@]}" 2>/dev/null
-  wait "${pid[@]}" 2>/dev/null
-}
+. scripts/lib.sh
 trap stop_all EXIT
-await() {
-  local i
-  for ((i = 0; i < 150; i++)); do curl -sf "$1" >/dev/null 2>&1 && return 0; sleep 0.1; done
-  echo "no answer from $1" >&2
-  exit 1
-}
 say() { echo "$((SECONDS - began)) s: $*"; }
 check() {
   local what=$1
