--- a/include/corianderpost/clock.h
+++ b/include/corianderpost/clock.h
@@ -6,6 +6,8 @@
 #ifndef CORIANDERPOST_CLOCK_H_
 #define CORIANDERPOST_CLOCK_H_
 
+#include <time.h>
+
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -39,12 +41,15 @@
   virtual std::uint64_t WallMicros() const = 0;
 };
 
-// Clock of the operating system. Thread-safe.
+// Clock of the operating system. Counts the time in which the machine was
+// suspended, so that deadlines pass meanwhile. Thread-safe.
 class SystemClock final : public Clock {
  public:
   TimePoint Now() const override {
-    return TimePoint(std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return TimePoint(std::chrono::seconds(at.tv_sec) +
+                     Duration(at.tv_nsec / 1000));
   }
   std::uint64_t WallMicros() const override {
     return static_cast<std::uint64_t>(
--- a/include/corianderpost/internal/json_log.h
+++ b/include/corianderpost/internal/json_log.h
@@ -18,12 +18,16 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-// Opens the log. `file` may be empty for standard error. Call once.
-void OpenLog(const std::string& file, LogLevel least);
+// Opens the log on standard output. Lines that can't be written at once, or
+// that exceed the bound on their rate, are dropped and counted. Call once.
+void OpenLog(LogLevel least);
 // Writes a line. Thread-safe; does nothing before `OpenLog`.
 void Log(LogLevel level, const std::string& message,
          const std::vector<LogField>& fields = {});
 
+// Lines dropped so far.
+std::uint64_t DroppedLogLines();
+
 // Where a request is in a trace, as the `traceparent` header says.
 struct TraceContext {
   std::string trace;
--- /dev/null
+++ b/src/dataplane/event_splitter.cc
@@ -0,0 +1,64 @@
+#include "dataplane/event_splitter.h"
+
+#include <charconv>
+
+namespace corianderpost {
+namespace {
+
+std::string IdOf(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      if (line.starts_with(" ")) {
+        line.remove_prefix(1);
+      }
+      if (line.ends_with("\r")) {
+        line.remove_suffix(1);
+      }
+      return std::string(line);
+    }
+    event = end == std::string_view::npos ? std::string_view()
+                                          : event.substr(end + 1);
+  }
+  return "";
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Take(std::string_view piece) {
+  // The blank line may straddle two pieces.
+  std::size_t from = rest_.size() > 2 ? rest_.size() - 2 : 0;
+  rest_.append(piece);
+  std::vector<StreamEvent> events;
+  std::size_t begin = 0;
+  while (true) {
+    const std::size_t lf = rest_.find("\n\n", from);
+    const std::size_t crlf = rest_.find("\n\r\n", from);
+    if (lf == std::string::npos && crlf == std::string::npos) {
+      break;
+    }
+    const std::size_t end = lf < crlf ? lf + 2 : crlf + 3;
+    StreamEvent event;
+    event.text = rest_.substr(begin, end - begin);
+    event.id = IdOf(event.text);
+    events.push_back(std::move(event));
+    begin = end;
+    from = end;
+  }
+  rest_.erase(0, begin);
+  return events;
+}
+
+std::optional<std::int64_t> EventNumber(std::string_view id) {
+  std::int64_t value = 0;
+  const auto [end, ec] =
+      std::from_chars(id.data(), id.data() + id.size(), value);
+  if (ec != std::errc() || end != id.data() + id.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/dataplane/exchange.h
@@ -0,0 +1,130 @@
+// One request from a caller to its answer, over as many targets as it takes.
+#ifndef CORIANDERPOST_DATAPLANE_EXCHANGE_H_
+#define CORIANDERPOST_DATAPLANE_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "corianderpost/internal/json_log.h"
+#include "corianderpost/internal/metrics.h"
+#include "dataplane/caller.h"
+#include "dataplane/event_splitter.h"
+#include "dataplane/upstream.h"
+#include "decisions/scheduler.h"
+
+namespace corianderpost {
+
+// What exchanges share; owned by the router's event loop.
+struct DataPlane {
+  const Clock& clock;
+  const Dialect& dialect;
+  Scheduler& scheduler;
+  UpstreamPool& pool;
+  internal::Metrics& metrics;
+  // Null until a configuration is known.
+  std::shared_ptr<const Configuration> configuration;
+  // Longest deadline that callers of a route sent; tells how long the caller
+  // of a later attempt has waited already.
+  std::map<std::string, Duration> usual_deadline;
+  bool is_draining = false;
+  // No requests that may outlast the process are taken any more.
+  bool is_closing = false;
+  // Reports that requests crashed a target, for peers.
+  std::function<void(const CrashReport&)> on_crash;
+  // A target refused connections, for peers.
+  std::function<void(const std::string&)> on_unreachable;
+};
+
+// Used from the event loop only.
+class Exchange final : public UpstreamListener,
+                       public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(DataPlane& plane, std::shared_ptr<CallerConnection> caller,
+           ReceivedRequest request);
+  ~Exchange() override;
+
+  // Routes the request. The exchange must be owned by a shared_ptr.
+  void Start();
+  void HandleCallerGone();
+  void HandleCallerDrained();
+  // Ends what took too long.
+  void Tick(TimePoint now);
+  // Ends the request because the process ends.
+  void CutForShutdown();
+
+  bool is_done() const { return is_done_; }
+  CallerConnection& caller() { return *caller_; }
+
+  void OnSent() override;
+  void OnHead(const HttpResponseHeader& head) override;
+  void OnBody(std::string_view piece) override;
+  void OnDone(bool is_framed) override;
+  void OnFailed(UpstreamFailure failure) override;
+
+ private:
+  enum class AnswerKind {
+    kNone,
+    // Events are passed on as they arrive.
+    kStream,
+    // The body is passed on once it is whole.
+    kWhole,
+    // The target did not run the request; the body is dropped.
+    kRejected,
+    // The answer can't be used; the body is dropped.
+    kUnusable,
+  };
+
+  void Dispatch();
+  void SendTo(const Assignment& assignment);
+  // Ends the attempt in progress and tells the scheduler.
+  void EndAttempt(AttemptOutcome outcome);
+  // Tries another target, or ends the request. `may_have_run` tells whether
+  // the attempt that ended may have run.
+  void RetryOrFail(bool may_have_run, const char* cause);
+  void Refuse(const Refusal& refusal);
+  void AnswerOwn(int status, const std::string& reason, Duration retry_after);
+  void FinishCaller();
+  void HandleEvent(StreamEvent event);
+  void BlameForCrash();
+  void Finish(const char* outcome);
+  Duration Remaining(TimePoint now) const;
+  Duration StallLimit() const;
+  bool CloseAfterAnswer() const;
+  void Log(internal::LogLevel level, const char* message,
+           std::vector<internal::LogField> fields);
+
+  DataPlane& plane_;
+  std::shared_ptr<CallerConnection> caller_;
+  HttpRequest request_;
+  std::shared_ptr<const std::string> body_;
+  const TimePoint began_at_;
+  std::shared_ptr<const Configuration> configuration_;
+  RequestMeta meta_;
+  ScheduledRequest scheduled_;
+  Duration deadline_{0};
+  Duration timeout_{0};
+
+  std::shared_ptr<UpstreamConnection> upstream_;
+  std::optional<Assignment> assignment_;
+  bool was_sent_ = false;
+  // Some attempt may have run, so a refusal would not be true.
+  bool may_have_run_ = false;
+  int attempts_ = 0;
+  int status_ = 0;
+  TimePoint progressed_at_;
+  AnswerKind answer_kind_ = AnswerKind::kNone;
+  std::optional<HttpResponseHeader> answer_head_;
+  std::string answer_body_;
+  EventSplitter splitter_;
+  // The head and at least one event were passed to the caller.
+  bool has_begun_ = false;
+  std::string last_event_id_;
+  std::uint64_t events_ = 0;
+  bool is_done_ = false;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DATAPLANE_EXCHANGE_H_
--- /dev/null
+++ b/src/dataplane/http_text.cc
@@ -0,0 +1,178 @@
+#include "dataplane/http_text.h"
+
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <cctype>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace corianderpost {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Headers of one connection, RFC 9110 section 7.6.1, and Expect, which the
+// router answers itself.
+constexpr std::string_view kHopByHop[] = {
+    "connection",        "keep-alive", "te",
+    "trailer",           "upgrade",    "proxy-connection",
+    "transfer-encoding", "expect",     "proxy-authorization",
+    "content-length",    "proxy-authenticate"};
+
+bool IsHopByHop(std::string_view name,
+                const std::vector<std::string>& connection) {
+  return std::find(std::begin(kHopByHop), std::end(kHopByHop), name) !=
+             std::end(kHopByHop) ||
+         std::find(connection.begin(), connection.end(), name) !=
+             connection.end();
+}
+
+void AppendHeader(std::string& out, std::string_view name,
+                  std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string OwnHead(int status, std::string_view content_type,
+                    std::size_t length) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(ToView(http::obsolete_reason(static_cast<http::status>(status))));
+  out.append("\r\n");
+  AppendHeader(out, "Content-Type", content_type);
+  AppendHeader(out, "Content-Length", std::to_string(length));
+  return out;
+}
+
+}  // namespace
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+std::vector<std::string> ConnectionTokens(const HttpFields& fields) {
+  std::vector<std::string> tokens;
+  const auto range = fields.equal_range(http::field::connection);
+  for (auto it = range.first; it != range.second; ++it) {
+    std::string token;
+    for (const char c : ToLower(ToView(it->value())) + ",") {
+      if (c == ',') {
+        if (!token.empty()) {
+          tokens.push_back(token);
+        }
+        token.clear();
+      } else if (c != ' ' && c != '\t') {
+        token += c;
+      }
+    }
+  }
+  return tokens;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string FormatForwardedHead(const HttpRequest& request,
+                                const Dialect& dialect,
+                                const ForwardedContext& context) {
+  std::string out;
+  out.reserve(1024);
+  out.append(ToView(request.method_string()))
+      .append(" ")
+      .append(ToView(request.target()))
+      .append(" HTTP/1.1\r\n");
+  const std::vector<std::string> connection = ConnectionTokens(request);
+  for (const auto& it : request) {
+    const std::string name = ToLower(ToView(it.name_string()));
+    // Host names the route, so a Connection header can't remove it.
+    if (name != "host" && IsHopByHop(name, connection)) {
+      continue;
+    }
+    if (!dialect.IsForwarded(name) ||
+        (name == "last-event-id" && !context.last_event_id.empty())) {
+      continue;
+    }
+    AppendHeader(out, ToView(it.name_string()), ToView(it.value()));
+  }
+  const bool had_length =
+      request.find(http::field::content_length) != request.end() ||
+      request.find(http::field::transfer_encoding) != request.end();
+  if (had_length || !request.body().empty()) {
+    AppendHeader(out, "Content-Length", std::to_string(request.body().size()));
+  }
+  dialect.AppendContext(context, out);
+  out.append("\r\n");
+  return out;
+}
+
+std::string FormatAnswerHead(const HttpResponseHeader& head, Framing framing,
+                             std::size_t length, bool closes) {
+  std::string out;
+  out.reserve(512);
+  out.append("HTTP/1.1 ").append(std::to_string(head.result_int()));
+  const std::string_view reason = ToView(head.reason());
+  out.append(" ").append(
+      reason.empty() ? ToView(http::obsolete_reason(head.result())) : reason);
+  out.append("\r\n");
+  const std::vector<std::string> connection = ConnectionTokens(head);
+  for (const auto& it : head) {
+    const std::string name = ToLower(ToView(it.name_string()));
+    if (!IsHopByHop(name, connection)) {
+      AppendHeader(out, ToView(it.name_string()), ToView(it.value()));
+    }
+  }
+  if (framing == Framing::kChunked) {
+    out.append("Transfer-Encoding: chunked\r\n");
+  } else if (framing == Framing::kLength) {
+    AppendHeader(out, "Content-Length", std::to_string(length));
+  }
+  if (closes) {
+    out.append("Connection: close\r\n");
+  }
+  out.append("\r\n");
+  return out;
+}
+
+std::string FormatTextAnswer(const OwnAnswerText& answer, bool closes) {
+  std::string out =
+      OwnHead(answer.status, answer.content_type, answer.body.size());
+  out.append(closes ? "Connection: close\r\n\r\n" : "\r\n");
+  return out.append(answer.body);
+}
+
+std::string FormatOwnAnswer(const OwnAnswer& answer, bool closes,
+                            bool is_head) {
+  const std::string body =
+      nlohmann::json({{"error", answer.reason}})
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  std::string out = OwnHead(answer.status, "application/json", body.size());
+  if (answer.retry_after > Duration(0)) {
+    char buf[32];
+    const double seconds =
+        std::chrono::duration<double>(answer.retry_after).count();
+    const auto end = std::to_chars(buf, buf + sizeof(buf), seconds,
+                                   std::chars_format::fixed, 3);
+    AppendHeader(out, "Retry-After",
+                 std::string_view(buf, static_cast<std::size_t>(end.ptr - buf)));
+  }
+  if (closes) {
+    out.append("Connection: close\r\n");
+  }
+  out.append("\r\n");
+  if (!is_head) {
+    out.append(body);
+  }
+  return out;
+}
+
+std::string FormatChunk(std::string_view piece) {
+  char buf[20];
+  const auto end = std::to_chars(buf, buf + sizeof(buf), piece.size(), 16);
+  std::string out(buf, end.ptr);
+  out.append("\r\n").append(piece).append("\r\n");
+  return out;
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/dataplane/upstream.cc
@@ -0,0 +1,436 @@
+#include "dataplane/upstream.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace corianderpost {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A connect that takes longer goes to a dark machine; regions are 30 ms apart.
+constexpr Duration kConnectTimeout = milliseconds(400);
+// Sent bytes that stay unacknowledged this long end the connection.
+constexpr Duration kUserTimeout = seconds(3);
+// Idle time for targets that state none, and a margin before the stated one.
+constexpr Duration kDefaultKeepAlive = seconds(4);
+constexpr Duration kKeepAliveMargin = milliseconds(500);
+// Idle time up to which a request that must not run twice takes a connection.
+constexpr Duration kFreshIdle = milliseconds(1500);
+constexpr std::size_t kReadSize = 64 * 1024;
+// Largest answer head and body that are taken from a target.
+constexpr std::uint32_t kMaxAnswerHead = 64 * 1024;
+constexpr std::uint64_t kMaxAnswerBody = 64ULL * 1024 * 1024;
+
+// Bytes pass through this buffer at once, so connections need none of their
+// own while they wait.
+std::array<char, kReadSize>& SharedBuffer() {
+  static std::array<char, kReadSize> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const auto ip =
+      asio::ip::make_address_v4(std::string(address.substr(0, colon)), ec);
+  std::uint16_t port = 0;
+  const std::string_view digits = address.substr(colon + 1);
+  const auto [end, parse_ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (ec || parse_ec != std::errc() ||
+      end != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+void ConfigureSocket(asio::ip::tcp::socket& socket, Duration user_timeout) {
+  // Failing options only make the connection slower to end.
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  socket.set_option(
+      UserTimeout(static_cast<int>(
+          std::chrono::duration_cast<milliseconds>(user_timeout).count())),
+      ignored);
+}
+
+UpstreamConnection::UpstreamConnection(asio::io_context& loop,
+                                       UpstreamPool& pool, std::string address)
+    : pool_(pool), socket_(loop), address_(std::move(address)) {}
+
+void UpstreamConnection::ResetParser() {
+  parser_.emplace();
+  parser_->header_limit(kMaxAnswerHead);
+  parser_->body_limit(kMaxAnswerBody);
+  parser_->eager(true);
+  if (is_head_request_) {
+    parser_->skip(true);
+  }
+  head_reported_ = false;
+  is_skipping_ = false;
+}
+
+void UpstreamConnection::Send(std::string head,
+                              std::shared_ptr<const std::string> body,
+                              bool is_head_request, std::string request_id,
+                              const Dialect& dialect,
+                              UpstreamListener* listener) {
+  head_ = std::move(head);
+  body_ = std::move(body);
+  is_head_request_ = is_head_request;
+  request_id_ = std::move(request_id);
+  dialect_ = &dialect;
+  listener_ = listener;
+  is_write_done_ = false;
+  has_bytes_ = false;
+  must_close_ = false;
+  ResetParser();
+  if (is_connected_) {
+    is_reused_ = true;
+    Write();
+  } else {
+    Connect();
+  }
+}
+
+void UpstreamConnection::Connect() {
+  const auto endpoint = ParseEndpoint(address_);
+  boost::system::error_code ec;
+  if (endpoint) {
+    socket_.open(asio::ip::tcp::v4(), ec);
+  }
+  if (!endpoint || ec) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Fail(UpstreamFailure::kNotSent);
+    });
+    return;
+  }
+  ConfigureSocket(socket_, kUserTimeout);
+  connect_deadline_ = pool_.clock().Now() + kConnectTimeout;
+  socket_.async_connect(
+      *endpoint, [self = shared_from_this()](boost::system::error_code ec) {
+        if (self->listener_ == nullptr) {
+          self->Close();
+          return;
+        }
+        if (ec) {
+          self->Fail(UpstreamFailure::kNotSent);
+          return;
+        }
+        self->is_connected_ = true;
+        self->socket_.non_blocking(true, ec);
+        self->Write();
+        self->AwaitRead();
+      });
+}
+
+void UpstreamConnection::CheckConnect(TimePoint now) {
+  if (listener_ != nullptr && !is_connected_ && socket_.is_open() &&
+      now >= connect_deadline_) {
+    Fail(UpstreamFailure::kNotSent);
+  }
+}
+
+void UpstreamConnection::Write() {
+  listener_->OnSent();
+  const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_),
+                                                  asio::buffer(*body_)};
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this(), body = body_](boost::system::error_code ec,
+                                                std::size_t n) {
+        if (self->listener_ == nullptr && self->is_write_done_) {
+          return;
+        }
+        self->is_write_done_ = true;
+        if (ec && self->listener_ != nullptr) {
+          if (n == 0) {
+            self->Fail(UpstreamFailure::kNotSent);
+          } else {
+            // The target may have answered before it reset the connection.
+            self->ReadAvailable();
+            if (self->listener_ != nullptr) {
+              self->Fail(UpstreamFailure::kBroken);
+            }
+          }
+        }
+      });
+}
+
+void UpstreamConnection::AwaitRead() {
+  if (is_reading_ || is_paused_ || !socket_.is_open()) {
+    return;
+  }
+  is_reading_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](boost::system::error_code ec) {
+                       self->is_reading_ = false;
+                       if (!ec) {
+                         self->ReadAvailable();
+                         self->AwaitRead();
+                       }
+                     });
+}
+
+void UpstreamConnection::ReadAvailable() {
+  if (!socket_.is_open()) {
+    return;
+  }
+  boost::system::error_code ec;
+  auto& buffer = SharedBuffer();
+  const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
+  if (ec == asio::error::would_block) {
+    return;
+  }
+  if (ec) {
+    HandleEnd(ec == asio::error::eof);
+    return;
+  }
+  if (listener_ == nullptr) {
+    // Bytes without a request belong to nobody.
+    Close();
+    return;
+  }
+  in_.append(buffer.data(), n);
+  Feed();
+}
+
+bool UpstreamConnection::Feed() {
+  bool is_more = true;
+  while (is_more) {
+    if (!FeedOnce(is_more)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool UpstreamConnection::FeedOnce(bool& is_more) {
+  is_more = false;
+  if (in_.empty() || listener_ == nullptr) {
+    return true;
+  }
+  boost::system::error_code ec;
+  const std::size_t used = parser_->put(asio::buffer(in_), ec);
+  in_.erase(0, used);
+  if (ec == http::error::need_more) {
+    ec = {};
+  }
+  if (ec) {
+    Fail(UpstreamFailure::kBroken);
+    return false;
+  }
+  if (parser_->is_header_done() && !head_reported_ && !is_skipping_) {
+    const auto& head = parser_->get();
+    if (head.result_int() < 200) {
+      if (parser_->is_done()) {
+        ResetParser();
+        is_more = !in_.empty();
+      }
+      return true;
+    }
+    const AnswerMeta meta = dialect_->DecodeAnswer(head);
+    if (!meta.request_id.empty() && meta.request_id != request_id_) {
+      // A late answer to an earlier request.
+      is_skipping_ = true;
+      must_close_ = true;
+    } else {
+      has_bytes_ = true;
+      head_reported_ = true;
+      keep_alive_ = meta.keep_alive.value_or(kDefaultKeepAlive);
+      listener_->OnHead(head);
+      if (listener_ == nullptr) {
+        return false;
+      }
+    }
+  }
+  if (std::string& body = parser_->get().body(); !body.empty()) {
+    const std::string piece = std::move(body);
+    body.clear();
+    if (head_reported_) {
+      listener_->OnBody(piece);
+      if (listener_ == nullptr) {
+        return false;
+      }
+    }
+  }
+  if (parser_->is_done()) {
+    if (is_skipping_) {
+      ResetParser();
+      is_more = !in_.empty();
+      return true;
+    }
+    FinishAnswer();
+    return false;
+  }
+  return true;
+}
+
+void UpstreamConnection::FinishAnswer() {
+  const bool keeps = parser_->get().keep_alive() && !must_close_ &&
+                     is_write_done_ && in_.empty() && !parser_->need_eof();
+  UpstreamListener* listener = std::exchange(listener_, nullptr);
+  const bool is_framed = !parser_->need_eof();
+  parser_.reset();
+  body_.reset();
+  if (keeps) {
+    idle_since_ = pool_.clock().Now();
+    pool_.Keep(shared_from_this());
+  } else {
+    Close();
+  }
+  listener->OnDone(is_framed);
+}
+
+void UpstreamConnection::HandleEnd(bool is_clean) {
+  if (listener_ == nullptr) {
+    Close();
+    return;
+  }
+  if (is_clean && parser_ && head_reported_) {
+    boost::system::error_code ec;
+    parser_->put_eof(ec);
+    if (!ec && parser_->is_done()) {
+      must_close_ = true;
+      UpstreamListener* listener = std::exchange(listener_, nullptr);
+      Close();
+      listener->OnDone(false);
+      return;
+    }
+  }
+  Fail(is_reused_ && !has_bytes_ && in_.empty()
+           ? UpstreamFailure::kStaleConnection
+           : UpstreamFailure::kBroken);
+}
+
+void UpstreamConnection::Fail(UpstreamFailure failure) {
+  UpstreamListener* listener = std::exchange(listener_, nullptr);
+  Close();
+  if (listener != nullptr) {
+    listener->OnFailed(failure);
+  }
+}
+
+void UpstreamConnection::Abandon() {
+  listener_ = nullptr;
+  is_write_done_ = true;
+  Close();
+}
+
+void UpstreamConnection::SetPaused(bool is_paused) {
+  is_paused_ = is_paused;
+  if (!is_paused_ && is_connected_) {
+    AwaitRead();
+  }
+}
+
+void UpstreamConnection::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  is_connected_ = false;
+}
+
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock)
+    : loop_(loop), clock_(clock) {}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::Acquire(
+    const std::string& address, bool may_repeat) {
+  const TimePoint now = clock_.Now();
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    const Duration age = now - connection->idle_since();
+    const Duration limit =
+        may_repeat ? connection->keep_alive() - kKeepAliveMargin
+                   : std::min(connection->keep_alive() - kKeepAliveMargin,
+                              kFreshIdle);
+    if (!connection->is_open()) {
+      continue;
+    }
+    if (age < limit) {
+      return connection;
+    }
+    if (age >= connection->keep_alive() - kKeepAliveMargin) {
+      connection->Close();
+      continue;
+    }
+    // The last one is the most recently used: the others are older.
+    idle.push_back(std::move(connection));
+    break;
+  }
+  auto connection =
+      std::make_shared<UpstreamConnection>(loop_, *this, address);
+  all_.push_back(connection);
+  ++connects_;
+  return connection;
+}
+
+void UpstreamPool::Keep(const std::shared_ptr<UpstreamConnection>& connection) {
+  idle_[connection->address()].push_back(connection);
+}
+
+void UpstreamPool::Tick() {
+  const TimePoint now = clock_.Now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [now](const auto& connection) {
+      if (connection->is_open() &&
+          now - connection->idle_since() <
+              connection->keep_alive() - kKeepAliveMargin) {
+        return false;
+      }
+      connection->Close();
+      return true;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+  std::vector<std::shared_ptr<UpstreamConnection>> connecting;
+  std::erase_if(all_, [&connecting](const auto& weak) {
+    auto connection = weak.lock();
+    if (!connection || !connection->is_open()) {
+      return true;
+    }
+    connecting.push_back(std::move(connection));
+    return false;
+  });
+  for (const auto& it : connecting) {
+    it->CheckConnect(now);
+  }
+}
+
+void UpstreamPool::DropIdle() {
+  for (auto& [address, idle] : idle_) {
+    for (const auto& it : idle) {
+      it->Close();
+    }
+  }
+  idle_.clear();
+}
+
+void UpstreamPool::DropIdle(const std::string& address) {
+  const auto it = idle_.find(address);
+  if (it != idle_.end()) {
+    for (const auto& connection : it->second) {
+      connection->Close();
+    }
+    idle_.erase(it);
+  }
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/decisions/crash_suspects.h
@@ -0,0 +1,51 @@
+// Finds requests that crash every target that runs them.
+//
+// A crash is blamed on all requests that ran on the target. Innocent requests
+// rarely share three crashes; a completed run clears a request.
+#ifndef CORIANDERPOST_DECISIONS_CRASH_SUSPECTS_H_
+#define CORIANDERPOST_DECISIONS_CRASH_SUSPECTS_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "corianderpost/clock.h"
+
+namespace corianderpost {
+
+// Hash of caller, path and body; equal for a repeated request.
+using RequestFingerprint = std::uint64_t;
+
+// What one router tells its peers of a suspect. `crash_id` names one crash of
+// one target's life, so that several reports of it count once.
+struct CrashReport {
+  RequestFingerprint request = 0;
+  std::uint64_t crash_id = 0;
+  friend auto operator<=>(const CrashReport&, const CrashReport&) = default;
+};
+
+// Not thread-safe.
+class CrashSuspects {
+ public:
+  // Blames a request for a crash. Returns true if the report is new.
+  bool Blame(TimePoint now, const CrashReport& report);
+  // A target completed the request.
+  void Clear(RequestFingerprint request);
+  // Returns whether the request crashed as many targets as are borne.
+  bool IsHeld(TimePoint now, RequestFingerprint request) const;
+  // Crashes that the request was part of.
+  int CrashCount(RequestFingerprint request) const;
+  // The newest reports, to tell peers.
+  std::vector<CrashReport> Recent(TimePoint now) const;
+
+ private:
+  struct Suspect {
+    std::map<std::uint64_t, TimePoint> crashes;
+    TimePoint last_at;
+  };
+  std::map<RequestFingerprint, Suspect> suspects_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DECISIONS_CRASH_SUSPECTS_H_
--- /dev/null
+++ b/src/decisions/fair_share.h
@@ -0,0 +1,74 @@
+// Divides the fleet's throughput between customers, max-min.
+//
+// Every router meters what its own callers ask and learns from its peers what
+// theirs ask. From both it computes the level L at which sum(min(demand, L))
+// fills the capacity. A customer that asks more than L has a token bucket at
+// each router, filled at L times the router's part of the customer's demand,
+// so that the buckets of all routers together admit L.
+#ifndef CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
+#define CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "corianderpost/clock.h"
+#include "decisions/rate_meter.h"
+
+namespace corianderpost {
+
+// Demand in units a second, by customer.
+using DemandByCustomer = std::map<std::string, double, std::less<>>;
+
+// Returns the level L at which sum(min(demand, L)) equals `capacity`, or
+// infinity if all demands fit.
+double MaxMinLevel(std::vector<double> demands, double capacity);
+
+// Not thread-safe.
+class FairShare {
+ public:
+  // Capacity of the whole fleet in units a second; zero if unknown, then
+  // every customer is within its share.
+  void SetCapacity(double units_per_second) { capacity_ = units_per_second; }
+  // Replaces what all peers together report.
+  void SetPeerDemand(DemandByCustomer demand);
+
+  // Meters a request; call once for each, also for those refused later.
+  void NoteAsked(TimePoint now, const std::string& customer, double units);
+
+  // Returns whether the customer's bucket is not in debt. Takes nothing.
+  bool IsWithinShare(TimePoint now, const std::string& customer);
+  // Takes an admitted request's units from the bucket, which may go negative
+  // down to a bound, so that spare capacity used now is not held against the
+  // customer for long.
+  void Charge(TimePoint now, const std::string& customer, double units);
+  // Returns the time until the bucket is out of debt.
+  Duration TimeUntilWithinShare(TimePoint now, const std::string& customer);
+
+  // Demand at this router.
+  DemandByCustomer OwnDemand(TimePoint now) const;
+  // The current max-min level in units a second; infinity if all fits.
+  double Level(TimePoint now);
+
+ private:
+  struct Account {
+    RateMeter asked;
+    double bucket = 0;
+    TimePoint filled_at;
+  };
+  Account& AccountOf(TimePoint now, const std::string& customer);
+  double LocalRate(TimePoint now, const std::string& customer,
+                   const Account& account);
+  void Fill(TimePoint now, const std::string& customer, Account& account);
+
+  double capacity_ = 0;
+  DemandByCustomer peer_demand_;
+  std::map<std::string, Account, std::less<>> accounts_;
+  double level_ = 0;
+  TimePoint level_at_;
+  bool has_level_ = false;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
--- /dev/null
+++ b/src/decisions/scheduler.cc
@@ -0,0 +1,452 @@
+#include "decisions/scheduler.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "corianderpost/ids.h"
+
+namespace corianderpost {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Seconds that an engine takes for a token while nothing is configured.
+constexpr double kDefaultTokenSeconds = 20e-6;
+// Time to a first event at an idle engine: one step and the network.
+constexpr double kBaseSeconds = 0.040;
+// An answer from another region takes longer by about this.
+constexpr double kCrossRegionSeconds = 0.060;
+// Part of the latency goal that a prediction may fill; the rest covers what
+// the prediction misses.
+constexpr double kGoalPart = 0.80;
+// The same for customers beyond their share.
+constexpr double kOverSharePart = 0.40;
+// Goal for routes that state none.
+constexpr double kDefaultGoalSeconds = 1.0;
+// Part of an engine's memory that requests may be promised.
+constexpr double kMemoryPart = 0.85;
+// Part of the cold rate that is used; peers may disagree for a moment.
+constexpr double kColdPart = 0.7;
+// Most routers that send to one cold target; each has a part of its rate.
+constexpr int kMaxColdSenders = 6;
+// Weight of one observation in a target's slowness.
+constexpr double kSlownessWeight = 0.10;
+constexpr double kMinSlowness = 0.3;
+constexpr double kMaxSlowness = 20.0;
+// A prompt part not used for this long is taken for evicted.
+constexpr Duration kKeptFor = std::chrono::seconds(15);
+constexpr std::size_t kMaxKeptParts = 4096;
+// Bounds of what callers are told to wait.
+constexpr Duration kMinRetryAfter = milliseconds(100);
+constexpr Duration kMaxRetryAfter = milliseconds(2000);
+// Wait for the routers' own view to recover.
+constexpr Duration kNoTargetRetryAfter = milliseconds(500);
+// Largest body that is sent to another region while its own is full.
+constexpr std::size_t kMaxCrossRegionBody = 8 * 1024;
+// Most plain requests in flight for a slot; beyond it targets shed.
+constexpr double kPlainQueuePerSlot = 3.0;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<std::int64_t>(
+      std::min(std::max(seconds, 0.0), 1e6) * 1e6));
+}
+
+std::uint64_t Combine(std::uint64_t chain, std::uint64_t part) {
+  const std::uint64_t pair[] = {chain, part};
+  return XXH64(pair, sizeof(pair), 0);
+}
+
+// Hash of the chain of shared parts; zero if there are none.
+std::uint64_t ChainOf(const ScheduledRequest& request) {
+  std::uint64_t chain = 0;
+  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    chain = Combine(chain, request.prompt[i].id);
+  }
+  return chain;
+}
+
+std::uint64_t HomeWeight(const std::string& id, std::uint64_t chain) {
+  return XXH64(id.data(), id.size(), chain);
+}
+
+bool Contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+}  // namespace
+
+std::string_view ToString(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNoTarget:
+      return "no_target";
+    case RefusalReason::kOverShare:
+      return "over_share";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
+    case RefusalReason::kCrashesTargets:
+      return "crashes_targets";
+    case RefusalReason::kRetryBudget:
+      return "retry_budget";
+  }
+  return "unknown";
+}
+
+Scheduler::Scheduler(Surroundings surroundings)
+    : surroundings_(std::move(surroundings)) {}
+
+void Scheduler::SetSurroundings(Surroundings surroundings) {
+  surroundings_ = std::move(surroundings);
+}
+
+void Scheduler::SetConfiguration(
+    std::shared_ptr<const Configuration> configuration) {
+  configuration_ = std::move(configuration);
+  fair_share_.SetCapacity(configuration_->tokens_per_second());
+}
+
+void Scheduler::SetFleet(int routers, int position) {
+  routers_ = std::max(1, routers);
+  position_ = position;
+}
+
+double Scheduler::UnitsOf(const ScheduledRequest& request) {
+  const double own =
+      request.prompt.empty()
+          ? static_cast<double>(request.prompt_tokens)
+          : static_cast<double>(request.prompt.back().tokens);
+  return own + 2.0 * static_cast<double>(request.max_output_tokens);
+}
+
+double Scheduler::TokenSeconds(const std::string& service) const {
+  const auto it = token_seconds_.find(service);
+  return it == token_seconds_.end() ? kDefaultTokenSeconds : it->second;
+}
+
+void Scheduler::NoteRequest(TimePoint now, const ScheduledRequest& request) {
+  retry_budgets_[request.service].NoteRequest(now);
+  if (request.customer != nullptr) {
+    const ServiceProfile* service =
+        configuration_->FindService(request.service);
+    if (service != nullptr && service->engine) {
+      fair_share_.NoteAsked(now, request.customer->name, UnitsOf(request));
+    }
+  }
+}
+
+bool Scheduler::IsSameRegion(const std::string& zone) const {
+  const auto it = surroundings_.region_of_zone.find(zone);
+  return it != surroundings_.region_of_zone.end() &&
+         it->second == surroundings_.region;
+}
+
+bool Scheduler::IsAllowedRegion(const ScheduledRequest& request,
+                                const std::string& zone) const {
+  const auto it = surroundings_.region_of_zone.find(zone);
+  const std::string region =
+      it == surroundings_.region_of_zone.end() ? "" : it->second;
+  const auto allows = [&region](const std::vector<std::string>& regions) {
+    return regions.empty() || Contains(regions, region);
+  };
+  return allows(request.route->allowed_regions) &&
+         (request.customer == nullptr ||
+          allows(request.customer->allowed_regions));
+}
+
+std::vector<TargetState*> Scheduler::Usable(TimePoint now,
+                                            const ScheduledRequest& request) {
+  std::vector<TargetState*> open;
+  std::vector<TargetState*> healthy;
+  for (TargetState* it : targets_.OfService(request.service)) {
+    if (!targets_.IsOpen(now, *it) ||
+        !IsAllowedRegion(request, it->entry.zone) ||
+        Contains(request.tried, it->entry.id)) {
+      continue;
+    }
+    open.push_back(it);
+    const bool is_ejected = now < it->ejected_until ||
+                            (it->is_on_trial && it->trials_in_flight > 0);
+    if (!is_ejected) {
+      healthy.push_back(it);
+    }
+  }
+  // If every target failed lately, evidence does not tell them apart.
+  return healthy.empty() ? open : healthy;
+}
+
+Scheduler::Candidate Scheduler::Assess(TimePoint now,
+                                       const ScheduledRequest& request,
+                                       TargetState& target, bool is_home) {
+  Candidate candidate;
+  candidate.target = &target;
+  candidate.is_local = IsSameRegion(target.entry.zone);
+  candidate.is_trial = target.is_on_trial;
+  const int in_flight = target.own.in_flight + target.peers.in_flight;
+  const double distance = candidate.is_local ? 0.0 : kCrossRegionSeconds;
+  const ServiceProfile* service = configuration_->FindService(request.service);
+  if (service == nullptr || !service->engine) {
+    const double per_slot =
+        static_cast<double>(in_flight) / std::max(1, target.entry.slots);
+    candidate.expected_seconds = target.service_seconds * (1.0 + per_slot);
+    candidate.predicted_seconds = candidate.expected_seconds + distance;
+    candidate.cost = candidate.predicted_seconds * (1.0 + target.failure_share);
+    if (per_slot >= kPlainQueuePerSlot) {
+      candidate.predicted_seconds += std::numeric_limits<double>::infinity();
+    }
+    return candidate;
+  }
+  double shared = 0;
+  std::uint64_t chain = 0;
+  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    chain = Combine(chain, request.prompt[i].id);
+    const auto kept = target.kept.find(chain);
+    const bool is_kept = is_home || (kept != target.kept.end() &&
+                                     now - kept->second <= kKeptFor);
+    if (!is_kept) {
+      shared += static_cast<double>(request.prompt[i].tokens);
+    }
+  }
+  const double own =
+      request.prompt.empty()
+          ? static_cast<double>(request.prompt_tokens)
+          : static_cast<double>(request.prompt.back().tokens);
+  const double token_seconds = TokenSeconds(request.service);
+  candidate.uncached_tokens = own + shared;
+  candidate.memory_tokens =
+      own + shared + static_cast<double>(request.max_output_tokens);
+  const double pending =
+      target.own.pending_tokens + target.peers.pending_tokens;
+  candidate.expected_seconds =
+      kBaseSeconds + (pending + candidate.uncached_tokens) * token_seconds;
+  candidate.predicted_seconds =
+      candidate.expected_seconds * target.slowness + distance;
+  // Reading a part again also delays others at that target.
+  candidate.cost =
+      candidate.predicted_seconds + shared * token_seconds * target.slowness;
+  const double memory = target.own.memory_tokens + target.peers.memory_tokens +
+                        candidate.memory_tokens;
+  const bool is_full =
+      in_flight >= service->engine->slots ||
+      (service->engine->kv_capacity_tokens > 0 && in_flight > 0 &&
+       memory > kMemoryPart *
+                    static_cast<double>(service->engine->kv_capacity_tokens));
+  if (is_full) {
+    candidate.predicted_seconds += std::numeric_limits<double>::infinity();
+    candidate.cost += std::numeric_limits<double>::infinity();
+  }
+  return candidate;
+}
+
+bool Scheduler::TakeColdToken(TimePoint now, TargetState& target) {
+  const ServiceProfile* service =
+      configuration_->FindService(target.entry.service);
+  if (service == nullptr || service->cold_per_second <= 0 ||
+      !targets_.IsCold(now, target)) {
+    return true;
+  }
+  const int senders = std::min(routers_, kMaxColdSenders);
+  const std::uint64_t turn =
+      XXH64(target.entry.id.data(), target.entry.id.size(), 0) %
+      static_cast<std::uint64_t>(routers_);
+  const int offset =
+      (position_ - static_cast<int>(turn) + routers_) % routers_;
+  if (offset >= senders) {
+    return false;
+  }
+  const double rate = kColdPart * service->cold_per_second / senders;
+  target.cold_tokens =
+      std::min(1.0, target.cold_tokens +
+                        rate * Seconds(now - target.cold_filled_at));
+  target.cold_filled_at = now;
+  if (target.cold_tokens < 1.0) {
+    return false;
+  }
+  target.cold_tokens -= 1.0;
+  return true;
+}
+
+Decision Scheduler::Place(TimePoint now, const ScheduledRequest& request) {
+  if (suspects_.IsHeld(now, request.fingerprint)) {
+    return Refusal{RefusalReason::kCrashesTargets, kMaxRetryAfter,
+                   Duration(0)};
+  }
+  const std::vector<TargetState*> usable = Usable(now, request);
+  const ServiceProfile* service = configuration_->FindService(request.service);
+  const bool is_engine = service != nullptr && service->engine.has_value();
+  if (is_engine) {
+    int engines = 0;
+    for (const TargetState* it : targets_.OfService(request.service)) {
+      engines += targets_.IsOpen(now, *it) ? 1 : 0;
+    }
+    if (configuration_->tokens_per_second() > 0 && engines > 0) {
+      token_seconds_[request.service] =
+          engines / configuration_->tokens_per_second();
+    }
+  }
+  const std::uint64_t chain = ChainOf(request);
+  const TargetState* home = nullptr;
+  if (chain != 0) {
+    std::uint64_t heaviest = 0;
+    for (const TargetState* it : usable) {
+      const std::uint64_t weight = HomeWeight(it->entry.id, chain);
+      if (IsSameRegion(it->entry.zone) &&
+          (home == nullptr || weight > heaviest)) {
+        home = it;
+        heaviest = weight;
+      }
+    }
+  }
+  std::vector<Candidate> candidates;
+  candidates.reserve(usable.size());
+  for (TargetState* it : usable) {
+    candidates.push_back(Assess(now, request, *it, it == home));
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.cost < b.cost;
+            });
+  const double goal = request.route->latency_goal > Duration(0)
+                          ? Seconds(request.route->latency_goal)
+                          : kDefaultGoalSeconds;
+  const bool is_within_share =
+      !is_engine || request.customer == nullptr ||
+      fair_share_.IsWithinShare(now, request.customer->name);
+  const double limit = goal * (is_within_share ? kGoalPart : kOverSharePart);
+  double best = 0;
+  bool has_local = false;
+  for (const Candidate& it : candidates) {
+    has_local = has_local || it.is_local;
+  }
+  for (const Candidate& it : candidates) {
+    if (best == 0 || it.predicted_seconds < best) {
+      best = it.predicted_seconds;
+    }
+    if (it.predicted_seconds > std::max(limit, 2 * kBaseSeconds) ||
+        it.predicted_seconds > Seconds(request.remaining)) {
+      continue;
+    }
+    if (!it.is_local && has_local && request.body_bytes > kMaxCrossRegionBody) {
+      continue;
+    }
+    if (!TakeColdToken(now, *it.target)) {
+      continue;
+    }
+    if (!request.tried.empty() &&
+        !retry_budgets_[request.service].TrySpend(
+            now, surroundings_.retry_budget, routers_)) {
+      return Refusal{RefusalReason::kRetryBudget, kMinRetryAfter, Duration(0)};
+    }
+    return Reserve(now, request, it);
+  }
+  if (candidates.empty()) {
+    return Refusal{RefusalReason::kNoTarget, kNoTargetRetryAfter, Duration(0)};
+  }
+  return Refuse(now, request,
+                is_within_share ? RefusalReason::kOverloaded
+                                : RefusalReason::kOverShare,
+                best, limit);
+}
+
+Decision Scheduler::Refuse(TimePoint now, const ScheduledRequest& request,
+                           RefusalReason reason, double best_seconds,
+                           double limit_seconds) {
+  Duration wait = kMinRetryAfter;
+  if (std::isfinite(best_seconds)) {
+    wait = std::max(wait, FromSeconds(best_seconds - limit_seconds));
+  }
+  if (reason == RefusalReason::kOverShare) {
+    wait = std::max(wait, fair_share_.TimeUntilWithinShare(
+                              now, request.customer->name));
+  }
+  return Refusal{reason, std::min(wait, kMaxRetryAfter),
+                 std::isfinite(best_seconds) ? FromSeconds(best_seconds)
+                                             : Duration(0)};
+}
+
+void Scheduler::Keep(TimePoint now, const ScheduledRequest& request,
+                     TargetState& target) {
+  if (target.kept.size() > kMaxKeptParts) {
+    std::erase_if(target.kept, [now](const auto& it) {
+      return now - it.second > kKeptFor;
+    });
+  }
+  std::uint64_t chain = 0;
+  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    chain = Combine(chain, request.prompt[i].id);
+    target.kept[chain] = now;
+  }
+}
+
+Assignment Scheduler::Reserve(TimePoint now, const ScheduledRequest& request,
+                              const Candidate& candidate) {
+  TargetState& target = *candidate.target;
+  Assignment assignment;
+  assignment.target_id = target.entry.id;
+  assignment.address = target.entry.address;
+  assignment.incarnation = target.entry.incarnation;
+  assignment.uncached_tokens = candidate.uncached_tokens;
+  assignment.memory_tokens = candidate.memory_tokens;
+  assignment.expected = FromSeconds(candidate.expected_seconds);
+  assignment.predicted = FromSeconds(candidate.predicted_seconds);
+  assignment.is_trial = candidate.is_trial;
+  assignment.sent_at = now;
+  ++target.own.in_flight;
+  target.own.pending_tokens += candidate.uncached_tokens;
+  target.own.memory_tokens += candidate.memory_tokens;
+  target.trials_in_flight += candidate.is_trial ? 1 : 0;
+  Keep(now, request, target);
+  if (request.customer != nullptr && request.tried.empty()) {
+    fair_share_.Charge(now, request.customer->name, UnitsOf(request));
+  }
+  return assignment;
+}
+
+void Scheduler::NoteFirstEvent(TimePoint now, Assignment& assignment) {
+  if (assignment.has_first_event) {
+    return;
+  }
+  assignment.has_first_event = true;
+  TargetState* target = targets_.Find(assignment.target_id);
+  if (target == nullptr) {
+    return;
+  }
+  target->own.pending_tokens =
+      std::max(0.0, target->own.pending_tokens - assignment.uncached_tokens);
+  const double seen = Seconds(now - assignment.sent_at);
+  if (assignment.uncached_tokens <= 0) {
+    target->service_seconds +=
+        kSlownessWeight * (seen - target->service_seconds);
+    return;
+  }
+  const double ratio = seen / std::max(1e-3, Seconds(assignment.expected));
+  target->slowness = std::clamp(
+      target->slowness + kSlownessWeight * (ratio - target->slowness),
+      kMinSlowness, kMaxSlowness);
+}
+
+void Scheduler::Finish(TimePoint now, const Assignment& assignment,
+                       AttemptOutcome outcome) {
+  TargetState* target = targets_.Find(assignment.target_id);
+  if (target == nullptr) {
+    return;
+  }
+  target->own.in_flight = std::max(0, target->own.in_flight - 1);
+  if (!assignment.has_first_event) {
+    target->own.pending_tokens =
+        std::max(0.0, target->own.pending_tokens - assignment.uncached_tokens);
+  }
+  target->own.memory_tokens =
+      std::max(0.0, target->own.memory_tokens - assignment.memory_tokens);
+  if (assignment.is_trial) {
+    target->trials_in_flight = std::max(0, target->trials_in_flight - 1);
+  }
+  targets_.NoteOutcome(now, *target, outcome);
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/decisions/scheduler.h
@@ -0,0 +1,166 @@
+// Decides where a request goes, or that it must be refused and when to retry.
+//
+// A model request is placed where its first event comes earliest, counting the
+// shared prompt parts that the target would have to read again. Each chain of
+// shared parts has a home target by rendezvous hash, so all routers keep a
+// chain in the same place without asking each other. A request whose first
+// event would miss its goal everywhere is refused; customers beyond their
+// max-min share are refused earlier.
+#ifndef CORIANDERPOST_DECISIONS_SCHEDULER_H_
+#define CORIANDERPOST_DECISIONS_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "corianderpost/clock.h"
+#include "decisions/crash_suspects.h"
+#include "decisions/fair_share.h"
+#include "decisions/retry_budget.h"
+#include "decisions/target_table.h"
+#include "model/configuration.h"
+#include "model/request.h"
+
+namespace corianderpost {
+
+// Where this router stands, and what it may assume of the others.
+struct Surroundings {
+  std::string zone;
+  std::string region;
+  // Region of each zone.
+  std::map<std::string, std::string> region_of_zone;
+  RetryBudgetLimits retry_budget;
+  friend bool operator==(const Surroundings&, const Surroundings&) = default;
+};
+
+// A request as the scheduler sees it.
+struct ScheduledRequest {
+  const Route* route = nullptr;
+  const CustomerProfile* customer = nullptr;
+  // Service chosen by the route's split.
+  std::string service;
+  std::vector<PromptPart> prompt;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t max_output_tokens = 0;
+  std::size_t body_bytes = 0;
+  RequestFingerprint fingerprint = 0;
+  // Time until the caller gives up.
+  Duration remaining{0};
+  // Time that the caller has waited before this attempt reached the router.
+  Duration waited{0};
+  // Targets that this attempt was sent to.
+  std::vector<std::string> tried;
+};
+
+enum class RefusalReason {
+  kNoTarget,
+  kOverShare,
+  kOverloaded,
+  kCrashesTargets,
+  kRetryBudget,
+};
+
+std::string_view ToString(RefusalReason reason);
+
+struct Refusal {
+  RefusalReason reason = RefusalReason::kNoTarget;
+  Duration retry_after{0};
+  // Predicted time to the first event at the best target; zero if none.
+  Duration predicted{0};
+  friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+// A request's place at a target, from `Place` to `Finish`.
+struct Assignment {
+  std::string target_id;
+  std::string address;
+  std::int64_t incarnation = 0;
+  // Prompt tokens that the target is expected to read.
+  double uncached_tokens = 0;
+  double memory_tokens = 0;
+  // Time to the first event that the load alone predicts.
+  Duration expected{0};
+  Duration predicted{0};
+  bool is_trial = false;
+  bool has_first_event = false;
+  TimePoint sent_at;
+};
+
+using Decision = std::variant<Assignment, Refusal>;
+
+// Not thread-safe.
+class Scheduler {
+ public:
+  explicit Scheduler(Surroundings surroundings);
+
+  void SetSurroundings(Surroundings surroundings);
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+  // How many routers share budgets and cold limits, this one included, and
+  // this one's place among them, from 0, in an order that all agree on.
+  void SetFleet(int routers, int position);
+
+  TargetTable& targets() { return targets_; }
+  FairShare& fair_share() { return fair_share_; }
+  CrashSuspects& suspects() { return suspects_; }
+
+  // Counts a caller's request; call once before its first `Place`.
+  void NoteRequest(TimePoint now, const ScheduledRequest& request);
+  // Chooses a target and reserves the place. Further attempts of the request
+  // name the targets already tried and draw on the retry budget.
+  Decision Place(TimePoint now, const ScheduledRequest& request);
+  // The first event, or a plain answer's head, arrived.
+  void NoteFirstEvent(TimePoint now, Assignment& assignment);
+  // Releases the place. `assignment` must come from `Place`.
+  void Finish(TimePoint now, const Assignment& assignment,
+              AttemptOutcome outcome);
+
+  // Weighted tokens of a request: what it reads itself, and twice its output.
+  static double UnitsOf(const ScheduledRequest& request);
+
+ private:
+  struct Candidate {
+    TargetState* target = nullptr;
+    double uncached_tokens = 0;
+    double memory_tokens = 0;
+    double expected_seconds = 0;
+    double predicted_seconds = 0;
+    double cost = 0;
+    bool is_local = false;
+    bool is_trial = false;
+  };
+
+  std::vector<TargetState*> Usable(TimePoint now,
+                                   const ScheduledRequest& request);
+  bool IsAllowedRegion(const ScheduledRequest& request,
+                       const std::string& zone) const;
+  bool IsSameRegion(const std::string& zone) const;
+  Candidate Assess(TimePoint now, const ScheduledRequest& request,
+                   TargetState& target, bool is_home);
+  bool TakeColdToken(TimePoint now, TargetState& target);
+  Decision Refuse(TimePoint now, const ScheduledRequest& request,
+                  RefusalReason reason, double best_seconds,
+                  double limit_seconds);
+  Assignment Reserve(TimePoint now, const ScheduledRequest& request,
+                     const Candidate& candidate);
+  double TokenSeconds(const std::string& service) const;
+  void Keep(TimePoint now, const ScheduledRequest& request,
+            TargetState& target);
+
+  Surroundings surroundings_;
+  std::shared_ptr<const Configuration> configuration_;
+  int routers_ = 1;
+  int position_ = 0;
+  TargetTable targets_;
+  FairShare fair_share_;
+  CrashSuspects suspects_;
+  std::map<std::string, RetryBudget> retry_budgets_;
+  // Seconds that one engine takes for a weighted token, by service.
+  std::map<std::string, double> token_seconds_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DECISIONS_SCHEDULER_H_
--- /dev/null
+++ b/src/decisions/target_table.h
@@ -0,0 +1,136 @@
+// What one router knows of the targets: list entries, load, and evidence from
+// its own requests and from its peers.
+#ifndef CORIANDERPOST_DECISIONS_TARGET_TABLE_H_
+#define CORIANDERPOST_DECISIONS_TARGET_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "corianderpost/clock.h"
+#include "model/configuration.h"
+#include "model/target.h"
+
+namespace corianderpost {
+
+// Work that targets have been given and have not finished.
+struct TargetLoad {
+  int in_flight = 0;
+  // Prompt tokens to be read by requests that have no first event yet.
+  double pending_tokens = 0;
+  // Memory that requests in flight will take, in tokens.
+  double memory_tokens = 0;
+  friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+};
+
+// How a request at a target ended, as evidence of the target's health.
+enum class AttemptOutcome {
+  // A whole answer of the target, whatever its status below 500.
+  kCompleted,
+  // A whole answer with a status of 500 or more.
+  kServerError,
+  // The target said that it did not run the request.
+  kRejected,
+  // Another target has the address now.
+  kMisdirected,
+  // No connection, hence nothing was sent.
+  kConnectFailed,
+  // The connection broke, or the bytes were no answer.
+  kBroken,
+  // No answer, or no more events, for too long.
+  kStalled,
+  // The caller left or the request's time ran out.
+  kCancelled,
+};
+
+// State of one target. Fields are read by the scheduler.
+struct TargetState {
+  TargetEntry entry;
+  // False once the entry was removed.
+  bool is_listed = true;
+  // A removal that may be an outage's effect takes force then.
+  TimePoint removal_at = TimePoint::max();
+  TimePoint cold_until;
+  // Cold rates apply until a list entry that is newer than this.
+  TimePoint unsure_since;
+  bool is_unsure = false;
+
+  TargetLoad own;
+  TargetLoad peers;
+
+  // Time to a first event, as a multiple of what the load predicts.
+  double slowness = 1.0;
+  // Share of recent requests that failed, decaying.
+  double failure_share = 0;
+  int outcomes = 0;
+  int consecutive_stalls = 0;
+  TimePoint ejected_until;
+  Duration ejection{0};
+  // An ejected target is tried with one request at a time.
+  bool is_on_trial = false;
+  int trials_in_flight = 0;
+  // The last broken connections, to tell a crash from a single reset.
+  TimePoint broken_at;
+  int broken_together = 0;
+  std::uint64_t crashes = 0;
+
+  // Sends allowed while cold.
+  double cold_tokens = 1.0;
+  TimePoint cold_filled_at;
+
+  // Prompt parts believed kept, by chain hash, with their last use.
+  std::unordered_map<std::uint64_t, TimePoint> kept;
+
+  // Mean time of plain requests.
+  double service_seconds = 0.02;
+};
+
+// Not thread-safe.
+class TargetTable {
+ public:
+  // Takes a list entry. Returns true if it changed more than its time.
+  bool TakeEntry(TimePoint now, const TargetEntry& entry);
+  // Takes an entry's removal; it has force at once, or after `grace`.
+  void TakeRemoval(TimePoint now, const std::string& id, Duration grace);
+  // Drops the removed targets whose grace ended and that are idle.
+  void Expire(TimePoint now);
+
+  // Notes the end of an attempt as evidence.
+  void NoteOutcome(TimePoint now, TargetState& target, AttemptOutcome outcome);
+  // A peer could not connect to the target, or saw it crash.
+  void NotePeerEvidence(TimePoint now, const std::string& id);
+
+  // Replaces what peers together have in flight.
+  void SetPeerLoad(const std::map<std::string, TargetLoad>& load);
+  void SetTakenOutZones(std::set<std::string> zones) {
+    taken_out_zones_ = std::move(zones);
+  }
+  const std::set<std::string>& taken_out_zones() const {
+    return taken_out_zones_;
+  }
+
+  // Returns null if the target is unknown.
+  TargetState* Find(const std::string& id);
+  // All targets of a service, listed or not.
+  std::vector<TargetState*> OfService(const std::string& service);
+  std::map<std::string, TargetState>& targets() { return targets_; }
+
+  // Whether the target may get new requests at all, its health aside.
+  bool IsOpen(TimePoint now, const TargetState& target) const;
+  bool IsCold(TimePoint now, const TargetState& target) const {
+    return now < target.cold_until || target.is_unsure;
+  }
+
+ private:
+  void Eject(TimePoint now, TargetState& target, Duration first);
+  std::map<std::string, TargetState> targets_;
+  std::set<std::string> taken_out_zones_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DECISIONS_TARGET_TABLE_H_
--- a/src/json_log.cc
+++ b/src/json_log.cc
@@ -1,12 +1,15 @@
 #include "corianderpost/internal/json_log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
 #include <random>
 
@@ -19,7 +22,12 @@
 constexpr std::size_t kSpanDigits = 16;
 constexpr std::size_t kTraceparentLength = 55;
 
+// Bounds on what is written; a router serves about a hundred requests a second.
+constexpr double kLinesPerSecond = 400;
+constexpr double kMaxLineBurst = 1000;
+
 std::atomic<bool> is_open{false};
+std::atomic<std::uint64_t> dropped{0};
 
 log4cplus::Logger Logger() {
   return log4cplus::Logger::getInstance("corianderpost");
@@ -54,6 +62,40 @@
   }
 };
 
+// Writes to standard output without blocking. The rate is bounded, so that a
+// burst of failures does not take the processor from requests.
+class StandardOutputAppender final : public log4cplus::Appender {
+ public:
+  ~StandardOutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const auto now = std::chrono::steady_clock::now();
+    const double elapsed =
+        std::chrono::duration<double>(now - filled_at_).count();
+    filled_at_ = now;
+    allowed_ = std::min(kMaxLineBurst, allowed_ + elapsed * kLinesPerSecond);
+    pollfd writable{STDOUT_FILENO, POLLOUT, 0};
+    if (allowed_ < 1.0 || poll(&writable, 1, 0) <= 0 ||
+        (writable.revents & POLLOUT) == 0) {
+      ++dropped;
+      return;
+    }
+    allowed_ -= 1.0;
+    const log4cplus::tstring& line = formatEvent(event);
+    // A pipe that is writable takes a line of up to PIPE_BUF bytes whole.
+    if (write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++dropped;
+    }
+  }
+
+ private:
+  std::chrono::steady_clock::time_point filled_at_ =
+      std::chrono::steady_clock::now();
+  double allowed_ = kMaxLineBurst;
+};
+
 std::string RandomHex(std::size_t digits) {
   static constexpr char kHex[] = "0123456789abcdef";
   thread_local std::mt19937_64 random{std::random_device{}()};
@@ -70,20 +112,17 @@
 
 }  // namespace
 
-void OpenLog(const std::string& file, LogLevel least) {
+void OpenLog(LogLevel least) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender;
-  if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(true, true);
-  } else {
-    appender = new log4cplus::FileAppender(file, std::ios_base::app);
-  }
+  log4cplus::SharedAppenderPtr appender(new StandardOutputAppender());
   appender->setLayout(std::make_unique<JsonLayout>());
   Logger().addAppender(appender);
   Logger().setLogLevel(LevelOf(least));
   is_open = true;
 }
 
+std::uint64_t DroppedLogLines() { return dropped; }
+
 void Log(LogLevel level, const std::string& message,
          const std::vector<LogField>& fields) {
   if (!is_open || !Logger().isEnabledFor(LevelOf(level))) {
--- /dev/null
+++ b/src/peers/store_reader.h
@@ -0,0 +1,97 @@
+// Keeps a mirror up to date from the store, or from a peer while the store
+// does not answer.
+#ifndef CORIANDERPOST_PEERS_STORE_READER_H_
+#define CORIANDERPOST_PEERS_STORE_READER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "corianderpost/clock.h"
+#include "dataplane/fetch.h"
+#include "peers/store_mirror.h"
+
+namespace corianderpost {
+
+// The store's read calls, as the deployment spells them.
+class StoreProtocol {
+ public:
+  virtual ~StoreProtocol() = default;
+  virtual std::string RangeCall(std::string_view prefix,
+                                std::string_view after) const = 0;
+  virtual std::string WatchCall(std::string_view prefix,
+                                std::uint64_t after_revision,
+                                Duration wait) const = 0;
+  virtual absl::StatusOr<StoreBatch> DecodeBatch(
+      std::string_view body) const = 0;
+  virtual std::string EncodeBatch(const StoreBatch& batch) const = 0;
+};
+
+struct StoreReaderOptions {
+  std::string prefix;
+  std::string address;
+  // Time between the answer to a watch and the next one, so that many small
+  // changes come in one answer.
+  Duration pause{0};
+  // Longest time that a watch waits at the store.
+  Duration wait = std::chrono::milliseconds(1500);
+};
+
+// Used from the event loop only.
+class StoreReader {
+ public:
+  // Receives what changed. `after_outage` is true for what came first after a
+  // time without the store.
+  using Listener =
+      std::function<void(const std::vector<StoreItem>&, bool after_outage)>;
+
+  StoreReader(StoreReaderOptions options, const StoreProtocol& protocol,
+              Fetcher& fetcher, const Clock& clock, Listener listener);
+
+  // Starts calls that are due. `peer` is the control address of the peer with
+  // the newest copy, if it is newer than this one.
+  void Tick(TimePoint now, const std::optional<std::string>& peer);
+  // Reads at the next tick whatever is in progress, e.g. after a suspension.
+  void Restart();
+  void SetAddress(const std::string& address) { options_.address = address; }
+
+  const StoreMirror& mirror() const { return mirror_; }
+  // When the store answered last.
+  TimePoint answered_at() const { return answered_at_; }
+  bool is_failing() const { return failures_ > 0; }
+
+ private:
+  void List(const std::string& after);
+  void Watch();
+  void TakeList(StoreBatch batch);
+  void TakeAnswer();
+  void Fail(const std::string& reason);
+  void AskPeer(const std::string& peer);
+  bool IsAfterOutage(TimePoint now) const;
+
+  StoreReaderOptions options_;
+  const StoreProtocol& protocol_;
+  Fetcher& fetcher_;
+  const Clock& clock_;
+  Listener listener_;
+  StoreMirror mirror_;
+  // Pages of the list that is being read.
+  StoreBatch listing_;
+  bool is_busy_ = false;
+  bool must_list_ = true;
+  // Answers to calls of an earlier run are ignored.
+  std::uint64_t run_ = 0;
+  int failures_ = 0;
+  TimePoint next_at_;
+  TimePoint answered_at_;
+  TimePoint outage_until_;
+  TimePoint began_at_;
+  bool is_asking_peer_ = false;
+  TimePoint peer_next_at_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_PEERS_STORE_READER_H_
--- /dev/null
+++ b/src/router/listener.cc
@@ -0,0 +1,92 @@
+#include "router/listener.h"
+
+#include <stdexcept>
+
+#include "corianderpost/internal/json_log.h"
+#include "dataplane/upstream.h"
+
+namespace corianderpost {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Listener::Listener(asio::io_context& loop, const std::string& address,
+                   CallerHandler& handler, const Clock& clock)
+    : acceptor_(loop), handler_(handler), clock_(clock) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    throw std::runtime_error("not an address: " + address);
+  }
+  boost::system::error_code ec;
+  acceptor_.open(asio::ip::tcp::v4(), ec);
+  if (!ec) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor_.bind(*endpoint, ec);
+  }
+  if (!ec) {
+    acceptor_.listen(kBacklog, ec);
+  }
+  if (!ec) {
+    acceptor_.non_blocking(true, ec);
+  }
+  if (ec) {
+    throw std::runtime_error("cannot listen at " + address + ": " +
+                             ec.message());
+  }
+  Await();
+}
+
+void Listener::Await() {
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
+                       [this](boost::system::error_code ec) {
+                         if (!ec) {
+                           AcceptAvailable();
+                           Await();
+                         }
+                       });
+}
+
+void Listener::AcceptAvailable() {
+  while (true) {
+    boost::system::error_code ec;
+    asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, ec);
+    if (ec) {
+      if (ec != asio::error::would_block &&
+          ec != asio::error::connection_aborted) {
+        internal::Log(internal::LogLevel::kError, "accept failed",
+                      {{"reason", ec.message()}});
+        CloseIdle();
+      }
+      return;
+    }
+    if (connections_.size() >= most_) {
+      CloseIdle();
+    }
+    auto connection = std::make_shared<CallerConnection>(std::move(socket),
+                                                         handler_, clock_);
+    connections_.push_back(connection);
+    connection->Start();
+  }
+}
+
+void Listener::Tick(TimePoint now) {
+  std::erase_if(connections_, [now](const auto& it) {
+    it->Tick(now);
+    return !it->is_open();
+  });
+}
+
+void Listener::CloseIdle() {
+  for (const auto& it : connections_) {
+    it->CloseIfIdle();
+  }
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/router/main.cc
@@ -0,0 +1,43 @@
+// corianderpost-router: one router of the fleet.
+#include <iostream>
+
+#include "corianderpost/internal/command_line.h"
+#include "corianderpost/internal/json_log.h"
+#include "platform/platform_deployment.h"
+#include "router/router.h"
+
+namespace {
+
+namespace po = boost::program_options;
+namespace in = corianderpost::internal;
+
+int Run(const po::variables_map& values) {
+  const auto path = values["settings"].as<std::string>();
+  const auto settings = corianderpost::RouterSettings::FromYaml(
+      corianderpost::CheckedYaml::FromFile(path));
+  if (values.count("check") != 0) {
+    std::cout << "the settings are in order\n";
+    return in::kExitSuccess;
+  }
+  in::OpenLog(values.count("verbose") != 0 ? in::LogLevel::kDebug
+                                           : in::LogLevel::kInfo);
+  const corianderpost::platform::PlatformDeployment deployment;
+  corianderpost::Router router(settings, path, deployment);
+  router.Run();
+  return in::kExitSuccess;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  in::ProgramDescription program{
+      "corianderpost-router",
+      "routes callers' requests to targets, with its peers",
+      po::options_description("options"),
+      {}};
+  program.options.add_options()("settings",
+                                po::value<std::string>()->required(),
+                                "YAML settings of this router")(
+      "check", "only check the settings")("verbose", "log in more detail");
+  return in::RunProgram(argc, argv, program, Run);
+}
--- /dev/null
+++ b/src/router/router.cc
@@ -0,0 +1,776 @@
+#include "router/router.h"
+
+#include <sys/resource.h>
+#include <time.h>
+#include <xxhash.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <unordered_map>
+
+#include "corianderpost/internal/json_log.h"
+#include "corianderpost/internal/metrics.h"
+#include "dataplane/exchange.h"
+#include "dataplane/fetch.h"
+#include "peers/peer_report.h"
+#include "peers/store_reader.h"
+#include "router/listener.h"
+
+namespace corianderpost {
+namespace {
+
+namespace asio = boost::asio;
+using internal::Log;
+using internal::LogLevel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Deadlines are checked this often; timers of the platform fire a little late.
+constexpr Duration kTick = milliseconds(25);
+constexpr Duration kHousekeeping = milliseconds(250);
+constexpr Duration kSettingsCheck = seconds(1);
+// Reports to routers of the own region, and to others over the narrow link.
+constexpr Duration kReportInterval = milliseconds(100);
+constexpr Duration kRemoteReportInterval = milliseconds(400);
+// Addresses that never answered are tried this often.
+constexpr Duration kHelloInterval = seconds(1);
+// The target list changes often; its changes are read in batches. The users
+// allow 3 s until a leaving target gets nothing more.
+constexpr Duration kTargetListPause = milliseconds(500);
+// The same for the operators' prefix, which rarely changes.
+constexpr Duration kOperatorPause = milliseconds(100);
+constexpr Duration kOperatorWait = milliseconds(1500);
+constexpr Duration kTargetListWait = milliseconds(1000);
+// The store is asked about by peers when it was silent this long.
+constexpr Duration kStoreSilence = milliseconds(2600);
+// A peer's newer configuration is fetched if the own watch did not bring it.
+constexpr Duration kNewerAtPeer = milliseconds(300);
+// A jump of the clock that counts suspended time means a suspension.
+constexpr Duration kSuspension = milliseconds(700);
+// The balancer takes a router out after two misses, one second apart; until
+// then callers still come.
+constexpr Duration kLeaveRotation = milliseconds(2800);
+// Open answers are cut this long before the process would be killed.
+constexpr Duration kCutBeforeKill = milliseconds(700);
+// Failed connects are told to peers for this long.
+constexpr Duration kNews = milliseconds(300);
+// Descriptors kept for files and internal sockets.
+constexpr int kReservedDescriptors = 300;
+constexpr std::size_t kMaxDatagram = 60'000;
+
+Duration MonotonicNow() {
+  timespec at{};
+  clock_gettime(CLOCK_MONOTONIC, &at);
+  return seconds(at.tv_sec) + Duration(at.tv_nsec / 1000);
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+Surroundings SurroundingsOf(const RouterSettings& settings) {
+  return {settings.zone, settings.region, settings.region_of_zone,
+          settings.retry_budget};
+}
+
+// Returns the value of a query parameter, or an empty string.
+std::string QueryValue(std::string_view target, std::string_view name) {
+  std::size_t at = target.find('?');
+  while (at != std::string_view::npos) {
+    const std::string_view rest = target.substr(at + 1);
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    if (pair.starts_with(name) && pair.substr(name.size()).starts_with("=")) {
+      return std::string(pair.substr(name.size() + 1));
+    }
+    const std::size_t next = rest.find('&');
+    at = next == std::string_view::npos ? next : at + 1 + next;
+  }
+  return "";
+}
+
+}  // namespace
+
+class Router::Impl {
+ public:
+  Impl(const RouterSettings& settings, std::string settings_path,
+       const Deployment& deployment);
+  void Run();
+
+ private:
+  // Callers' requests.
+  class Front final : public CallerHandler {
+   public:
+    explicit Front(Impl& router) : router_(router) {}
+    void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                   ReceivedRequest request) override {
+      auto exchange = std::make_shared<Exchange>(router_.plane_, caller,
+                                                 std::move(request));
+      router_.exchanges_[caller.get()] = exchange;
+      exchange->Start();
+    }
+    void OnCallerGone(CallerConnection& caller) override {
+      if (const auto it = router_.exchanges_.find(&caller);
+          it != router_.exchanges_.end()) {
+        const std::shared_ptr<Exchange> exchange = it->second;
+        exchange->HandleCallerGone();
+      }
+    }
+    void OnCallerDrained(CallerConnection& caller) override {
+      if (const auto it = router_.exchanges_.find(&caller);
+          it != router_.exchanges_.end()) {
+        it->second->HandleCallerDrained();
+      }
+    }
+    const CallerLimits& Limits() const override {
+      return router_.plane_.configuration
+                 ? router_.plane_.configuration->limits()
+                 : default_limits_;
+    }
+    bool IsDraining() const override { return router_.plane_.is_draining; }
+    void OnBadRequest(int status, const std::string& reason) override {
+      router_.metrics_.Count("corianderpost_bad_requests_total",
+                             "status=\"" + std::to_string(status) + "\"");
+      Log(LogLevel::kWarning, "request can't be read",
+          {{"status", status}, {"reason", reason}});
+    }
+
+   private:
+    Impl& router_;
+    const CallerLimits default_limits_;
+  };
+
+  // Small requests of the balancer, operators and peers.
+  class Side final : public CallerHandler {
+   public:
+    using Answer = std::function<OwnAnswerText(const HttpRequest&)>;
+    explicit Side(Answer answer) : answer_(std::move(answer)) {}
+    void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                   ReceivedRequest request) override {
+      const bool closes = caller->wants_close();
+      const OwnAnswerText answer = answer_(request.message);
+      caller->Write(FormatTextAnswer(answer, closes));
+      caller->FinishAnswer(closes);
+    }
+    void OnCallerGone(CallerConnection& caller) override {
+      static_cast<void>(caller);
+    }
+    void OnCallerDrained(CallerConnection& caller) override {
+      static_cast<void>(caller);
+    }
+    const CallerLimits& Limits() const override { return limits_; }
+    bool IsDraining() const override { return false; }
+    void OnBadRequest(int status, const std::string& reason) override {
+      Log(LogLevel::kWarning, "control request can't be read",
+          {{"status", status}, {"reason", reason}});
+    }
+
+   private:
+    Answer answer_;
+    const CallerLimits limits_;
+  };
+
+  OwnAnswerText AnswerReady();
+  OwnAnswerText AnswerControl(const HttpRequest& request);
+  bool IsReady() const;
+
+  void ScheduleTick();
+  void Tick();
+  void TickExchanges(TimePoint now);
+  void TickReaders(TimePoint now);
+  void TickPeers(TimePoint now);
+  void TickDrain(TimePoint now);
+  void CheckSuspension(TimePoint now);
+  void CheckSettings();
+  void AwaitSignal();
+  void BeginDrain();
+
+  void TakeChanges(const std::vector<StoreItem>& items, bool after_outage);
+  void Take(const ConfigurationChanged& change, bool after_outage);
+  void Take(const ZoneChanged& change, bool after_outage);
+  void Take(const TargetListed& change, bool after_outage);
+  void Take(const TargetRemoved& change, bool after_outage);
+  void Take(const UnreadableItem& change, bool after_outage);
+  void Take(const UnknownItem& change, bool after_outage);
+
+  void OpenPeerSocket();
+  void AwaitReport();
+  void ReceiveReports();
+  void TakeReport(TimePoint now, PeerReport report);
+  PeerReport BuildReport(TimePoint now, bool with_load);
+  void SendReport(const PeerReport& report, const std::string& vm);
+  std::optional<std::string> PeerWithNewer(
+      TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own);
+  std::string ControlAddressOf(const std::string& vm) const;
+
+  asio::io_context loop_{1};
+  SystemClock clock_;
+  RouterSettings settings_;
+  const std::string settings_path_;
+  std::string settings_text_;
+  const Deployment& deployment_;
+  internal::Metrics metrics_;
+  Scheduler scheduler_;
+  UpstreamPool pool_;
+  Fetcher fetcher_;
+  DataPlane plane_;
+  PeerTable peers_;
+  StoreReader operators_;
+  StoreReader target_list_;
+  std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges_;
+  Front front_;
+  Side ready_side_;
+  Side control_side_;
+  Listener callers_;
+  Listener readiness_;
+  Listener control_;
+  asio::ip::udp::socket peer_socket_;
+  asio::steady_timer tick_timer_;
+  asio::signal_set signals_;
+
+  const std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  TimePoint housekeeping_at_;
+  TimePoint settings_at_;
+  TimePoint report_at_;
+  TimePoint remote_report_at_;
+  TimePoint hello_at_;
+  TimePoint newer_since_;
+  bool is_peer_newer_ = false;
+  bool has_reports_ = false;
+  TimePoint drain_began_;
+  Duration suspended_{0};
+  std::map<std::string, TimePoint> unreachable_;
+  std::set<std::string> taken_out_;
+};
+
+Router::Impl::Impl(const RouterSettings& settings, std::string settings_path,
+                   const Deployment& deployment)
+    : settings_(settings),
+      settings_path_(std::move(settings_path)),
+      settings_text_(ReadFile(settings_path_)),
+      deployment_(deployment),
+      scheduler_(SurroundingsOf(settings)),
+      pool_(loop_, clock_),
+      fetcher_(pool_, deployment.dialect()),
+      plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_,
+             nullptr, {},     false,      false, {}, {}},
+      peers_(settings.ip),
+      operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
+                  kOperatorWait},
+                 deployment.store(), fetcher_, clock_,
+                 [this](const std::vector<StoreItem>& items, bool outage) {
+                   TakeChanges(items, outage);
+                 }),
+      target_list_({deployment.target_prefix(), settings.store,
+                    kTargetListPause, kTargetListWait},
+                   deployment.store(), fetcher_, clock_,
+                   [this](const std::vector<StoreItem>& items, bool outage) {
+                     TakeChanges(items, outage);
+                   }),
+      front_(*this),
+      ready_side_([this](const HttpRequest&) { return AnswerReady(); }),
+      control_side_(
+          [this](const HttpRequest& request) { return AnswerControl(request); }),
+      callers_(loop_, settings.callers, front_, clock_),
+      readiness_(loop_, settings.readiness, ready_side_, clock_),
+      control_(loop_, settings.control, control_side_, clock_),
+      peer_socket_(loop_),
+      tick_timer_(loop_),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      incarnation_(clock_.WallMicros()) {
+  plane_.on_crash = [this](const CrashReport& report) {
+    Log(LogLevel::kWarning, "request was part of a crash",
+        {{"fingerprint", report.request}, {"crash", report.crash_id}});
+    report_at_ = TimePoint();
+  };
+  plane_.on_unreachable = [this](const std::string& id) {
+    unreachable_[id] = clock_.Now();
+  };
+  callers_.SetMost(static_cast<std::size_t>(
+      std::max(64, (settings_.max_descriptors - kReservedDescriptors) / 2)));
+  suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
+  OpenPeerSocket();
+  for (const std::string& it : settings_.seeds) {
+    peers_.NoteAddress(it.substr(0, it.find(':')));
+  }
+}
+
+bool Router::Impl::IsReady() const {
+  return plane_.configuration != nullptr &&
+         target_list_.mirror().is_filled() && !plane_.is_draining;
+}
+
+OwnAnswerText Router::Impl::AnswerReady() {
+  const bool is_ready = IsReady();
+  return {is_ready ? 200 : 503, "text/plain", is_ready ? "ready\n" : "wait\n"};
+}
+
+OwnAnswerText Router::Impl::AnswerControl(const HttpRequest& request) {
+  const std::string_view target = ToView(request.target());
+  const std::string_view path = PathOf(target);
+  if (path == "/metrics") {
+    metrics_.Set("corianderpost_open_requests",
+                 static_cast<double>(exchanges_.size()));
+    metrics_.Set("corianderpost_callers", static_cast<double>(callers_.size()));
+    metrics_.Set("corianderpost_peers",
+                 peers_.FleetSize(clock_.Now()) - 1);
+    metrics_.Set("corianderpost_configuration_version",
+                 plane_.configuration
+                     ? static_cast<double>(plane_.configuration->version())
+                     : 0.0);
+    return {200, "text/plain; version=0.0.4", metrics_.ToText()};
+  }
+  if (path == "/mirror") {
+    const std::string prefix = QueryValue(target, "prefix");
+    const StoreReader& reader =
+        prefix == deployment_.operator_prefix() ? operators_ : target_list_;
+    std::uint64_t after = 0;
+    const std::string text = QueryValue(target, "after");
+    std::from_chars(text.data(), text.data() + text.size(), after);
+    return {200, "application/json",
+            deployment_.store().EncodeBatch(reader.mirror().Since(after))};
+  }
+  return {404, "text/plain", "not found\n"};
+}
+
+void Router::Impl::Run() {
+  Log(LogLevel::kInfo, "router started",
+      {{"vm", settings_.vm},
+       {"zone", settings_.zone},
+       {"callers", settings_.callers},
+       {"seeds", settings_.seeds}});
+  AwaitSignal();
+  AwaitReport();
+  ScheduleTick();
+  Tick();
+  loop_.run();
+  Log(LogLevel::kInfo, "router stopped", {{"vm", settings_.vm}});
+}
+
+void Router::Impl::AwaitSignal() {
+  signals_.async_wait([this](boost::system::error_code ec, int signal) {
+    if (ec) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      Log(LogLevel::kInfo, "reload requested");
+      CheckSettings();
+    } else {
+      BeginDrain();
+    }
+    AwaitSignal();
+  });
+}
+
+void Router::Impl::BeginDrain() {
+  if (plane_.is_draining) {
+    return;
+  }
+  plane_.is_draining = true;
+  drain_began_ = clock_.Now();
+  report_at_ = TimePoint();
+  remote_report_at_ = TimePoint();
+  Log(LogLevel::kInfo, "router stops",
+      {{"open_requests", exchanges_.size()}, {"callers", callers_.size()}});
+}
+
+void Router::Impl::CheckSettings() {
+  std::string text = ReadFile(settings_path_);
+  if (text == settings_text_ || text.empty()) {
+    return;
+  }
+  settings_text_ = text;
+  try {
+    RouterSettings settings =
+        RouterSettings::FromYaml(CheckedYaml::FromText(text, settings_path_));
+    for (const std::string& it : settings.seeds) {
+      peers_.NoteAddress(it.substr(0, it.find(':')));
+    }
+    scheduler_.SetSurroundings(SurroundingsOf(settings));
+    operators_.SetAddress(settings.store);
+    target_list_.SetAddress(settings.store);
+    settings_ = std::move(settings);
+    Log(LogLevel::kInfo, "settings reloaded");
+  } catch (const YamlError& ex) {
+    Log(LogLevel::kError, "settings are wrong; the old ones stay",
+        {{"reason", ex.what()}});
+  }
+}
+
+void Router::Impl::ScheduleTick() {
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      ScheduleTick();
+      Tick();
+    }
+  });
+}
+
+void Router::Impl::CheckSuspension(TimePoint now) {
+  const Duration suspended = now.time_since_epoch() - MonotonicNow();
+  if (suspended - suspended_ >= kSuspension) {
+    Log(LogLevel::kWarning, "process was suspended",
+        {{"for_ms", std::chrono::duration_cast<milliseconds>(suspended -
+                                                             suspended_)
+                        .count()}});
+    pool_.DropIdle();
+    operators_.Restart();
+    target_list_.Restart();
+  }
+  suspended_ = suspended;
+}
+
+void Router::Impl::Tick() {
+  const TimePoint now = clock_.Now();
+  CheckSuspension(now);
+  TickExchanges(now);
+  fetcher_.Tick(now);
+  TickReaders(now);
+  TickPeers(now);
+  if (now >= housekeeping_at_) {
+    housekeeping_at_ = now + kHousekeeping;
+    pool_.Tick();
+    callers_.Tick(now);
+    readiness_.Tick(now);
+    control_.Tick(now);
+    scheduler_.targets().Expire(now);
+    peers_.Expire(now);
+  }
+  if (now >= settings_at_) {
+    settings_at_ = now + kSettingsCheck;
+    CheckSettings();
+  }
+  if (plane_.is_draining) {
+    TickDrain(now);
+  }
+}
+
+void Router::Impl::TickExchanges(TimePoint now) {
+  for (auto it = exchanges_.begin(); it != exchanges_.end();) {
+    const std::shared_ptr<Exchange> exchange = it->second;
+    exchange->Tick(now);
+    it = exchange->is_done() ? exchanges_.erase(it) : std::next(it);
+  }
+}
+
+void Router::Impl::TickDrain(TimePoint now) {
+  const Duration since = now - drain_began_;
+  if (since >= kLeaveRotation) {
+    plane_.is_closing = true;
+    callers_.CloseIdle();
+    if (exchanges_.empty()) {
+      loop_.stop();
+      return;
+    }
+  }
+  if (since >= settings_.grace - kCutBeforeKill) {
+    for (auto& [caller, exchange] : exchanges_) {
+      exchange->CutForShutdown();
+    }
+    loop_.stop();
+  }
+}
+
+void Router::Impl::TickReaders(TimePoint now) {
+  std::optional<std::string> operator_peer = PeerWithNewer(
+      now, &PeerReport::operator_revision, operators_.mirror().revision());
+  if (!operator_peer) {
+    is_peer_newer_ = false;
+  } else if (!is_peer_newer_) {
+    is_peer_newer_ = true;
+    newer_since_ = now;
+  }
+  if (is_peer_newer_ && now - newer_since_ < kNewerAtPeer &&
+      operators_.mirror().is_filled()) {
+    operator_peer.reset();
+  }
+  operators_.Tick(now, operator_peer);
+  const bool is_silent = target_list_.is_failing() ||
+                         now - target_list_.answered_at() > kStoreSilence ||
+                         !target_list_.mirror().is_filled();
+  target_list_.Tick(now, is_silent
+                             ? PeerWithNewer(now, &PeerReport::target_revision,
+                                             target_list_.mirror().revision())
+                             : std::nullopt);
+}
+
+std::string Router::Impl::ControlAddressOf(const std::string& vm) const {
+  // Ports are the same on all VMs.
+  return vm + settings_.control.substr(settings_.control.find(':'));
+}
+
+std::optional<std::string> Router::Impl::PeerWithNewer(
+    TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own) {
+  const PeerReport* newest = nullptr;
+  for (const PeerReport* it : peers_.Alive(now)) {
+    if (it->*revision > own &&
+        (newest == nullptr || it->*revision > newest->*revision)) {
+      newest = it;
+    }
+  }
+  if (newest == nullptr) {
+    return std::nullopt;
+  }
+  return ControlAddressOf(newest->vm);
+}
+
+void Router::Impl::TakeChanges(const std::vector<StoreItem>& items,
+                               bool after_outage) {
+  for (const StoreItem& it : items) {
+    std::visit([this, after_outage](
+                   const auto& change) { Take(change, after_outage); },
+               deployment_.DecodeChange(it));
+  }
+}
+
+void Router::Impl::Take(const ConfigurationChanged& change,
+                        bool after_outage) {
+  static_cast<void>(after_outage);
+  if (plane_.configuration &&
+      change.configuration->version() < plane_.configuration->version()) {
+    Log(LogLevel::kWarning, "older configuration ignored",
+        {{"version", change.configuration->version()},
+         {"in_force", plane_.configuration->version()}});
+    return;
+  }
+  plane_.configuration = change.configuration;
+  scheduler_.SetConfiguration(change.configuration);
+  report_at_ = TimePoint();
+  Log(LogLevel::kInfo, "configuration in force",
+      {{"version", change.configuration->version()},
+       {"routes", change.configuration->routes().size()},
+       {"customers", change.configuration->customers().size()}});
+}
+
+void Router::Impl::Take(const ZoneChanged& change, bool after_outage) {
+  static_cast<void>(after_outage);
+  if (change.is_taken_out) {
+    taken_out_.insert(change.zone);
+  } else if (taken_out_.erase(change.zone) > 0) {
+    // Targets may have become cold meanwhile, before their entries say so.
+    for (auto& [id, target] : scheduler_.targets().targets()) {
+      if (target.entry.zone == change.zone) {
+        target.is_unsure = true;
+        target.unsure_since = clock_.Now();
+      }
+    }
+  }
+  scheduler_.targets().SetTakenOutZones(taken_out_);
+  Log(LogLevel::kInfo,
+      change.is_taken_out ? "zone taken out" : "zone taken back",
+      {{"zone", change.zone}});
+}
+
+void Router::Impl::Take(const TargetListed& change, bool after_outage) {
+  static_cast<void>(after_outage);
+  const TargetEntry& entry = change.entry;
+  if (scheduler_.targets().TakeEntry(clock_.Now(), entry)) {
+    Log(LogLevel::kInfo, "target listed",
+        {{"target", entry.id},
+         {"service", entry.service},
+         {"address", entry.address},
+         {"zone", entry.zone},
+         {"draining", entry.is_draining},
+         {"cold_ms", entry.cold_remaining.count() / 1000},
+         {"incarnation", entry.incarnation}});
+  }
+}
+
+void Router::Impl::Take(const TargetRemoved& change, bool after_outage) {
+  // Entries that lapsed with the store are back about two seconds later.
+  constexpr Duration kGrace = milliseconds(2200);
+  scheduler_.targets().TakeRemoval(clock_.Now(), change.id,
+                                   after_outage ? kGrace : Duration(0));
+  Log(LogLevel::kInfo, "target removed",
+      {{"target", change.id}, {"after_outage", after_outage}});
+}
+
+void Router::Impl::Take(const UnreadableItem& change, bool after_outage) {
+  static_cast<void>(after_outage);
+  Log(LogLevel::kWarning, "item can't be read",
+      {{"key", change.key}, {"reason", change.reason}});
+  // An unreadable entry names no target to use any more.
+  const std::string prefix = deployment_.target_prefix();
+  if (change.key.starts_with(prefix)) {
+    scheduler_.targets().TakeRemoval(
+        clock_.Now(), change.key.substr(prefix.size()), Duration(0));
+  }
+}
+
+void Router::Impl::Take(const UnknownItem& change, bool after_outage) {
+  static_cast<void>(after_outage);
+  Log(LogLevel::kDebug, "unknown item", {{"key", change.key}});
+}
+
+void Router::Impl::OpenPeerSocket() {
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address_v4(settings_.ip, ec);
+  if (!ec) {
+    peer_socket_.open(asio::ip::udp::v4(), ec);
+  }
+  if (!ec) {
+    peer_socket_.bind({ip, settings_.peer_port}, ec);
+  }
+  if (!ec) {
+    peer_socket_.non_blocking(true, ec);
+  }
+  if (ec) {
+    throw std::runtime_error("cannot open the peer port: " + ec.message());
+  }
+}
+
+void Router::Impl::AwaitReport() {
+  peer_socket_.async_wait(asio::ip::udp::socket::wait_read,
+                          [this](boost::system::error_code ec) {
+                            if (!ec) {
+                              ReceiveReports();
+                              AwaitReport();
+                            }
+                          });
+}
+
+void Router::Impl::ReceiveReports() {
+  static std::array<char, kMaxDatagram> buffer;
+  while (true) {
+    boost::system::error_code ec;
+    asio::ip::udp::endpoint from;
+    const std::size_t n =
+        peer_socket_.receive_from(asio::buffer(buffer), from, 0, ec);
+    if (ec) {
+      if (ec != asio::error::would_block) {
+        Log(LogLevel::kDebug, "peer socket", {{"reason", ec.message()}});
+      }
+      return;
+    }
+    auto report = DecodeReport({buffer.data(), n});
+    if (!report.ok()) {
+      Log(LogLevel::kWarning, "peer report can't be read",
+          {{"from", from.address().to_string()},
+           {"reason", std::string(report.status().message())}});
+      continue;
+    }
+    TakeReport(clock_.Now(), *std::move(report));
+  }
+}
+
+void Router::Impl::TakeReport(TimePoint now, PeerReport report) {
+  for (const CrashReport& it : report.crashes) {
+    scheduler_.suspects().Blame(now, it);
+  }
+  for (const std::string& it : report.unreachable) {
+    TargetState* target = scheduler_.targets().Find(it);
+    if (target != nullptr && now >= target->ejected_until &&
+        !unreachable_.contains(it)) {
+      scheduler_.targets().NotePeerEvidence(now, it);
+    }
+  }
+  const std::string vm = report.vm;
+  const bool was_alive = peers_.IsAlive(now, vm);
+  if (peers_.Take(now, std::move(report))) {
+    has_reports_ = true;
+    if (!was_alive) {
+      Log(LogLevel::kInfo, "peer heard", {{"peer", vm}});
+      hello_at_ = TimePoint();
+    }
+  }
+}
+
+PeerReport Router::Impl::BuildReport(TimePoint now, bool with_load) {
+  PeerReport report;
+  report.vm = settings_.ip;
+  report.zone = settings_.zone;
+  report.region = settings_.region;
+  report.incarnation = incarnation_;
+  report.sequence = ++sequence_;
+  report.operator_revision = operators_.mirror().revision();
+  report.target_revision = target_list_.mirror().revision();
+  report.is_leaving = plane_.is_draining;
+  if (with_load) {
+    for (const auto& [id, target] : scheduler_.targets().targets()) {
+      if (target.own.in_flight > 0) {
+        report.load[id] = target.own;
+      }
+    }
+  }
+  report.demand = scheduler_.fair_share().OwnDemand(now);
+  report.crashes = scheduler_.suspects().Recent(now);
+  std::erase_if(unreachable_,
+                [now](const auto& it) { return now - it.second > kNews; });
+  for (const auto& [id, at] : unreachable_) {
+    report.unreachable.push_back(id);
+  }
+  for (const PeerReport* it : peers_.Alive(now)) {
+    report.heard.push_back(it->vm);
+  }
+  return report;
+}
+
+void Router::Impl::SendReport(const PeerReport& report, const std::string& vm) {
+  const std::string bytes = EncodeReport(report);
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address_v4(vm, ec);
+  if (!ec) {
+    peer_socket_.send_to(asio::buffer(bytes), {ip, settings_.peer_port}, 0, ec);
+  }
+  if (ec) {
+    metrics_.Count("corianderpost_report_send_errors_total", "");
+  }
+}
+
+void Router::Impl::TickPeers(TimePoint now) {
+  if (has_reports_) {
+    has_reports_ = false;
+    scheduler_.targets().SetPeerLoad(peers_.SumOfLoad(now));
+    scheduler_.fair_share().SetPeerDemand(peers_.SumOfDemand(now));
+    scheduler_.SetFleet(peers_.FleetSize(now), peers_.OwnPosition(now));
+  }
+  if (now >= report_at_) {
+    report_at_ = now + kReportInterval;
+    const PeerReport report = BuildReport(now, true);
+    for (const PeerReport* it : peers_.Alive(now)) {
+      if (it->region == settings_.region) {
+        SendReport(report, it->vm);
+      }
+    }
+  }
+  if (now >= remote_report_at_) {
+    remote_report_at_ = now + kRemoteReportInterval;
+    const PeerReport report = BuildReport(now, false);
+    for (const PeerReport* it : peers_.Alive(now)) {
+      if (it->region != settings_.region) {
+        SendReport(report, it->vm);
+      }
+    }
+    // Silent routers no longer count.
+    has_reports_ = true;
+  }
+  if (now >= hello_at_) {
+    hello_at_ = now + kHelloInterval;
+    const PeerReport report = BuildReport(now, false);
+    for (const std::string& it : peers_.Addresses()) {
+      if (!peers_.IsAlive(now, it)) {
+        SendReport(report, it);
+      }
+    }
+  }
+}
+
+Router::Router(const RouterSettings& settings, std::string settings_path,
+               const Deployment& deployment)
+    : impl_(std::make_unique<Impl>(settings, std::move(settings_path),
+                                   deployment)) {}
+
+Router::~Router() = default;
+
+void Router::Run() { impl_->Run(); }
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/router/settings.cc
@@ -0,0 +1,62 @@
+#include "router/settings.h"
+
+#include "dataplane/upstream.h"
+
+namespace corianderpost {
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+
+std::string AddressOf(const CheckedYaml& yaml) {
+  const std::string text = yaml.AsString();
+  if (!ParseEndpoint(text)) {
+    yaml.Fail("'" + text + "' is not IPv4:port");
+  }
+  return text;
+}
+
+double NumberOf(const CheckedYaml& yaml) {
+  // Zero is a valid ratio and slack.
+  return yaml.AsString() == "0" ? 0.0 : yaml.AsPositiveNumber();
+}
+
+Duration SecondsOf(const CheckedYaml& yaml) {
+  return Duration(static_cast<std::int64_t>(yaml.AsPositiveNumber() * 1e6));
+}
+
+}  // namespace
+
+RouterSettings RouterSettings::FromYaml(const CheckedYaml& yaml) {
+  yaml.RequireMapOf({"vm", "zone", "region", "ip", "callers", "readiness",
+                     "control", "peer_port", "seeds", "zones", "store",
+                     "grace_seconds", "retry_ratio", "retry_window_seconds",
+                     "retry_slack", "max_descriptors", "memory_mb"});
+  RouterSettings settings;
+  settings.vm = yaml.Get("vm").AsString();
+  settings.zone = yaml.Get("zone").AsString();
+  settings.region = yaml.Get("region").AsString();
+  settings.ip = yaml.Get("ip").AsString();
+  settings.callers = AddressOf(yaml.Get("callers"));
+  settings.readiness = AddressOf(yaml.Get("readiness"));
+  settings.control = AddressOf(yaml.Get("control"));
+  settings.peer_port =
+      static_cast<std::uint16_t>(yaml.Get("peer_port").AsInt(1, kMaxPort));
+  for (const CheckedYaml& it : yaml.Get("seeds").Items()) {
+    settings.seeds.push_back(AddressOf(it));
+  }
+  for (const CheckedYaml::Entry& it : yaml.Get("zones").Entries()) {
+    settings.region_of_zone[it.key.AsString()] = it.value.AsString();
+  }
+  settings.store = AddressOf(yaml.Get("store"));
+  settings.grace = SecondsOf(yaml.Get("grace_seconds"));
+  settings.retry_budget.ratio = NumberOf(yaml.Get("retry_ratio"));
+  settings.retry_budget.window = SecondsOf(yaml.Get("retry_window_seconds"));
+  settings.retry_budget.slack = NumberOf(yaml.Get("retry_slack"));
+  settings.max_descriptors =
+      static_cast<int>(yaml.Get("max_descriptors").AsInt(64, 10'000'000));
+  settings.memory_mb =
+      static_cast<int>(yaml.Get("memory_mb").AsInt(16, 10'000'000));
+  return settings;
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/router/settings.h
@@ -0,0 +1,44 @@
+// Settings of one router, read from a YAML file.
+#ifndef CORIANDERPOST_ROUTER_SETTINGS_H_
+#define CORIANDERPOST_ROUTER_SETTINGS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "corianderpost/checked_yaml.h"
+#include "corianderpost/clock.h"
+#include "decisions/retry_budget.h"
+
+namespace corianderpost {
+
+struct RouterSettings {
+  std::string vm;
+  std::string zone;
+  std::string region;
+  // IPv4 address of this VM.
+  std::string ip;
+  // "IP:port" each.
+  std::string callers;
+  std::string readiness;
+  std::string control;
+  std::uint16_t peer_port = 0;
+  // Control addresses of other routers; some may be outdated.
+  std::vector<std::string> seeds;
+  std::map<std::string, std::string> region_of_zone;
+  std::string store;
+  // Time from SIGTERM to SIGKILL.
+  Duration grace = std::chrono::seconds(8);
+  RetryBudgetLimits retry_budget;
+  int max_descriptors = 1024;
+  int memory_mb = 128;
+  friend bool operator==(const RouterSettings&,
+                         const RouterSettings&) = default;
+
+  // Throws YamlError with file, line and column if something is wrong.
+  static RouterSettings FromYaml(const CheckedYaml& yaml);
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_ROUTER_SETTINGS_H_
