Refuse plain requests before the last part of a drain

Ruled out: the target, which answered in 20 ms. Change: 1.5 s before open answers are cut nothing new is taken; the process ends 150 ms after its last answer, so that the answer leaves the machine.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -151,7 +151,8 @@
   usual = std::max(usual, deadline_);
   scheduled_.waited = usual - deadline_;
   plane_.scheduler.NoteRequest(plane_.clock.Now(), scheduled_);
-  if (plane_.is_closing && route->kind == RequestKind::kStreaming) {
+  if (plane_.is_closed ||
+      (plane_.is_closing && route->kind == RequestKind::kStreaming)) {
     AnswerOwn(503, "this router is stopping", milliseconds(1));
     return;
   }
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -31,6 +31,8 @@
   bool is_draining = false;
   // No requests that may outlast the process are taken any more.
   bool is_closing = false;
+  // No requests are taken any more.
+  bool is_closed = false;
   // Reports that requests crashed a target, for peers.
   std::function<void(const CrashReport&)> on_crash;
   // A target refused connections, for peers.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -59,6 +59,11 @@
 constexpr Duration kCutBeforeKill = milliseconds(700);
 // Failed connects are told to peers for this long.
 constexpr Duration kNews = milliseconds(300);
+// Plain requests are refused this long before open answers are cut; they take
+// some ten milliseconds.
+constexpr Duration kLastRequests = milliseconds(1500);
+// Answers that were just written reach the caller in this time.
+constexpr Duration kFlush = milliseconds(150);
 // Descriptors kept for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
 constexpr std::size_t kMaxDatagram = 60'000;
@@ -246,6 +251,7 @@
   bool is_peer_newer_ = false;
   bool has_reports_ = false;
   TimePoint drain_began_;
+  TimePoint last_busy_at_;
   Duration suspended_{0};
   std::map<std::string, TimePoint> unreachable_;
   std::set<std::string> taken_out_;
@@ -261,7 +267,7 @@
       pool_(loop_, clock_),
       fetcher_(pool_, deployment.dialect()),
       plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_,
-             nullptr, {},     false,      false, {}, {}},
+             nullptr, {}, false, false, false, {}, {}},
       peers_(settings.ip),
       operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
                   kOperatorWait},
@@ -467,11 +473,16 @@
   if (since >= kLeaveRotation) {
     plane_.is_closing = true;
     callers_.CloseIdle();
-    if (exchanges_.empty()) {
+    if (!exchanges_.empty()) {
+      last_busy_at_ = now;
+    } else if (now - last_busy_at_ >= kFlush) {
       loop_.stop();
       return;
     }
   }
+  if (since >= settings_.grace - kCutBeforeKill - kLastRequests) {
+    plane_.is_closed = true;
+  }
   if (since >= settings_.grace - kCutBeforeKill) {
     for (auto& [caller, exchange] : exchanges_) {
       exchange->CutForShutdown();
