Relays for a zone's reports and store reading in large fleets

Ruled out: longer intervals alone; load that is a second old misplaces. Change: beyond 12 routers a zone has a relay by capacity; members report to it and get the sum of all others back; two routers a zone read the store.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -42,7 +42,7 @@
 }
 
 FairShare::Account& FairShare::AccountOf(TimePoint now,
-                                         const std::string& customer) {
+                                         CustomerId customer) {
   const auto it = accounts_.find(customer);
   if (it != accounts_.end()) {
     return it->second;
@@ -52,7 +52,7 @@
       .first->second;
 }
 
-void FairShare::NoteAsked(TimePoint now, const std::string& customer,
+void FairShare::NoteAsked(TimePoint now, CustomerId customer,
                           double units) {
   AccountOf(now, customer).asked.Add(now, units);
 }
@@ -78,7 +78,7 @@
   return level_;
 }
 
-double FairShare::LocalRate(TimePoint now, const std::string& customer,
+double FairShare::LocalRate(TimePoint now, CustomerId customer,
                             const Account& account) {
   const double level = Level(now);
   const double own = account.asked.PerSecond(now);
@@ -91,7 +91,7 @@
   return level * own / total;
 }
 
-void FairShare::Fill(TimePoint now, const std::string& customer,
+void FairShare::Fill(TimePoint now, CustomerId customer,
                      Account& account) {
   const double rate = LocalRate(now, customer, account);
   const double elapsed =
@@ -106,7 +106,7 @@
   account.bucket = std::max(account.bucket, -rate * kDebtSeconds);
 }
 
-bool FairShare::IsWithinShare(TimePoint now, const std::string& customer) {
+bool FairShare::IsWithinShare(TimePoint now, CustomerId customer) {
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
   return LocalRate(now, customer, account) ==
@@ -114,7 +114,7 @@
          account.bucket >= 0;
 }
 
-void FairShare::Charge(TimePoint now, const std::string& customer,
+void FairShare::Charge(TimePoint now, CustomerId customer,
                        double units) {
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
@@ -122,7 +122,7 @@
 }
 
 Duration FairShare::TimeUntilWithinShare(TimePoint now,
-                                         const std::string& customer) {
+                                         CustomerId customer) {
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
   const double rate = LocalRate(now, customer, account);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -9,16 +9,16 @@
 #define CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
 
 #include <map>
-#include <string>
 #include <vector>
 
 #include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
 #include "decisions/rate_meter.h"
 
 namespace corianderpost {
 
 // Demand in units a second, by customer.
-using DemandByCustomer = std::map<std::string, double, std::less<>>;
+using DemandByCustomer = std::map<CustomerId, double>;
 
 // Returns the level L at which sum(min(demand, L)) equals `capacity`, or
 // infinity if all demands fit.
@@ -34,16 +34,16 @@
   void SetPeerDemand(DemandByCustomer demand);
 
   // Meters a request; call once for each, also for those refused later.
-  void NoteAsked(TimePoint now, const std::string& customer, double units);
+  void NoteAsked(TimePoint now, CustomerId customer, double units);
 
   // Returns whether the customer's bucket is not in debt. Takes nothing.
-  bool IsWithinShare(TimePoint now, const std::string& customer);
+  bool IsWithinShare(TimePoint now, CustomerId customer);
   // Takes an admitted request's units from the bucket, which may go negative
   // down to a bound, so that spare capacity used now is not held against the
   // customer for long.
-  void Charge(TimePoint now, const std::string& customer, double units);
+  void Charge(TimePoint now, CustomerId customer, double units);
   // Returns the time until the bucket is out of debt.
-  Duration TimeUntilWithinShare(TimePoint now, const std::string& customer);
+  Duration TimeUntilWithinShare(TimePoint now, CustomerId customer);
 
   // Demand at this router.
   DemandByCustomer OwnDemand(TimePoint now) const;
@@ -56,14 +56,14 @@
     double bucket = 0;
     TimePoint filled_at;
   };
-  Account& AccountOf(TimePoint now, const std::string& customer);
-  double LocalRate(TimePoint now, const std::string& customer,
+  Account& AccountOf(TimePoint now, CustomerId customer);
+  double LocalRate(TimePoint now, CustomerId customer,
                    const Account& account);
-  void Fill(TimePoint now, const std::string& customer, Account& account);
+  void Fill(TimePoint now, CustomerId customer, Account& account);
 
   double capacity_ = 0;
   DemandByCustomer peer_demand_;
-  std::map<std::string, Account, std::less<>> accounts_;
+  std::map<CustomerId, Account> accounts_;
   double level_ = 0;
   TimePoint level_at_;
   bool has_level_ = false;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -135,7 +135,7 @@
     const ServiceProfile* service =
         configuration_->FindService(request.service);
     if (service != nullptr && service->engine) {
-      fair_share_.NoteAsked(now, request.customer->name, UnitsOf(request));
+      fair_share_.NoteAsked(now, request.customer->id, UnitsOf(request));
     }
   }
 }
@@ -316,7 +316,7 @@
                           : kDefaultGoalSeconds;
   const bool is_within_share =
       !is_engine || request.customer == nullptr ||
-      fair_share_.IsWithinShare(now, request.customer->name);
+      fair_share_.IsWithinShare(now, request.customer->id);
   const double limit = goal * (is_within_share ? kGoalPart : kOverSharePart);
   double best = 0;
   bool has_local = false;
@@ -362,7 +362,7 @@
   }
   if (reason == RefusalReason::kOverShare) {
     wait = std::max(wait, fair_share_.TimeUntilWithinShare(
-                              now, request.customer->name));
+                              now, request.customer->id));
   }
   return Refusal{reason, std::min(wait, kMaxRetryAfter),
                  std::isfinite(best_seconds) ? FromSeconds(best_seconds)
@@ -402,7 +402,7 @@
   target.trials_in_flight += candidate.is_trial ? 1 : 0;
   Keep(now, request, target);
   if (request.customer != nullptr && request.tried.empty()) {
-    fair_share_.Charge(now, request.customer->name, UnitsOf(request));
+    fair_share_.Charge(now, request.customer->id, UnitsOf(request));
   }
   return assignment;
 }
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -40,6 +40,7 @@
                           !target.is_listed ||
                           target.entry.is_draining != entry.is_draining ||
                           target.entry.service != entry.service;
+  target.id = TargetId::FromName(entry.id);
   target.entry = entry;
   target.is_listed = true;
   target.removal_at = TimePoint::max();
@@ -163,9 +164,9 @@
   }
 }
 
-void TargetTable::SetPeerLoad(const std::map<std::string, TargetLoad>& load) {
+void TargetTable::SetPeerLoad(const std::map<TargetId, TargetLoad>& load) {
   for (auto& [id, target] : targets_) {
-    const auto it = load.find(id);
+    const auto it = load.find(target.id);
     target.peers = it == load.end() ? TargetLoad{} : it->second;
   }
 }
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
 #include "model/configuration.h"
 #include "model/target.h"
 
@@ -49,6 +50,7 @@
 
 // State of one target. Fields are read by the scheduler.
 struct TargetState {
+  TargetId id;
   TargetEntry entry;
   // False once the entry was removed.
   bool is_listed = true;
@@ -105,7 +107,7 @@
   void NotePeerEvidence(TimePoint now, const std::string& id);
 
   // Replaces what peers together have in flight.
-  void SetPeerLoad(const std::map<std::string, TargetLoad>& load);
+  void SetPeerLoad(const std::map<TargetId, TargetLoad>& load);
   void SetTakenOutZones(std::set<std::string> zones) {
     taken_out_zones_ = std::move(zones);
   }
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
 
 namespace corianderpost {
 
@@ -81,6 +82,7 @@
 };
 
 struct CustomerProfile {
+  CustomerId id;
   std::string name;
   std::vector<std::string> api_keys;
   std::optional<int> priority;
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -1,47 +1,69 @@
-// What a router tells its peers, and the table of what they told.
+// What routers tell each other.
 #ifndef CORIANDERPOST_PEERS_PEER_REPORT_H_
 #define CORIANDERPOST_PEERS_PEER_REPORT_H_
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/target_table.h"
 
 namespace corianderpost {
 
-// One router's state. Every field is a whole fact, so a lost or repeated
-// report does no harm.
-struct PeerReport {
-  // IPv4 address of the router; it names the router.
+// Whose work a report's load and demand cover.
+enum class ReportScope {
+  // The sender's own.
+  kRouter = 0,
+  // All routers of the sender's zone.
+  kZone = 1,
+  // The whole fleet but the receiver.
+  kFleet = 2,
+};
+
+// A router that the sender knows to be alive.
+struct RosterEntry {
+  // IPv4 address; it names the router.
   std::string vm;
   std::string zone;
   std::string region;
+  // Share of a processor in thousandths; larger routers relay for others.
+  int capacity = 0;
+  // Time since the router was last heard, by anybody.
+  Duration age{0};
+  friend bool operator==(const RosterEntry&, const RosterEntry&) = default;
+};
+
+using LoadByTarget = std::map<TargetId, TargetLoad>;
+
+// One router's state and what it relays. Every field is a whole fact, so a
+// lost or repeated report does no harm.
+struct PeerReport {
+  ReportScope scope = ReportScope::kRouter;
+  // The sender; its age is zero.
+  RosterEntry sender;
   // Start of the process, Unix microseconds; tells its lives apart.
   std::uint64_t incarnation = 0;
   // Grows with each report of one life.
   std::uint64_t sequence = 0;
-  // Revisions of the router's copies of the store.
+  // Revisions of the sender's copies of the store.
   std::uint64_t operator_revision = 0;
   std::uint64_t target_revision = 0;
-  // The process ends soon.
-  bool is_leaving = false;
-  // What the router has in flight, by target id.
-  std::map<std::string, TargetLoad> load;
-  // What the router's callers ask, by customer.
+  // Age of the sender's last proof that the operators' copy is current.
+  Duration operator_age{0};
+  LoadByTarget load;
   DemandByCustomer demand;
   std::vector<CrashReport> crashes;
   // Targets that refused connections lately.
   std::vector<std::string> unreachable;
-  // Addresses of other routers that this one hears.
-  std::vector<std::string> heard;
+  // Routers that the sender knows; often left out.
+  std::vector<RosterEntry> roster;
   friend bool operator==(const PeerReport&, const PeerReport&) = default;
 };
 
@@ -50,39 +72,9 @@
 // Returns InvalidArgument if the bytes are no report.
 absl::StatusOr<PeerReport> DecodeReport(std::string_view bytes);
 
-// Not thread-safe.
-class PeerTable {
- public:
-  explicit PeerTable(std::string own_vm) : own_vm_(std::move(own_vm)) {}
-
-  // Takes a report unless a newer one is held. Returns whether it was taken.
-  bool Take(TimePoint now, PeerReport report);
-  // Notes a router that others name or that the settings list.
-  void NoteAddress(const std::string& vm);
-  // Forgets routers that were silent for long.
-  void Expire(TimePoint now);
-
-  // Routers heard lately, in ascending order of address, without this one.
-  std::vector<const PeerReport*> Alive(TimePoint now) const;
-  // All addresses that may be routers, heard or not, without this one.
-  std::vector<std::string> Addresses() const;
-  bool IsAlive(TimePoint now, const std::string& vm) const;
-  // Number of live routers and this one's place among them by address.
-  int FleetSize(TimePoint now) const;
-  int OwnPosition(TimePoint now) const;
-
-  std::map<std::string, TargetLoad> SumOfLoad(TimePoint now) const;
-  DemandByCustomer SumOfDemand(TimePoint now) const;
-
- private:
-  struct Peer {
-    PeerReport report;
-    TimePoint heard_at;
-    bool has_report = false;
-  };
-  const std::string own_vm_;
-  std::map<std::string, Peer> peers_;
-};
+// Adds `more` to `sum`.
+void AddLoad(const LoadByTarget& more, LoadByTarget& sum);
+void AddDemand(const DemandByCustomer& more, DemandByCustomer& sum);
 
 }  // namespace corianderpost
 
--- /dev/null
+++ b/src/peers/peer_table.h
@@ -0,0 +1,98 @@
+// The routers of the fleet, and what they told of their work.
+//
+// In a small fleet every router reports to every other one. In a large one a
+// zone has a relay: its members report to it, relays exchange sums of their
+// zones, and each member gets the sum of all others back. So a router's
+// messages do not grow with the fleet, and a relay's grow with its zone and
+// the number of zones.
+#ifndef CORIANDERPOST_PEERS_PEER_TABLE_H_
+#define CORIANDERPOST_PEERS_PEER_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "peers/peer_report.h"
+
+namespace corianderpost {
+
+// Not thread-safe.
+class PeerTable {
+ public:
+  // `self` describes this router.
+  explicit PeerTable(RosterEntry self) : self_(std::move(self)) {}
+
+  // Takes a report unless a newer one is held. Returns whether the sender was
+  // not known to be alive.
+  bool Take(TimePoint now, const PeerReport& report);
+  // Notes an address that may be a router's.
+  void NoteAddress(const std::string& vm);
+  // Forgets routers that were silent for long.
+  void Expire(TimePoint now);
+
+  const RosterEntry& self() const { return self_; }
+  // Live routers without this one, by address.
+  std::vector<RosterEntry> Alive(TimePoint now) const;
+  // Addresses that are not known to be alive.
+  std::vector<std::string> Silent(TimePoint now) const;
+  // Number of live routers, this one included, and this one's place by address.
+  int FleetSize(TimePoint now) const;
+  int OwnPosition(TimePoint now) const;
+
+  bool UsesRelays(TimePoint now) const;
+  // Place of this router in the order in which a zone's routers relay.
+  int OwnRank(TimePoint now) const;
+  bool IsRelay(TimePoint now) const { return OwnRank(now) == 0; }
+  // The relay of a zone; nothing if it has no live router.
+  std::optional<std::string> RelayOf(TimePoint now,
+                                     const std::string& zone) const;
+  // Relays of the other zones.
+  std::vector<RosterEntry> OtherRelays(TimePoint now) const;
+  // Notes that the zone's relay did not answer for a while.
+  void SuspectRelay(TimePoint now);
+
+  // Work of all others, as far as it was told.
+  LoadByTarget LoadOfOthers(TimePoint now) const;
+  DemandByCustomer DemandOfOthers(TimePoint now) const;
+  // Work of this router's zone, `own` included.
+  void AddZone(TimePoint now, PeerReport& own) const;
+  // Work of all but `vm`, a member of the zone; `own` is this router's.
+  PeerReport FleetReportFor(TimePoint now, const std::string& vm,
+                            const PeerReport& own) const;
+
+  // Control-plane facts of the live peer with the newest copy.
+  std::optional<std::string> NewerCopy(
+      TimePoint now, std::uint64_t PeerReport::*revision,
+      std::uint64_t own) const;
+  // When some peer that has no newer copy than `own` last proved it current.
+  TimePoint OperatorCopyProvenAt(TimePoint now, std::uint64_t own) const;
+
+ private:
+  struct Peer {
+    RosterEntry entry;
+    bool is_known = false;
+    TimePoint alive_at;
+    // Last report that came from the router itself, by scope.
+    std::optional<PeerReport> own;
+    TimePoint own_at;
+    std::optional<PeerReport> zone;
+    TimePoint zone_at;
+    TimePoint suspected_until;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+  };
+  bool IsAlive(TimePoint now, const Peer& peer) const;
+  std::vector<RosterEntry> RelayOrder(TimePoint now,
+                                      const std::string& zone) const;
+  void NoteRoster(TimePoint now, const RosterEntry& entry);
+
+  const RosterEntry self_;
+  std::map<std::string, Peer> peers_;
+  std::optional<PeerReport> fleet_;
+  TimePoint fleet_at_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_PEERS_PEER_TABLE_H_
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -22,7 +22,7 @@
 // How long after an outage changes may be its effect.
 constexpr Duration kSettling = milliseconds(2200);
 // A peer is asked this often, once its copy stays newer for a moment.
-constexpr Duration kPeerInterval = milliseconds(300);
+constexpr Duration kPeerInterval = milliseconds(400);
 constexpr Duration kPeerTimeout = milliseconds(800);
 
 }  // namespace
@@ -48,18 +48,24 @@
   return now < outage_until_;
 }
 
-void StoreReader::TakeAnswer() {
-  const TimePoint now = clock_.Now();
-  if (now - answered_at_ > options_.wait + kOutage && mirror_.is_filled()) {
+void StoreReader::NoteAdvance(TimePoint now) {
+  if (now - advanced_at_ > options_.wait + kOutage && mirror_.is_filled()) {
     outage_until_ = now + kSettling;
     Log(LogLevel::kInfo, "store answers again",
         {{"prefix", options_.prefix},
          {"away_ms", std::chrono::duration_cast<milliseconds>(
-                         now - answered_at_)
+                         now - advanced_at_)
                          .count()}});
-  } else if (failures_ > 0) {
+  }
+  advanced_at_ = now;
+}
+
+void StoreReader::TakeAnswer() {
+  const TimePoint now = clock_.Now();
+  if (failures_ > 0) {
     outage_until_ = now + kSettling;
   }
+  NoteAdvance(now);
   answered_at_ = now;
   failures_ = 0;
 }
@@ -180,6 +186,7 @@
             (!batch->is_complete && !mirror_.is_filled())) {
           return;
         }
+        NoteAdvance(clock_.Now());
         const std::vector<StoreItem> changes =
             batch->is_complete ? mirror_.Replace(*batch)
                                : mirror_.Apply(*batch);
@@ -196,8 +203,10 @@
       });
 }
 
-void StoreReader::Tick(TimePoint now, const std::optional<std::string>& peer) {
-  if (!is_busy_ && now >= next_at_) {
+void StoreReader::Tick(TimePoint now, const std::optional<std::string>& peer,
+                       bool reads_store) {
+  if (!is_busy_ && now >= next_at_ &&
+      (reads_store || !mirror_.is_filled())) {
     is_busy_ = true;
     if (must_list_) {
       listing_ = {};
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -50,14 +50,18 @@
   StoreReader(StoreReaderOptions options, const StoreProtocol& protocol,
               Fetcher& fetcher, const Clock& clock, Listener listener);
 
-  // Starts calls that are due. `peer` is the control address of the peer with
-  // the newest copy, if it is newer than this one.
-  void Tick(TimePoint now, const std::optional<std::string>& peer);
+  // Starts calls that are due. `peer` is the control address of a peer with a
+  // newer copy that should be asked. With `reads_store` false the store itself
+  // is left to others once the mirror is filled.
+  void Tick(TimePoint now, const std::optional<std::string>& peer,
+            bool reads_store);
   // Reads at the next tick whatever is in progress, e.g. after a suspension.
   void Restart();
   void SetAddress(const std::string& address) { options_.address = address; }
 
   const StoreMirror& mirror() const { return mirror_; }
+  // When the mirror last took anything, from the store or a peer.
+  TimePoint advanced_at() const { return advanced_at_; }
   // When the store answered last.
   TimePoint answered_at() const { return answered_at_; }
   bool is_failing() const { return failures_ > 0; }
@@ -66,6 +70,7 @@
   void List(const std::string& after);
   void Watch();
   void TakeList(StoreBatch batch);
+  void NoteAdvance(TimePoint now);
   void TakeAnswer();
   void Fail(const std::string& reason);
   void AskPeer(const std::string& peer);
@@ -86,6 +91,7 @@
   int failures_ = 0;
   TimePoint next_at_;
   TimePoint answered_at_;
+  TimePoint advanced_at_;
   TimePoint outage_until_;
   TimePoint began_at_;
   bool is_asking_peer_ = false;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -17,7 +17,7 @@
 #include "corianderpost/internal/metrics.h"
 #include "dataplane/exchange.h"
 #include "dataplane/fetch.h"
-#include "peers/peer_report.h"
+#include "peers/peer_table.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
 
@@ -37,6 +37,14 @@
 // Reports to routers of the own region, and to others over the narrow link.
 constexpr Duration kReportInterval = milliseconds(100);
 constexpr Duration kRemoteReportInterval = milliseconds(400);
+// The same for routers that report to a relay.
+constexpr Duration kRelayedReportInterval = milliseconds(150);
+// A relay that was silent this long is passed over.
+constexpr Duration kRelaySilence = milliseconds(700);
+// Routers of a zone that read the store; the others copy from them.
+constexpr int kReadersPerZone = 2;
+// What peers told is summed up this often.
+constexpr Duration kSumInterval = milliseconds(75);
 // Addresses that never answered are tried this often.
 constexpr Duration kHelloInterval = seconds(1);
 // The target list changes often; its changes are read in batches. The users
@@ -209,8 +217,13 @@
   void AwaitReport();
   void ReceiveReports();
   void TakeReport(TimePoint now, PeerReport report);
-  PeerReport BuildReport(TimePoint now, bool with_load);
+  // What this router tells of its own work.
+  PeerReport BuildReport(TimePoint now);
   void SendReport(const PeerReport& report, const std::string& vm);
+  void SendReports(TimePoint now);
+  void SendToMesh(TimePoint now);
+  void SendAsMember(TimePoint now);
+  void SendAsRelay(TimePoint now);
   std::optional<std::string> PeerWithNewer(
       TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own);
   std::string ControlAddressOf(const std::string& vm) const;
@@ -250,6 +263,8 @@
   TimePoint newer_since_;
   bool is_peer_newer_ = false;
   bool has_reports_ = false;
+  TimePoint fleet_heard_at_;
+  TimePoint sums_at_;
   TimePoint drain_began_;
   TimePoint last_busy_at_;
   Duration suspended_{0};
@@ -268,7 +283,8 @@
       fetcher_(pool_, deployment.dialect()),
       plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_,
              nullptr, {}, false, false, false, {}, {}},
-      peers_(settings.ip),
+      peers_({settings.ip, settings.zone, settings.region, settings.capacity,
+              Duration(0)}),
       operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
                   kOperatorWait},
                  deployment.store(), fetcher_, clock_,
@@ -492,6 +508,8 @@
 }
 
 void Router::Impl::TickReaders(TimePoint now) {
+  const bool is_reader = !peers_.UsesRelays(now) ||
+                         peers_.OwnRank(now) < kReadersPerZone;
   std::optional<std::string> operator_peer = PeerWithNewer(
       now, &PeerReport::operator_revision, operators_.mirror().revision());
   if (!operator_peer) {
@@ -500,18 +518,24 @@
     is_peer_newer_ = true;
     newer_since_ = now;
   }
-  if (is_peer_newer_ && now - newer_since_ < kNewerAtPeer &&
+  if (is_reader && is_peer_newer_ && now - newer_since_ < kNewerAtPeer &&
       operators_.mirror().is_filled()) {
+    // The own watch brings it as a rule.
     operator_peer.reset();
   }
-  operators_.Tick(now, operator_peer);
-  const bool is_silent = target_list_.is_failing() ||
-                         now - target_list_.answered_at() > kStoreSilence ||
-                         !target_list_.mirror().is_filled();
-  target_list_.Tick(now, is_silent
-                             ? PeerWithNewer(now, &PeerReport::target_revision,
-                                             target_list_.mirror().revision())
-                             : std::nullopt);
+  const TimePoint proven = peers_.OperatorCopyProvenAt(
+      now, operators_.mirror().revision());
+  operators_.Tick(now, operator_peer,
+                  is_reader || now - proven > kStoreSilence);
+  const bool is_behind =
+      target_list_.is_failing() || !target_list_.mirror().is_filled() ||
+      now - target_list_.advanced_at() > kStoreSilence;
+  target_list_.Tick(now,
+                    is_behind || !is_reader
+                        ? PeerWithNewer(now, &PeerReport::target_revision,
+                                        target_list_.mirror().revision())
+                        : std::nullopt,
+                    is_reader || is_behind);
 }
 
 std::string Router::Impl::ControlAddressOf(const std::string& vm) const {
@@ -521,17 +545,8 @@
 
 std::optional<std::string> Router::Impl::PeerWithNewer(
     TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own) {
-  const PeerReport* newest = nullptr;
-  for (const PeerReport* it : peers_.Alive(now)) {
-    if (it->*revision > own &&
-        (newest == nullptr || it->*revision > newest->*revision)) {
-      newest = it;
-    }
-  }
-  if (newest == nullptr) {
-    return std::nullopt;
-  }
-  return ControlAddressOf(newest->vm);
+  const auto vm = peers_.NewerCopy(now, revision, own);
+  return vm ? std::optional<std::string>(ControlAddressOf(*vm)) : std::nullopt;
 }
 
 void Router::Impl::TakeChanges(const std::vector<StoreItem>& items,
@@ -682,34 +697,39 @@
     if (target != nullptr && now >= target->ejected_until &&
         !unreachable_.contains(it)) {
       scheduler_.targets().NotePeerEvidence(now, it);
+      // Told on once: while the target is left, no report is news.
+      unreachable_[it] = now;
     }
   }
-  const std::string vm = report.vm;
-  const bool was_alive = peers_.IsAlive(now, vm);
-  if (peers_.Take(now, std::move(report))) {
-    has_reports_ = true;
-    if (!was_alive) {
-      Log(LogLevel::kInfo, "peer heard", {{"peer", vm}});
-      hello_at_ = TimePoint();
-    }
+  has_reports_ = true;
+  if (report.scope == ReportScope::kFleet) {
+    fleet_heard_at_ = now;
+  }
+  if (peers_.Take(now, report)) {
+    Log(LogLevel::kInfo, "peer heard",
+        {{"peer", report.sender.vm}, {"zone", report.sender.zone}});
+    // A newcomer learns of the others from the answer.
+    PeerReport answer = BuildReport(now);
+    answer.load.clear();
+    answer.roster = peers_.Alive(now);
+    SendReport(answer, report.sender.vm);
   }
 }
 
-PeerReport Router::Impl::BuildReport(TimePoint now, bool with_load) {
+PeerReport Router::Impl::BuildReport(TimePoint now) {
   PeerReport report;
-  report.vm = settings_.ip;
-  report.zone = settings_.zone;
-  report.region = settings_.region;
+  report.sender = peers_.self();
   report.incarnation = incarnation_;
   report.sequence = ++sequence_;
   report.operator_revision = operators_.mirror().revision();
   report.target_revision = target_list_.mirror().revision();
-  report.is_leaving = plane_.is_draining;
-  if (with_load) {
-    for (const auto& [id, target] : scheduler_.targets().targets()) {
-      if (target.own.in_flight > 0) {
-        report.load[id] = target.own;
-      }
+  report.operator_age =
+      now - std::max(operators_.answered_at(),
+                     peers_.OperatorCopyProvenAt(
+                         now, operators_.mirror().revision()));
+  for (const auto& [id, target] : scheduler_.targets().targets()) {
+    if (target.own.in_flight > 0) {
+      report.load[target.id] = target.own;
     }
   }
   report.demand = scheduler_.fair_share().OwnDemand(now);
@@ -719,9 +739,6 @@
   for (const auto& [id, at] : unreachable_) {
     report.unreachable.push_back(id);
   }
-  for (const PeerReport* it : peers_.Alive(now)) {
-    report.heard.push_back(it->vm);
-  }
   return report;
 }
 
@@ -737,40 +754,101 @@
   }
 }
 
+void Router::Impl::SendToMesh(TimePoint now) {
+  const bool reaches_far = now >= remote_report_at_;
+  PeerReport report = BuildReport(now);
+  if (reaches_far) {
+    remote_report_at_ = now + kRemoteReportInterval;
+    report.roster = peers_.Alive(now);
+  }
+  PeerReport far = report;
+  far.load.clear();
+  for (const RosterEntry& it : peers_.Alive(now)) {
+    if (it.region == settings_.region) {
+      SendReport(report, it.vm);
+    } else if (reaches_far) {
+      SendReport(far, it.vm);
+    }
+  }
+}
+
+void Router::Impl::SendAsMember(TimePoint now) {
+  if (now - fleet_heard_at_ > kRelaySilence) {
+    peers_.SuspectRelay(now);
+    fleet_heard_at_ = now;
+  }
+  if (const auto relay = peers_.RelayOf(now, settings_.zone)) {
+    SendReport(BuildReport(now), *relay);
+  }
+}
+
+void Router::Impl::SendAsRelay(TimePoint now) {
+  const bool reaches_far = now >= remote_report_at_;
+  const PeerReport own = BuildReport(now);
+  std::vector<RosterEntry> alive;
+  if (reaches_far) {
+    remote_report_at_ = now + kRemoteReportInterval;
+    alive = peers_.Alive(now);
+  }
+  PeerReport zone = own;
+  peers_.AddZone(now, zone);
+  std::copy_if(alive.begin(), alive.end(), std::back_inserter(zone.roster),
+               [this](const RosterEntry& it) {
+                 return it.zone == settings_.zone;
+               });
+  PeerReport far = zone;
+  far.load.clear();
+  for (const RosterEntry& it : peers_.OtherRelays(now)) {
+    if (it.region == settings_.region) {
+      SendReport(zone, it.vm);
+    } else if (reaches_far) {
+      SendReport(far, it.vm);
+    }
+  }
+  for (const RosterEntry& it : peers_.Alive(now)) {
+    if (it.zone == settings_.zone) {
+      PeerReport fleet = peers_.FleetReportFor(now, it.vm, own);
+      fleet.roster = alive;
+      SendReport(fleet, it.vm);
+    }
+  }
+}
+
+void Router::Impl::SendReports(TimePoint now) {
+  if (!peers_.UsesRelays(now)) {
+    report_at_ = now + kReportInterval;
+    fleet_heard_at_ = now;
+    SendToMesh(now);
+    return;
+  }
+  report_at_ = now + kRelayedReportInterval;
+  if (peers_.IsRelay(now)) {
+    fleet_heard_at_ = now;
+    SendAsRelay(now);
+  } else {
+    SendAsMember(now);
+  }
+}
+
 void Router::Impl::TickPeers(TimePoint now) {
-  if (has_reports_) {
+  if (has_reports_ && now >= sums_at_) {
     has_reports_ = false;
-    scheduler_.targets().SetPeerLoad(peers_.SumOfLoad(now));
-    scheduler_.fair_share().SetPeerDemand(peers_.SumOfDemand(now));
+    sums_at_ = now + kSumInterval;
+    scheduler_.targets().SetPeerLoad(peers_.LoadOfOthers(now));
+    scheduler_.fair_share().SetPeerDemand(peers_.DemandOfOthers(now));
     scheduler_.SetFleet(peers_.FleetSize(now), peers_.OwnPosition(now));
   }
   if (now >= report_at_) {
-    report_at_ = now + kReportInterval;
-    const PeerReport report = BuildReport(now, true);
-    for (const PeerReport* it : peers_.Alive(now)) {
-      if (it->region == settings_.region) {
-        SendReport(report, it->vm);
-      }
-    }
-  }
-  if (now >= remote_report_at_) {
-    remote_report_at_ = now + kRemoteReportInterval;
-    const PeerReport report = BuildReport(now, false);
-    for (const PeerReport* it : peers_.Alive(now)) {
-      if (it->region != settings_.region) {
-        SendReport(report, it->vm);
-      }
-    }
-    // Silent routers no longer count.
+    SendReports(now);
+    // Reports that ran out no longer count.
     has_reports_ = true;
   }
   if (now >= hello_at_) {
     hello_at_ = now + kHelloInterval;
-    const PeerReport report = BuildReport(now, false);
-    for (const std::string& it : peers_.Addresses()) {
-      if (!peers_.IsAlive(now, it)) {
-        SendReport(report, it);
-      }
+    PeerReport report = BuildReport(now);
+    report.load.clear();
+    for (const std::string& it : peers_.Silent(now)) {
+      SendReport(report, it);
     }
   }
 }
--- a/src/router/settings.cc
+++ b/src/router/settings.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::int64_t kMaxPort = 65535;
+constexpr double kThousandths = 1000;
 
 std::string AddressOf(const CheckedYaml& yaml) {
   const std::string text = yaml.AsString();
@@ -30,7 +31,8 @@
   yaml.RequireMapOf({"vm", "zone", "region", "ip", "callers", "readiness",
                      "control", "peer_port", "seeds", "zones", "store",
                      "grace_seconds", "retry_ratio", "retry_window_seconds",
-                     "retry_slack", "max_descriptors", "memory_mb"});
+                     "retry_slack", "max_descriptors", "memory_mb",
+                     "processor_share"});
   RouterSettings settings;
   settings.vm = yaml.Get("vm").AsString();
   settings.zone = yaml.Get("zone").AsString();
@@ -54,6 +56,8 @@
   settings.retry_budget.slack = NumberOf(yaml.Get("retry_slack"));
   settings.max_descriptors =
       static_cast<int>(yaml.Get("max_descriptors").AsInt(64, 10'000'000));
+  settings.capacity = static_cast<int>(
+      kThousandths * yaml.Get("processor_share").AsPositiveNumber());
   settings.memory_mb =
       static_cast<int>(yaml.Get("memory_mb").AsInt(16, 10'000'000));
   return settings;
