Share spare capacity fairly; send work to the other region while its link allows

Bodies over 8 KB never crossed regions. Ruled out: the bucket of a tenant's share (its charges follow the level); the link's budget (0.2 of 2.2 MB/s used). Change: requests cross while the link's budget allows, each region has its own home of a prompt chain; spare capacity goes to a tenant only while it has not been given 1.25 times what another that waits got; capacity counts as served; connections are closed longest idle first, never with output waiting. An overloaded router refuses and leaves rotation. Refusals log one line.

--- a/include/corianderpost/internal/json_log.h
+++ b/include/corianderpost/internal/json_log.h
@@ -25,6 +25,9 @@
 void Log(LogLevel level, const std::string& message,
          const std::vector<LogField>& fields = {});
 
+// Whether a line of this level would be written now. Cheap; spares callers the
+// cost of lines that the bound drops. Counts the line as dropped if not.
+bool IsLogOpen(LogLevel level);
 // Lines dropped so far.
 std::uint64_t DroppedLogLines();
 
--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -225,7 +225,7 @@
 void CallerConnection::Cut() { Close(); }
 
 void CallerConnection::CloseIfIdle() {
-  if (state_ == State::kIdle && in_.empty()) {
+  if (is_idle()) {
     Close();
   }
 }
@@ -240,7 +240,7 @@
   const CallerLimits& limits = handler_.Limits();
   switch (state_) {
     case State::kIdle:
-      if (now - idle_since_ >= limits.idle_timeout) {
+      if (now - idle_since_ >= limits.idle_timeout && is_idle()) {
         Close();
       }
       break;
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -59,13 +59,16 @@
   // Closes the connection without an end of the answer, so that it can't be
   // taken for whole.
   void Cut();
-  // Closes an idle connection.
+  // Closes an idle connection whose last answer is written.
   void CloseIfIdle();
   // Enforces the limits on time.
   void Tick(TimePoint now);
 
   bool is_open() const { return socket_.is_open(); }
-  bool is_idle() const { return state_ == State::kIdle; }
+  bool is_idle() const {
+    return state_ == State::kIdle && in_.empty() && buffered() == 0;
+  }
+  TimePoint idle_since() const { return idle_since_; }
   // The caller asked for, or the protocol implies, a close after this answer.
   bool wants_close() const { return wants_close_; }
   std::size_t buffered() const { return out_.size() + writing_.size(); }
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMinGapStall = milliseconds(1200);
 // Less time than this is not worth another attempt.
 constexpr Duration kMinAttempt = milliseconds(60);
+// Time for the balancer to send a caller to another router.
+constexpr Duration kOverloadRetryAfter = milliseconds(300);
 // Output that may wait for a slow caller before the target is paused.
 constexpr std::size_t kMaxBuffered = 256 * 1024;
 // Largest answer that is held until it is whole.
@@ -104,7 +106,7 @@
 }
 
 bool Exchange::CloseAfterAnswer() const {
-  return plane_.is_draining || caller_->wants_close();
+  return plane_.is_draining || plane_.is_overloaded || caller_->wants_close();
 }
 
 void Exchange::Start() {
@@ -115,6 +117,10 @@
     AnswerOwn(503, "no configuration yet", seconds(1));
     return;
   }
+  if (plane_.is_overloaded) {
+    AnswerOwn(503, "this router is overloaded", kOverloadRetryAfter);
+    return;
+  }
   const Route* route = configuration_->FindRoute(
       meta_.host, PathOf(ToView(request_.target())));
   if (route == nullptr) {
@@ -174,15 +180,8 @@
   plane_.metrics.Count("corianderpost_refusals_total",
                        "reason=\"" + std::string(ToString(refusal.reason)) +
                            "\"");
-  Log(LogLevel::kInfo, "refused",
-      {{"reason", ToString(refusal.reason)},
-       {"route", scheduled_.route->name},
-       {"customer",
-        scheduled_.customer == nullptr ? "" : scheduled_.customer->name},
-       {"predicted_ms", Millis(refusal.predicted)},
-       {"retry_after_ms", Millis(refusal.retry_after)},
-       {"attempts", attempts_},
-       {"remaining_ms", Millis(scheduled_.remaining)}});
+  predicted_ = refusal.predicted;
+  share_level_ = refusal.share_level;
   if (has_begun_) {
     caller_->Cut();
     Finish("cut");
@@ -192,14 +191,13 @@
     AnswerOwn(502, "the target failed", Duration(0));
     return;
   }
-  AnswerOwn(503, std::string("refused: ") +
-                     std::string(ToString(refusal.reason)),
-            refusal.retry_after);
+  AnswerOwn(503, ToString(refusal.reason), refusal.retry_after);
 }
 
 void Exchange::SendTo(const Assignment& assignment) {
   const TimePoint now = plane_.clock.Now();
   assignment_ = assignment;
+  predicted_ = assignment.predicted;
   scheduled_.tried.push_back(KeyOf(assignment));
   ++attempts_;
   was_sent_ = false;
@@ -466,22 +464,23 @@
   }
 }
 
-void Exchange::AnswerOwn(int status, const std::string& reason,
+void Exchange::AnswerOwn(int status, std::string_view reason,
                          Duration retry_after) {
   status_ = status;
+  retry_after_ = retry_after;
   OwnAnswer answer;
   answer.status = status;
-  answer.reason = reason;
+  answer.reason = std::string(reason);
   answer.retry_after = retry_after;
   caller_->Write(FormatOwnAnswer(answer, CloseAfterAnswer(),
                                  request_.method() == http::verb::head));
   FinishCaller();
-  Finish(reason.c_str());
+  Finish(reason);
 }
 
 void Exchange::FinishCaller() { caller_->FinishAnswer(CloseAfterAnswer()); }
 
-void Exchange::Finish(const char* outcome) {
+void Exchange::Finish(std::string_view outcome) {
   if (is_done_) {
     return;
   }
@@ -490,8 +489,12 @@
   plane_.metrics.Count("corianderpost_requests_total",
                        "status=\"" + std::to_string(status_) + "\"");
   plane_.metrics.Observe("corianderpost_request_seconds", took);
-  Log(status_ >= 200 && status_ < 300 ? LogLevel::kInfo : LogLevel::kWarning,
-      "request ended",
+  const LogLevel level =
+      status_ >= 200 && status_ < 300 ? LogLevel::kInfo : LogLevel::kWarning;
+  if (!internal::IsLogOpen(level)) {
+    return;
+  }
+  Log(level, "request ended",
       {{"outcome", outcome},
        {"status", status_},
        {"route", scheduled_.route == nullptr ? "" : scheduled_.route->name},
@@ -501,6 +504,11 @@
        {"events", events_},
        {"took_ms", Millis(took)},
        {"deadline_ms", Millis(deadline_)},
+       {"predicted_ms", Millis(predicted_)},
+       {"retry_after_ms", Millis(retry_after_)},
+       {"share_level", static_cast<std::int64_t>(share_level_)},
+       {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
+       {"list_age_ms", Millis(plane_.clock.Now() - plane_.list_read_at)},
        {"configuration", configuration_ ? configuration_->version() : 0}});
 }
 
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -28,11 +28,15 @@
   // Longest deadline that callers of a route sent; tells how long the caller
   // of a later attempt has waited already.
   std::map<std::string, Duration> usual_deadline;
+  // When the target list was last read.
+  TimePoint list_read_at;
   bool is_draining = false;
   // No requests that may outlast the process are taken any more.
   bool is_closing = false;
   // No requests are taken any more.
   bool is_closed = false;
+  // The processor can't keep up: new requests are refused at once.
+  bool is_overloaded = false;
   // Reports that requests crashed a target, for peers.
   std::function<void(const CrashReport&)> on_crash;
   // A target refused connections, for peers.
@@ -86,11 +90,11 @@
   // the attempt that ended may have run.
   void RetryOrFail(bool may_have_run, const char* cause);
   void Refuse(const Refusal& refusal);
-  void AnswerOwn(int status, const std::string& reason, Duration retry_after);
+  void AnswerOwn(int status, std::string_view reason, Duration retry_after);
   void FinishCaller();
   void HandleEvent(StreamEvent event);
   void BlameForCrash();
-  void Finish(const char* outcome);
+  void Finish(std::string_view outcome);
   Duration Remaining(TimePoint now) const;
   Duration StallLimit() const;
   bool CloseAfterAnswer() const;
@@ -115,6 +119,9 @@
   bool may_have_run_ = false;
   int attempts_ = 0;
   int status_ = 0;
+  Duration retry_after_{0};
+  Duration predicted_{0};
+  double share_level_ = 0;
   TimePoint progressed_at_;
   AnswerKind answer_kind_ = AnswerKind::kNone;
   std::optional<HttpResponseHeader> answer_head_;
--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -9,10 +9,21 @@
 // Demand is metered over about the users' window of fairness, 4 s, so that a
 // customer's burst counts within it.
 constexpr Duration kDemandTimeConstant = std::chrono::milliseconds(1500);
+// What is given is metered over a shorter time, so that a customer whose burst
+// begins can't run far ahead before it shows.
+constexpr Duration kServedTimeConstant = std::chrono::milliseconds(700);
 // The level is computed again this often.
 constexpr Duration kLevelInterval = std::chrono::milliseconds(100);
 // A bucket holds this many seconds of a customer's rate.
 constexpr double kBucketSeconds = 1.0;
+// A customer beyond its share is given at most this multiple of what another
+// that waits is given; the users' rule allows a factor of two.
+constexpr double kSpareRatio = 1.25;
+// A customer that is given less than this part of what it asks waits.
+constexpr double kWaitingPart = 0.9;
+// Capacity is taken for a little more than what is being served, so that it
+// can be found to be larger.
+constexpr double kCapacityProbe = 1.05;
 // Longest debt, in seconds of a customer's rate.
 constexpr double kDebtSeconds = 1.0;
 // A refused request's retry is not sent further ahead than this.
@@ -48,7 +59,8 @@
     return it->second;
   }
   return accounts_
-      .emplace(customer, Account{RateMeter(kDemandTimeConstant), 0, now})
+      .emplace(customer, Account{RateMeter(kDemandTimeConstant),
+                                 RateMeter(kServedTimeConstant), 0, now})
       .first->second;
 }
 
@@ -57,25 +69,51 @@
   AccountOf(now, customer).asked.Add(now, units);
 }
 
+void FairShare::Update(TimePoint now) {
+  if (has_level_ && now - level_at_ < kLevelInterval) {
+    return;
+  }
+  total_ = peer_demand_;
+  for (const auto& [customer, account] : accounts_) {
+    CustomerRates& rates = total_[customer];
+    rates.asked += account.asked.PerSecond(now);
+    rates.served += account.served.PerSecond(now);
+  }
+  std::vector<double> demands;
+  demands.reserve(total_.size());
+  double served = 0;
+  for (const auto& [customer, rates] : total_) {
+    demands.push_back(rates.asked);
+    served += rates.served;
+  }
+  level_ = MaxMinLevel(std::move(demands),
+                       std::max(capacity_, kCapacityProbe * served));
+  level_at_ = now;
+  has_level_ = true;
+}
+
 double FairShare::Level(TimePoint now) {
   if (capacity_ <= 0) {
     return std::numeric_limits<double>::infinity();
   }
-  if (!has_level_ || now - level_at_ >= kLevelInterval) {
-    DemandByCustomer total = peer_demand_;
-    for (const auto& [customer, account] : accounts_) {
-      total[customer] += account.asked.PerSecond(now);
-    }
-    std::vector<double> demands;
-    demands.reserve(total.size());
-    for (const auto& [customer, demand] : total) {
-      demands.push_back(demand);
+  Update(now);
+  return level_;
+}
+
+bool FairShare::MayUseSpare(TimePoint now, CustomerId customer) {
+  Update(now);
+  const auto own = total_.find(customer);
+  if (own == total_.end()) {
+    return true;
+  }
+  for (const auto& [other, rates] : total_) {
+    const bool waits = other != customer && rates.asked > level_ &&
+                       rates.served < kWaitingPart * rates.asked;
+    if (waits && own->second.served > kSpareRatio * rates.served) {
+      return false;
     }
-    level_ = MaxMinLevel(std::move(demands), capacity_);
-    level_at_ = now;
-    has_level_ = true;
   }
-  return level_;
+  return true;
 }
 
 double FairShare::LocalRate(TimePoint now, CustomerId customer,
@@ -84,7 +122,7 @@
   const double own = account.asked.PerSecond(now);
   const auto peers = peer_demand_.find(customer);
   const double total =
-      own + (peers == peer_demand_.end() ? 0.0 : peers->second);
+      own + (peers == peer_demand_.end() ? 0.0 : peers->second.asked);
   if (total <= level) {
     return std::numeric_limits<double>::infinity();
   }
@@ -119,6 +157,7 @@
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
   account.bucket -= units;
+  account.served.Add(now, units);
 }
 
 Duration FairShare::TimeUntilWithinShare(TimePoint now,
@@ -137,9 +176,10 @@
 DemandByCustomer FairShare::OwnDemand(TimePoint now) const {
   DemandByCustomer demand;
   for (const auto& [customer, account] : accounts_) {
-    const double rate = account.asked.PerSecond(now);
-    if (rate >= 1.0) {
-      demand.emplace(customer, rate);
+    const CustomerRates rates{account.asked.PerSecond(now),
+                              account.served.PerSecond(now)};
+    if (rates.asked >= 1.0) {
+      demand.emplace(customer, rates);
     }
   }
   return demand;
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -4,7 +4,8 @@
 // theirs ask. From both it computes the level L at which sum(min(demand, L))
 // fills the capacity. A customer that asks more than L has a token bucket at
 // each router, filled at L times the router's part of the customer's demand,
-// so that the buckets of all routers together admit L.
+// so that the buckets of all routers together admit L. What is left over goes
+// to customers beyond L, but none gets far more of it than another that waits.
 #ifndef CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
 #define CORIANDERPOST_DECISIONS_FAIR_SHARE_H_
 
@@ -17,8 +18,13 @@
 
 namespace corianderpost {
 
-// Demand in units a second, by customer.
-using DemandByCustomer = std::map<CustomerId, double>;
+// What a customer asks and what it is given, in units a second.
+struct CustomerRates {
+  double asked = 0;
+  double served = 0;
+  friend bool operator==(const CustomerRates&, const CustomerRates&) = default;
+};
+using DemandByCustomer = std::map<CustomerId, CustomerRates>;
 
 // Returns the level L at which sum(min(demand, L)) equals `capacity`, or
 // infinity if all demands fit.
@@ -27,8 +33,9 @@
 // Not thread-safe.
 class FairShare {
  public:
-  // Capacity of the whole fleet in units a second; zero if unknown, then
-  // every customer is within its share.
+  // Stated capacity of the whole fleet in units a second; zero if unknown, then
+  // every customer is within its share. Targets that give more count as they
+  // do.
   void SetCapacity(double units_per_second) { capacity_ = units_per_second; }
   // Replaces what all peers together report.
   void SetPeerDemand(DemandByCustomer demand);
@@ -38,6 +45,9 @@
 
   // Returns whether the customer's bucket is not in debt. Takes nothing.
   bool IsWithinShare(TimePoint now, CustomerId customer);
+  // Returns whether a customer beyond its share may use capacity that is left
+  // over: no other customer that waits has been given much less.
+  bool MayUseSpare(TimePoint now, CustomerId customer);
   // Takes an admitted request's units from the bucket, which may go negative
   // down to a bound, so that spare capacity used now is not held against the
   // customer for long.
@@ -53,9 +63,11 @@
  private:
   struct Account {
     RateMeter asked;
+    RateMeter served;
     double bucket = 0;
     TimePoint filled_at;
   };
+  void Update(TimePoint now);
   Account& AccountOf(TimePoint now, CustomerId customer);
   double LocalRate(TimePoint now, CustomerId customer,
                    const Account& account);
@@ -64,6 +76,8 @@
   double capacity_ = 0;
   DemandByCustomer peer_demand_;
   std::map<CustomerId, Account> accounts_;
+  // Rates of all routers together, as of the last update.
+  DemandByCustomer total_;
   double level_ = 0;
   TimePoint level_at_;
   bool has_level_ = false;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -44,8 +44,15 @@
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
 // Wait for the routers' own view to recover.
 constexpr Duration kNoTargetRetryAfter = milliseconds(500);
-// Largest body that is sent to another region while its own is full.
-constexpr std::size_t kMaxCrossRegionBody = 8 * 1024;
+// Part of the link between regions that request bodies may take together.
+constexpr double kLinkPart = 0.6;
+// Seconds of a router's part that may be saved up.
+constexpr double kLinkBurstSeconds = 0.5;
+// Larger bodies wait until more has been saved up: small requests carry more
+// work for each byte.
+constexpr double kLinkReserve = 2.0;
+// Another region is used once the own one takes this part of the limit.
+constexpr double kSpillPart = 0.6;
 // Most plain requests in flight for a slot; beyond it targets shed.
 constexpr double kPlainQueuePerSlot = 3.0;
 
@@ -243,6 +250,16 @@
   return candidate;
 }
 
+bool Scheduler::LinkAllows(TimePoint now, std::size_t bytes) {
+  const double rate = kLinkPart * surroundings_.region_link_bytes /
+                      std::max(1, region_routers_);
+  link_bytes_ =
+      std::min(rate * kLinkBurstSeconds,
+               link_bytes_ + rate * Seconds(now - link_filled_at_));
+  link_filled_at_ = now;
+  return link_bytes_ >= kLinkReserve * static_cast<double>(bytes);
+}
+
 bool Scheduler::TakeColdToken(TimePoint now, TargetState& target) {
   const ServiceProfile* service =
       configuration_->FindService(target.entry.service);
@@ -274,7 +291,7 @@
 Decision Scheduler::Place(TimePoint now, const ScheduledRequest& request) {
   if (suspects_.IsHeld(now, request.fingerprint)) {
     return Refusal{RefusalReason::kCrashesTargets, kMaxRetryAfter,
-                   Duration(0)};
+                   Duration(0), 0};
   }
   const std::vector<TargetState*> usable = Usable(now, request);
   const ServiceProfile* service = configuration_->FindService(request.service);
@@ -290,22 +307,28 @@
     }
   }
   const std::uint64_t chain = ChainOf(request);
+  // Each region has its own home of a chain.
   const TargetState* home = nullptr;
+  const TargetState* far_home = nullptr;
   if (chain != 0) {
     std::uint64_t heaviest = 0;
+    std::uint64_t far_heaviest = 0;
     for (const TargetState* it : usable) {
       const std::uint64_t weight = HomeWeight(it->entry.id, chain);
-      if (IsSameRegion(it->entry.zone) &&
-          (home == nullptr || weight > heaviest)) {
-        home = it;
-        heaviest = weight;
+      const bool is_near = IsSameRegion(it->entry.zone);
+      const TargetState*& best = is_near ? home : far_home;
+      std::uint64_t& best_weight = is_near ? heaviest : far_heaviest;
+      if (best == nullptr || weight > best_weight) {
+        best = it;
+        best_weight = weight;
       }
     }
   }
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
   for (TargetState* it : usable) {
-    candidates.push_back(Assess(now, request, *it, it == home));
+    candidates.push_back(
+        Assess(now, request, *it, it == home || it == far_home));
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
@@ -317,12 +340,21 @@
   const bool is_within_share =
       !is_engine || request.customer == nullptr ||
       fair_share_.IsWithinShare(now, request.customer->id);
+  if (!is_within_share &&
+      !fair_share_.MayUseSpare(now, request.customer->id)) {
+    return Refuse(now, request, RefusalReason::kOverShare, 0, 0);
+  }
   const double limit = goal * (is_within_share ? kGoalPart : kOverSharePart);
   double best = 0;
-  bool has_local = false;
+  double best_near = std::numeric_limits<double>::infinity();
   for (const Candidate& it : candidates) {
-    has_local = has_local || it.is_local;
+    if (it.is_local) {
+      best_near = std::min(best_near, it.predicted_seconds);
+    }
   }
+  const bool may_spill =
+      best_near > kSpillPart * limit &&
+      LinkAllows(now, request.body_bytes);
   for (const Candidate& it : candidates) {
     if (best == 0 || it.predicted_seconds < best) {
       best = it.predicted_seconds;
@@ -331,7 +363,7 @@
         it.predicted_seconds > Seconds(request.remaining)) {
       continue;
     }
-    if (!it.is_local && has_local && request.body_bytes > kMaxCrossRegionBody) {
+    if (!it.is_local && !may_spill) {
       continue;
     }
     if (!TakeColdToken(now, *it.target)) {
@@ -340,12 +372,13 @@
     if (!request.tried.empty() &&
         !retry_budgets_[request.service].TrySpend(
             now, surroundings_.retry_budget, routers_)) {
-      return Refusal{RefusalReason::kRetryBudget, kMinRetryAfter, Duration(0)};
+      return Refusal{RefusalReason::kRetryBudget, kMinRetryAfter, Duration(0), 0};
     }
     return Reserve(now, request, it);
   }
   if (candidates.empty()) {
-    return Refusal{RefusalReason::kNoTarget, kNoTargetRetryAfter, Duration(0)};
+    return Refusal{RefusalReason::kNoTarget, kNoTargetRetryAfter, Duration(0),
+                   0};
   }
   return Refuse(now, request,
                 is_within_share ? RefusalReason::kOverloaded
@@ -364,9 +397,11 @@
     wait = std::max(wait, fair_share_.TimeUntilWithinShare(
                               now, request.customer->id));
   }
-  return Refusal{reason, std::min(wait, kMaxRetryAfter),
-                 std::isfinite(best_seconds) ? FromSeconds(best_seconds)
-                                             : Duration(0)};
+  const double level = fair_share_.Level(now);
+  return Refusal{
+      reason, std::min(wait, kMaxRetryAfter),
+      std::isfinite(best_seconds) ? FromSeconds(best_seconds) : Duration(0),
+      std::isfinite(level) ? level : 0.0};
 }
 
 void Scheduler::Keep(TimePoint now, const ScheduledRequest& request,
@@ -396,6 +431,9 @@
   assignment.predicted = FromSeconds(candidate.predicted_seconds);
   assignment.is_trial = candidate.is_trial;
   assignment.sent_at = now;
+  if (!candidate.is_local) {
+    link_bytes_ -= static_cast<double>(request.body_bytes);
+  }
   ++target.own.in_flight;
   target.own.pending_tokens += candidate.uncached_tokens;
   target.own.memory_tokens += candidate.memory_tokens;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -33,6 +33,8 @@
   // Region of each zone.
   std::map<std::string, std::string> region_of_zone;
   RetryBudgetLimits retry_budget;
+  // Bytes a second that the link to another region carries; zero if unknown.
+  double region_link_bytes = 0;
   friend bool operator==(const Surroundings&, const Surroundings&) = default;
 };
 
@@ -70,6 +72,8 @@
   Duration retry_after{0};
   // Predicted time to the first event at the best target; zero if none.
   Duration predicted{0};
+  // Max-min level in units a second at that moment; zero if all demands fit.
+  double share_level = 0;
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
@@ -101,6 +105,8 @@
   // How many routers share budgets and cold limits, this one included, and
   // this one's place among them, from 0, in an order that all agree on.
   void SetFleet(int routers, int position);
+  // How many routers of this region share the link to the others.
+  void SetRoutersOfRegion(int routers) { region_routers_ = routers; }
 
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
@@ -139,6 +145,8 @@
   bool IsSameRegion(const std::string& zone) const;
   Candidate Assess(TimePoint now, const ScheduledRequest& request,
                    TargetState& target, bool is_home);
+  // Whether a body may cross to another region now; `TakeLink` pays for it.
+  bool LinkAllows(TimePoint now, std::size_t bytes);
   bool TakeColdToken(TimePoint now, TargetState& target);
   Decision Refuse(TimePoint now, const ScheduledRequest& request,
                   RefusalReason reason, double best_seconds,
@@ -153,6 +161,9 @@
   std::shared_ptr<const Configuration> configuration_;
   int routers_ = 1;
   int position_ = 0;
+  int region_routers_ = 1;
+  double link_bytes_ = 0;
+  TimePoint link_filled_at_;
   TargetTable targets_;
   FairShare fair_share_;
   CrashSuspects suspects_;
--- a/src/json_log.cc
+++ b/src/json_log.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <mutex>
 #include <random>
 
 namespace corianderpost::internal {
@@ -23,8 +24,8 @@
 constexpr std::size_t kTraceparentLength = 55;
 
 // Bounds on what is written; a router serves about a hundred requests a second.
-constexpr double kLinesPerSecond = 400;
-constexpr double kMaxLineBurst = 1000;
+constexpr double kLinesPerSecond = 250;
+constexpr double kMaxLineBurst = 500;
 
 std::atomic<bool> is_open{false};
 std::atomic<std::uint64_t> dropped{0};
@@ -71,31 +72,49 @@
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
-    const auto now = std::chrono::steady_clock::now();
-    const double elapsed =
-        std::chrono::duration<double>(now - filled_at_).count();
-    filled_at_ = now;
-    allowed_ = std::min(kMaxLineBurst, allowed_ + elapsed * kLinesPerSecond);
     pollfd writable{STDOUT_FILENO, POLLOUT, 0};
-    if (allowed_ < 1.0 || poll(&writable, 1, 0) <= 0 ||
-        (writable.revents & POLLOUT) == 0) {
+    if (poll(&writable, 1, 0) <= 0 || (writable.revents & POLLOUT) == 0) {
       ++dropped;
       return;
     }
-    allowed_ -= 1.0;
     const log4cplus::tstring& line = formatEvent(event);
     // A pipe that is writable takes a line of up to PIPE_BUF bytes whole.
     if (write(STDOUT_FILENO, line.data(), line.size()) < 0) {
       ++dropped;
     }
   }
+};
+
+// Bounds the rate of lines. Thread-safe.
+class LineAllowance {
+ public:
+  // Returns whether a line fits; `takes` counts it.
+  bool Check(bool takes) {
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    const double elapsed =
+        std::chrono::duration<double>(now - filled_at_).count();
+    filled_at_ = now;
+    allowed_ = std::min(kMaxLineBurst, allowed_ + elapsed * kLinesPerSecond);
+    if (allowed_ < 1.0) {
+      return false;
+    }
+    allowed_ -= takes ? 1.0 : 0.0;
+    return true;
+  }
 
  private:
+  std::mutex mutex_;
   std::chrono::steady_clock::time_point filled_at_ =
       std::chrono::steady_clock::now();
   double allowed_ = kMaxLineBurst;
 };
 
+LineAllowance& Allowance() {
+  static LineAllowance allowance;
+  return allowance;
+}
+
 std::string RandomHex(std::size_t digits) {
   static constexpr char kHex[] = "0123456789abcdef";
   thread_local std::mt19937_64 random{std::random_device{}()};
@@ -123,11 +142,26 @@
 
 std::uint64_t DroppedLogLines() { return dropped; }
 
+bool IsLogOpen(LogLevel level) {
+  if (!is_open || !Logger().isEnabledFor(LevelOf(level))) {
+    return false;
+  }
+  if (!Allowance().Check(false)) {
+    ++dropped;
+    return false;
+  }
+  return true;
+}
+
 void Log(LogLevel level, const std::string& message,
          const std::vector<LogField>& fields) {
   if (!is_open || !Logger().isEnabledFor(LevelOf(level))) {
     return;
   }
+  if (!Allowance().Check(true)) {
+    ++dropped;
+    return;
+  }
   Json line = {{"message", message}};
   for (const LogField& it : fields) {
     line[it.name] = it.value;
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -11,10 +11,11 @@
 using std::chrono::milliseconds;
 
 // Version of the encoding; a router ignores other versions.
-constexpr int kFormat = 2;
+constexpr int kFormat = 3;
 constexpr std::size_t kFields = 13;
 // Numbers for each target and each router of the roster.
 constexpr std::size_t kLoadFields = 4;
+constexpr std::size_t kDemandFields = 3;
 constexpr std::size_t kRosterFields = 5;
 
 std::int64_t Millis(Duration duration) {
@@ -47,9 +48,10 @@
     load.push_back(static_cast<std::int64_t>(it.memory_tokens));
   }
   Json demand = Json::array();
-  for (const auto& [customer, rate] : report.demand) {
+  for (const auto& [customer, rates] : report.demand) {
     demand.push_back(customer.value());
-    demand.push_back(static_cast<std::int64_t>(rate));
+    demand.push_back(static_cast<std::int64_t>(rates.asked));
+    demand.push_back(static_cast<std::int64_t>(rates.served));
   }
   Json crashes = Json::array();
   for (const CrashReport& it : report.crashes) {
@@ -103,9 +105,10 @@
           json[8][i + 1].get<int>(), json[8][i + 2].get<double>(),
           json[8][i + 3].get<double>()};
     }
-    for (std::size_t i = 0; i + 2 <= json[9].size(); i += 2) {
-      report.demand[CustomerId(json[9][i].get<std::uint32_t>())] =
-          json[9][i + 1].get<double>();
+    for (std::size_t i = 0; i + kDemandFields <= json[9].size();
+         i += kDemandFields) {
+      report.demand[CustomerId(json[9][i].get<std::uint32_t>())] = {
+          json[9][i + 1].get<double>(), json[9][i + 2].get<double>()};
     }
     for (std::size_t i = 0; i + 2 <= json[10].size(); i += 2) {
       report.crashes.push_back({json[10][i].get<std::uint64_t>(),
@@ -132,8 +135,10 @@
 }
 
 void AddDemand(const DemandByCustomer& more, DemandByCustomer& sum) {
-  for (const auto& [customer, rate] : more) {
-    sum[customer] += rate;
+  for (const auto& [customer, rates] : more) {
+    CustomerRates& total = sum[customer];
+    total.asked += rates.asked;
+    total.served += rates.served;
   }
 }
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -40,10 +40,11 @@
 }
 
 void Subtract(const DemandByCustomer& less, DemandByCustomer& sum) {
-  for (const auto& [customer, rate] : less) {
+  for (const auto& [customer, rates] : less) {
     if (const auto it = sum.find(customer); it != sum.end()) {
-      it->second -= rate;
-      if (it->second < 1.0) {
+      it->second.asked -= rates.asked;
+      it->second.served = std::max(0.0, it->second.served - rates.served);
+      if (it->second.asked < 1.0) {
         sum.erase(it);
       }
     }
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -1,5 +1,6 @@
 #include "router/listener.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "corianderpost/internal/json_log.h"
@@ -11,6 +12,8 @@
 namespace asio = boost::asio;
 
 constexpr int kBacklog = 1024;
+// One in so many connections is closed when there are too many.
+constexpr std::size_t kRoomPart = 16;
 
 }  // namespace
 
@@ -61,13 +64,14 @@
       if (ec != asio::error::would_block &&
           ec != asio::error::connection_aborted) {
         internal::Log(internal::LogLevel::kError, "accept failed",
-                      {{"reason", ec.message()}});
-        CloseIdle();
+                      {{"reason", ec.message()},
+                       {"connections", connections_.size()}});
+        MakeRoom();
       }
       return;
     }
     if (connections_.size() >= most_) {
-      CloseIdle();
+      MakeRoom();
     }
     auto connection = std::make_shared<CallerConnection>(std::move(socket),
                                                          handler_, clock_);
@@ -76,6 +80,27 @@
   }
 }
 
+void Listener::MakeRoom() {
+  std::vector<CallerConnection*> idle;
+  for (const auto& it : connections_) {
+    if (it->is_idle()) {
+      idle.push_back(it.get());
+    }
+  }
+  const std::size_t n = std::min(idle.size(), most_ / kRoomPart + 1);
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(n),
+                    idle.end(),
+                    [](const CallerConnection* a, const CallerConnection* b) {
+                      return a->idle_since() < b->idle_since();
+                    });
+  for (std::size_t i = 0; i < n; ++i) {
+    idle[i]->CloseIfIdle();
+  }
+  std::erase_if(connections_, [](const auto& it) { return !it->is_open(); });
+  internal::Log(internal::LogLevel::kWarning, "too many connections",
+                {{"closed", n}, {"left", connections_.size()}});
+}
+
 void Listener::Tick(TimePoint now) {
   std::erase_if(connections_, [now](const auto& it) {
     it->Tick(now);
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -21,8 +21,8 @@
   Listener(boost::asio::io_context& loop, const std::string& address,
            CallerHandler& handler, const Clock& clock);
 
-  // Accepts no more than this many connections at a time; idle ones are closed
-  // for new ones.
+  // Accepts no more than this many connections at a time; those that have been
+  // idle longest are closed for new ones.
   void SetMost(std::size_t connections) { most_ = connections; }
   // Enforces time limits and drops closed connections.
   void Tick(TimePoint now);
@@ -32,6 +32,7 @@
  private:
   void Await();
   void AcceptAvailable();
+  void MakeRoom();
 
   boost::asio::ip::tcp::acceptor acceptor_;
   CallerHandler& handler_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -72,6 +72,11 @@
 constexpr Duration kLastRequests = milliseconds(1500);
 // Answers that were just written reach the caller in this time.
 constexpr Duration kFlush = milliseconds(150);
+// A tick this late means that the processor can't keep up; new requests are
+// refused, and the balancer told, until ticks were on time for a while.
+constexpr Duration kOverloadLag = milliseconds(150);
+constexpr Duration kCalmLag = milliseconds(40);
+constexpr Duration kCalmFor = milliseconds(1000);
 // Descriptors kept for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
 constexpr std::size_t kMaxDatagram = 60'000;
@@ -91,7 +96,7 @@
 
 Surroundings SurroundingsOf(const RouterSettings& settings) {
   return {settings.zone, settings.region, settings.region_of_zone,
-          settings.retry_budget};
+          settings.retry_budget, settings.region_link_bytes};
 }
 
 // Returns the value of a query parameter, or an empty string.
@@ -200,6 +205,7 @@
   void TickReaders(TimePoint now);
   void TickPeers(TimePoint now);
   void TickDrain(TimePoint now);
+  void CheckOwnLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
   void CheckSettings();
   void AwaitSignal();
@@ -255,6 +261,8 @@
 
   const std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
+  TimePoint tick_due_;
+  TimePoint calm_since_;
   TimePoint housekeeping_at_;
   TimePoint settings_at_;
   TimePoint report_at_;
@@ -282,7 +290,7 @@
       pool_(loop_, clock_),
       fetcher_(pool_, deployment.dialect()),
       plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_,
-             nullptr, {}, false, false, false, {}, {}},
+             nullptr, {}, {}, false, false, false, false, {}, {}},
       peers_({settings.ip, settings.zone, settings.region, settings.capacity,
               Duration(0)}),
       operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
@@ -317,7 +325,7 @@
     unreachable_[id] = clock_.Now();
   };
   callers_.SetMost(static_cast<std::size_t>(
-      std::max(64, (settings_.max_descriptors - kReservedDescriptors) / 2)));
+      std::max(64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
   suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
   OpenPeerSocket();
   for (const std::string& it : settings_.seeds) {
@@ -327,7 +335,8 @@
 
 bool Router::Impl::IsReady() const {
   return plane_.configuration != nullptr &&
-         target_list_.mirror().is_filled() && !plane_.is_draining;
+         target_list_.mirror().is_filled() && !plane_.is_draining &&
+         !plane_.is_overloaded;
 }
 
 OwnAnswerText Router::Impl::AnswerReady() {
@@ -427,10 +436,31 @@
   }
 }
 
+void Router::Impl::CheckOwnLoad(TimePoint now) {
+  const Duration late = now - tick_due_;
+  if (late >= kOverloadLag) {
+    if (!plane_.is_overloaded) {
+      Log(LogLevel::kWarning, "router is overloaded",
+          {{"late_ms", std::chrono::duration_cast<milliseconds>(late).count()},
+           {"open_requests", exchanges_.size()},
+           {"callers", callers_.size()}});
+    }
+    plane_.is_overloaded = true;
+    calm_since_ = now;
+  } else if (late >= kCalmLag) {
+    calm_since_ = now;
+  } else if (plane_.is_overloaded && now - calm_since_ >= kCalmFor) {
+    plane_.is_overloaded = false;
+    Log(LogLevel::kInfo, "router is no longer overloaded");
+  }
+}
+
 void Router::Impl::ScheduleTick() {
+  tick_due_ = clock_.Now() + kTick;
   tick_timer_.expires_after(kTick);
   tick_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
+      CheckOwnLoad(clock_.Now());
       ScheduleTick();
       Tick();
     }
@@ -530,6 +560,7 @@
   const bool is_behind =
       target_list_.is_failing() || !target_list_.mirror().is_filled() ||
       now - target_list_.advanced_at() > kStoreSilence;
+  plane_.list_read_at = target_list_.advanced_at();
   target_list_.Tick(now,
                     is_behind || !is_reader
                         ? PeerWithNewer(now, &PeerReport::target_revision,
@@ -761,13 +792,9 @@
     remote_report_at_ = now + kRemoteReportInterval;
     report.roster = peers_.Alive(now);
   }
-  PeerReport far = report;
-  far.load.clear();
   for (const RosterEntry& it : peers_.Alive(now)) {
-    if (it.region == settings_.region) {
+    if (it.region == settings_.region || reaches_far) {
       SendReport(report, it.vm);
-    } else if (reaches_far) {
-      SendReport(far, it.vm);
     }
   }
 }
@@ -796,13 +823,9 @@
                [this](const RosterEntry& it) {
                  return it.zone == settings_.zone;
                });
-  PeerReport far = zone;
-  far.load.clear();
   for (const RosterEntry& it : peers_.OtherRelays(now)) {
-    if (it.region == settings_.region) {
+    if (it.region == settings_.region || reaches_far) {
       SendReport(zone, it.vm);
-    } else if (reaches_far) {
-      SendReport(far, it.vm);
     }
   }
   for (const RosterEntry& it : peers_.Alive(now)) {
@@ -837,6 +860,11 @@
     scheduler_.targets().SetPeerLoad(peers_.LoadOfOthers(now));
     scheduler_.fair_share().SetPeerDemand(peers_.DemandOfOthers(now));
     scheduler_.SetFleet(peers_.FleetSize(now), peers_.OwnPosition(now));
+    int of_region = 1;
+    for (const RosterEntry& it : peers_.Alive(now)) {
+      of_region += it.region == settings_.region ? 1 : 0;
+    }
+    scheduler_.SetRoutersOfRegion(of_region);
   }
   if (now >= report_at_) {
     SendReports(now);
--- a/src/router/settings.cc
+++ b/src/router/settings.cc
@@ -7,6 +7,7 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kThousandths = 1000;
+constexpr double kBytesPerMbit = 1e6 / 8;
 
 std::string AddressOf(const CheckedYaml& yaml) {
   const std::string text = yaml.AsString();
@@ -32,7 +33,7 @@
                      "control", "peer_port", "seeds", "zones", "store",
                      "grace_seconds", "retry_ratio", "retry_window_seconds",
                      "retry_slack", "max_descriptors", "memory_mb",
-                     "processor_share"});
+                     "processor_share", "region_link_mbit"});
   RouterSettings settings;
   settings.vm = yaml.Get("vm").AsString();
   settings.zone = yaml.Get("zone").AsString();
@@ -58,6 +59,8 @@
       static_cast<int>(yaml.Get("max_descriptors").AsInt(64, 10'000'000));
   settings.capacity = static_cast<int>(
       kThousandths * yaml.Get("processor_share").AsPositiveNumber());
+  settings.region_link_bytes =
+      kBytesPerMbit * NumberOf(yaml.Get("region_link_mbit"));
   settings.memory_mb =
       static_cast<int>(yaml.Get("memory_mb").AsInt(16, 10'000'000));
   return settings;
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -30,6 +30,8 @@
   // Time from SIGTERM to SIGKILL.
   Duration grace = std::chrono::seconds(8);
   RetryBudgetLimits retry_budget;
+  // Capacity of the link between two regions, all traffic together.
+  double region_link_bytes = 0;
   int max_descriptors = 1024;
   int memory_mb = 128;
   // Share of a processor in thousandths; larger routers relay for others.
