--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,9 +3,9 @@
 set -eu
 packages=(
   build-essential cmake ninja-build ccache clang-format clang-tidy curl
-  libcpp-httplib-dev libjsonrpccpp-dev libabsl-dev libyaml-cpp-dev libboost-dev
+  libabsl-dev libyaml-cpp-dev libboost-dev
   libboost-program-options-dev liblog4cplus-dev nlohmann-json3-dev doctest-dev
-  librapidcheck-dev libxxhash-dev libssl-dev zlib1g-dev libbrotli-dev
+  libxxhash-dev
 )
 if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   apt-get update -qq
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -2,14 +2,13 @@
 #ifndef CORIANDERPOST_DATAPLANE_CALLER_H_
 #define CORIANDERPOST_DATAPLANE_CALLER_H_
 
-#include <utility>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "corianderpost/clock.h"
 #include "dataplane/http_text.h"
--- /dev/null
+++ b/src/dataplane/event_splitter_test.cc
@@ -0,0 +1,62 @@
+#include "dataplane/event_splitter.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+namespace corianderpost {
+namespace {
+
+TEST_CASE("EventSplitter holds an event back until it is whole") {
+  EventSplitter splitter;
+  CHECK(splitter.Take("id: 1\nda").empty());
+  CHECK(splitter.HasRest());
+  const auto events = splitter.Take("ta: x\n\n");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].text == "id: 1\ndata: x\n\n");
+  CHECK(events[0].id == "1");
+  CHECK_FALSE(splitter.HasRest());
+}
+
+TEST_CASE("EventSplitter knows both line ends") {
+  EventSplitter splitter;
+  const auto events = splitter.Take("id:7\r\ndata: x\r\n\r\nid: 8\n\n");
+  REQUIRE(events.size() == 2);
+  CHECK(events[0].id == "7");
+  CHECK(events[1].id == "8");
+}
+
+TEST_CASE("EventSplitter gives the same events however a body is cut") {
+  std::string body;
+  for (int i = 1; i <= 40; ++i) {
+    body += "id: " + std::to_string(i) + (i % 3 == 0 ? "\r\n" : "\n") +
+            "data: " + std::string(static_cast<std::size_t>(i % 7), 'x') +
+            (i % 3 == 0 ? "\r\n\r\n" : "\n\n");
+  }
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed ", seed);
+    std::mt19937_64 random(seed);
+    EventSplitter splitter;
+    std::string joined;
+    int count = 0;
+    for (std::size_t at = 0; at < body.size();) {
+      const std::size_t n = 1 + random() % 9;
+      for (const StreamEvent& it :
+           splitter.Take(std::string_view(body).substr(at, n))) {
+        joined += it.text;
+        CHECK(it.id == std::to_string(++count));
+      }
+      at += n;
+    }
+    CHECK(joined == body);
+  }
+}
+
+TEST_CASE("EventNumber reads whole numbers only") {
+  CHECK(EventNumber("12") == 12);
+  CHECK_FALSE(EventNumber("12x"));
+  CHECK_FALSE(EventNumber(""));
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -71,9 +71,7 @@
   return route.split.back().service;
 }
 
-std::string KeyOf(const Assignment& assignment) {
-  return assignment.target_id;
-}
+std::string KeyOf(const Assignment& assignment) { return assignment.target_id; }
 
 }  // namespace
 
@@ -121,8 +119,8 @@
     AnswerOwn(503, "this router is overloaded", kOverloadRetryAfter);
     return;
   }
-  const Route* route = configuration_->FindRoute(
-      meta_.host, PathOf(ToView(request_.target())));
+  const Route* route =
+      configuration_->FindRoute(meta_.host, PathOf(ToView(request_.target())));
   if (route == nullptr) {
     AnswerOwn(404, "no route", Duration(0));
     return;
@@ -177,9 +175,9 @@
 }
 
 void Exchange::Refuse(const Refusal& refusal) {
-  plane_.metrics.Count("corianderpost_refusals_total",
-                       "reason=\"" + std::string(ToString(refusal.reason)) +
-                           "\"");
+  plane_.metrics.Count(
+      "corianderpost_refusals_total",
+      "reason=\"" + std::string(ToString(refusal.reason)) + "\"");
   predicted_ = refusal.predicted;
   share_level_ = refusal.share_level;
   if (has_begun_) {
@@ -214,8 +212,8 @@
   if (last_event_id_ != meta_.last_event_id) {
     context.last_event_id = last_event_id_;
   }
-  upstream_ = plane_.pool.Acquire(assignment.address,
-                                  scheduled_.route->MayRepeat());
+  upstream_ =
+      plane_.pool.Acquire(assignment.address, scheduled_.route->MayRepeat());
   upstream_->Send(FormatForwardedHead(request_, plane_.dialect, context), body_,
                   request_.method() == http::verb::head, meta_.request_id,
                   plane_.dialect, this);
@@ -382,11 +380,11 @@
   plane_.scheduler.suspects().Clear(scheduled_.fingerprint);
   status_ = static_cast<int>(status);
   const bool is_head = request_.method() == http::verb::head;
-  caller_->Write(FormatAnswerHead(
-      *answer_head_,
-      is_head || status == 204 || status == 304 ? Framing::kNone
-                                                : Framing::kLength,
-      answer_body_.size(), CloseAfterAnswer()));
+  caller_->Write(FormatAnswerHead(*answer_head_,
+                                  is_head || status == 204 || status == 304
+                                      ? Framing::kNone
+                                      : Framing::kLength,
+                                  answer_body_.size(), CloseAfterAnswer()));
   if (!answer_body_.empty()) {
     caller_->Write(std::move(answer_body_));
   }
@@ -545,9 +543,9 @@
     return std::max(kMinGapStall, kGapFactor * route.gap_goal);
   }
   const bool is_plain = route.kind != RequestKind::kStreaming;
-  return std::max(is_plain ? kMinPlainStall : kMinStall,
-                  kStallFactor * (assignment_ ? assignment_->predicted
-                                              : Duration(0)));
+  return std::max(
+      is_plain ? kMinPlainStall : kMinStall,
+      kStallFactor * (assignment_ ? assignment_->predicted : Duration(0)));
 }
 
 void Exchange::Tick(TimePoint now) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -7,12 +7,12 @@
 #include <optional>
 #include <string>
 
-#include "corianderpost/internal/json_log.h"
-#include "corianderpost/internal/metrics.h"
 #include "dataplane/caller.h"
 #include "dataplane/event_splitter.h"
 #include "dataplane/upstream.h"
 #include "decisions/scheduler.h"
+#include "runtime/json_log.h"
+#include "runtime/metrics.h"
 
 namespace corianderpost {
 
--- /dev/null
+++ b/src/dataplane/exchange_test.cc
@@ -0,0 +1,404 @@
+#include "dataplane/exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+
+#include "platform/decode.h"
+#include "router/listener.h"
+
+namespace corianderpost {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// What a fake target does with one request.
+struct Script {
+  // Sent as it is once the request's head has arrived.
+  std::string answer;
+  // Closes the connection after the answer, with a reset if asked.
+  bool closes = false;
+  bool resets = false;
+};
+
+// A target that answers the n-th connection by the n-th script.
+class FakeTarget {
+ public:
+  FakeTarget(asio::io_context& loop, std::vector<Script> scripts)
+      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
+        scripts_(std::move(scripts)) {
+    Accept();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  std::vector<std::string> received;
+  int closed_by_router = 0;
+
+ private:
+  struct Session {
+    explicit Session(tcp::socket s) : socket(std::move(s)) {}
+    tcp::socket socket;
+    std::array<char, 65536> buffer{};
+    std::size_t index = 0;
+    bool has_answered = false;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code ec, tcp::socket s) {
+      if (ec) {
+        return;
+      }
+      auto session = std::make_shared<Session>(std::move(s));
+      session->index = received.size();
+      received.emplace_back();
+      Read(session);
+      Accept();
+    });
+  }
+  void Read(const std::shared_ptr<Session>& session) {
+    session->socket.async_read_some(
+        asio::buffer(session->buffer),
+        [this, session](boost::system::error_code ec, std::size_t n) {
+          if (ec) {
+            ++closed_by_router;
+            return;
+          }
+          received[session->index].append(session->buffer.data(), n);
+          if (!session->has_answered &&
+              received[session->index].find("\r\n\r\n") != std::string::npos) {
+            session->has_answered = true;
+            Answer(session);
+          }
+          Read(session);
+        });
+  }
+  void Answer(const std::shared_ptr<Session>& session) {
+    const Script& script =
+        scripts_[std::min(session->index, scripts_.size() - 1)];
+    boost::system::error_code ec;
+    asio::write(session->socket, asio::buffer(script.answer), ec);
+    if (script.resets) {
+      session->socket.set_option(tcp::socket::linger(true, 0), ec);
+      session->socket.close(ec);
+    } else if (script.closes) {
+      session->socket.shutdown(tcp::socket::shutdown_send, ec);
+    }
+  }
+  tcp::acceptor acceptor_;
+  std::vector<Script> scripts_;
+};
+
+std::string Sealed(const std::string& rest) {
+  return "HTTP/1.1 200 OK\r\nCorianderpost-Request-Id: r1\r\n"
+         "Corianderpost-Server-Seal: s\r\n" +
+         rest;
+}
+
+std::string Plain(const std::string& body) {
+  return Sealed("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body);
+}
+
+std::string StreamHead() {
+  return Sealed(
+      "Content-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string Event(int number) {
+  return FormatChunk("id: " + std::to_string(number) + "\ndata: x\n\n");
+}
+
+// A router's data plane between one caller and fake targets.
+class Fixture : public CallerHandler {
+ public:
+  explicit Fixture(std::vector<std::vector<Script>> targets)
+      : pool_(loop_, clock_),
+        scheduler_({"a", "west", {{"a", "west"}}, {1.0, seconds(10), 100}, 0}),
+        plane_{clock_, dialect_, scheduler_, pool_, metrics_, nullptr, {},
+               {},     false,    false,      false, false,    {},      {}},
+        listener_(loop_, "127.0.0.1:0", *this, clock_) {
+    ConfigurationParts parts;
+    for (const auto& [prefix, kind] :
+         {std::pair("/stream/", RequestKind::kStreaming),
+          std::pair("/once/", RequestKind::kNonIdempotent),
+          std::pair("/read/", RequestKind::kIdempotent)}) {
+      Route route;
+      route.name = prefix;
+      route.host = "h";
+      route.prefix = prefix;
+      route.kind = kind;
+      route.is_resumable = kind == RequestKind::kStreaming;
+      route.max_attempts = 3;
+      route.timeout = milliseconds(1500);
+      route.latency_goal = milliseconds(500);
+      route.split = {{"s", 1.0}};
+      parts.routes.push_back(route);
+    }
+    parts.services.push_back({"s", "/", 0, Duration(0), 0, std::nullopt});
+    plane_.configuration = Configuration::Create(parts);
+    scheduler_.SetConfiguration(plane_.configuration);
+    int number = 0;
+    for (std::vector<Script>& scripts : targets) {
+      targets_.push_back(
+          std::make_unique<FakeTarget>(loop_, std::move(scripts)));
+      TargetEntry entry;
+      entry.id = "t" + std::to_string(number++);
+      entry.service = "s";
+      entry.address = targets_.back()->address();
+      entry.zone = "a";
+      entry.slots = 8;
+      scheduler_.targets().TakeEntry(clock_.Now(), entry);
+    }
+  }
+
+  // Sends a request and returns all bytes until the answer is whole, the
+  // connection ends, or two seconds have passed.
+  std::string Call(const std::string& path, const std::string& method = "GET") {
+    tcp::socket socket(loop_);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::address_v4::loopback(), listener_.port()}, ec);
+    REQUIRE_FALSE(ec);
+    asio::write(socket, asio::buffer(method + " " + path +
+                                     " HTTP/1.1\r\nHost: h\r\n"
+                                     "Corianderpost-Request-Id: r1\r\n"
+                                     "Corianderpost-Deadline-Ms: 3000\r\n"
+                                     "Connection: close\r\n\r\n"));
+    std::string got;
+    bool has_ended = false;
+    std::array<char, 65536> buffer{};
+    const std::function<void()> read = [&] {
+      socket.async_read_some(
+          asio::buffer(buffer),
+          [&](boost::system::error_code read_ec, std::size_t n) {
+            if (read_ec) {
+              has_ended = true;
+              return;
+            }
+            got.append(buffer.data(), n);
+            read();
+          });
+    };
+    read();
+    const TimePoint until = clock_.Now() + seconds(2);
+    while (!has_ended && clock_.Now() < until) {
+      loop_.run_for(milliseconds(5));
+      loop_.restart();
+      Tick();
+    }
+    socket.close(ec);
+    loop_.run_for(milliseconds(20));
+    loop_.restart();
+    return got;
+  }
+
+  FakeTarget& target(std::size_t index) { return *targets_[index]; }
+  std::size_t Requests() const {
+    std::size_t count = 0;
+    for (const auto& it : targets_) {
+      count += it->received.size();
+    }
+    return count;
+  }
+
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 ReceivedRequest request) override {
+    exchanges_.push_back(
+        std::make_shared<Exchange>(plane_, caller, std::move(request)));
+    const std::shared_ptr<Exchange> exchange = exchanges_.back();
+    exchange->Start();
+  }
+  void OnCallerGone(CallerConnection& caller) override {
+    for (const auto& it : exchanges_) {
+      if (&it->caller() == &caller) {
+        it->HandleCallerGone();
+      }
+    }
+  }
+  void OnCallerDrained(CallerConnection& caller) override {
+    static_cast<void>(caller);
+  }
+  const CallerLimits& Limits() const override { return limits_; }
+  bool IsDraining() const override { return false; }
+  void OnBadRequest(int status, const std::string& reason) override {
+    static_cast<void>(status);
+    static_cast<void>(reason);
+  }
+
+ private:
+  void Tick() {
+    const std::vector<std::shared_ptr<Exchange>> exchanges = exchanges_;
+    for (const auto& it : exchanges) {
+      it->Tick(clock_.Now());
+    }
+    pool_.Tick();
+  }
+
+  asio::io_context loop_;
+  SystemClock clock_;
+  platform::PlatformDialect dialect_;
+  internal::Metrics metrics_;
+  UpstreamPool pool_;
+  Scheduler scheduler_;
+  DataPlane plane_;
+  CallerLimits limits_;
+  Listener listener_;
+  std::vector<std::unique_ptr<FakeTarget>> targets_;
+  std::vector<std::shared_ptr<Exchange>> exchanges_;
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("A whole answer reaches the caller unchanged") {
+  Fixture fixture({{{Plain("badge")}}});
+  const std::string got = fixture.Call("/read/1");
+  CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(Has(got, "Corianderpost-Server-Seal: s\r\n"));
+  CHECK(got.ends_with("\r\n\r\nbadge"));
+}
+
+TEST_CASE("An answer that is cut off does not reach the caller") {
+  const std::string cut = Sealed("Content-Length: 9\r\n\r\nbad");
+  Fixture fixture({{{cut, true}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.starts_with("HTTP/1.1 502 "));
+  CHECK_FALSE(Has(got, "Seal"));
+}
+
+TEST_CASE("A non-idempotent request is sent once when its answer is lost") {
+  Fixture fixture({{{"", false, true}}, {{"", false, true}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.starts_with("HTTP/1.1 502 "));
+  CHECK(fixture.Requests() == 1);
+}
+
+TEST_CASE("An idempotent request goes on at another target") {
+  Fixture fixture({{{"", false, true}}, {{"", false, true}}, {{Plain("ok")}}});
+  const std::string got = fixture.Call("/read/1");
+  CHECK(got.ends_with("ok"));
+}
+
+TEST_CASE("A rejection that promises not to have run is tried elsewhere") {
+  const std::string full =
+      "HTTP/1.1 503 Service Unavailable\r\nCorianderpost-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  Fixture fixture({{{full}}, {{full}}, {{Plain("ok")}}});
+  CHECK(fixture.Call("/once/1", "POST").ends_with("ok"));
+}
+
+TEST_CASE("A 503 that does not promise is not passed on as a promise") {
+  const std::string failed =
+      "HTTP/1.1 503 Service Unavailable\r\nCorianderpost-Server-Seal: s\r\n"
+      "Content-Length: 0\r\n\r\n";
+  Fixture fixture({{{failed}}, {{Plain("ok")}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK((got.starts_with("HTTP/1.1 502 ") || got.ends_with("ok")));
+  CHECK(fixture.Requests() == 1);
+}
+
+TEST_CASE("A success without the target's signature is no answer") {
+  Fixture fixture({{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}}});
+  CHECK(fixture.Call("/once/1", "POST").starts_with("HTTP/1.1 502 "));
+}
+
+TEST_CASE("A late answer to another request is skipped") {
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nCorianderpost-Request-Id: other\r\n"
+      "Corianderpost-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+  Fixture fixture({{{late + Plain("right")}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.ends_with("right"));
+  CHECK_FALSE(Has(got, "wrong"));
+}
+
+TEST_CASE("Bytes after an answer reach nobody") {
+  Fixture fixture({{{Plain("right") + Plain("extra")}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.ends_with("right"));
+}
+
+TEST_CASE("A target's failure is passed on with its signature") {
+  Fixture fixture(
+      {{{"HTTP/1.1 500 Oops\r\nCorianderpost-Request-Id: r1\r\n"
+         "Corianderpost-Server-Seal: s\r\n"
+         "Content-Length: 1\r\n\r\nx"}}});
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.starts_with("HTTP/1.1 500 "));
+  CHECK(Has(got, "Corianderpost-Server-Seal: s\r\n"));
+}
+
+TEST_CASE("A stream is passed on event by event to its end") {
+  Fixture fixture(
+      {{{StreamHead() + Event(1) + Event(2) + std::string(kLastChunk)}}});
+  const std::string got = fixture.Call("/stream/1", "POST");
+  CHECK(Has(got, Event(1) + Event(2)));
+  CHECK(got.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("A stream that breaks is resumed without gap or repeat") {
+  const Script broken{
+      StreamHead() + Event(1) + Event(2) + "1f\r\nid: 3\ndata: torn", true,
+      false};
+  const Script rest{StreamHead() + Event(3) + std::string(kLastChunk)};
+  Fixture fixture({{broken, rest}, {rest, rest}});
+  // The first request may land at the target that only knows the rest.
+  const std::string got = fixture.Call("/stream/1", "POST");
+  if (Has(got, Event(1))) {
+    CHECK(Has(got, Event(1) + Event(2) + Event(3) + "0\r\n\r\n"));
+    CHECK_FALSE(Has(got, "torn"));
+    std::string resumed;
+    for (std::size_t i = 0; i < 2; ++i) {
+      for (const std::string& it : fixture.target(i).received) {
+        resumed += Has(it, "Last-Event-Id: 2\r\n") ? it : "";
+      }
+    }
+    CHECK_FALSE(resumed.empty());
+  }
+}
+
+TEST_CASE("A stream resumed with a gap is never passed on as whole") {
+  const Script broken{StreamHead() + Event(1) + Event(2), true, false};
+  const Script gap{StreamHead() + Event(4) + std::string(kLastChunk)};
+  Fixture fixture({{broken}, {gap}});
+  const std::string got = fixture.Call("/stream/1", "POST");
+  CHECK_FALSE((Has(got, Event(1)) && Has(got, Event(4))));
+  if (Has(got, Event(1))) {
+    CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("A request is answered at its route's timeout") {
+  Fixture fixture({{{""}}});
+  CHECK(fixture.Call("/once/1", "POST").starts_with("HTTP/1.1 504 "));
+}
+
+TEST_CASE("A request without a route or a target is refused truly") {
+  Fixture fixture({});
+  CHECK(fixture.Call("/nowhere/1").starts_with("HTTP/1.1 404 "));
+  const std::string got = fixture.Call("/once/1", "POST");
+  CHECK(got.starts_with("HTTP/1.1 503 "));
+  CHECK(Has(got, "Retry-After: "));
+}
+
+TEST_CASE("A request with two lengths is refused and not passed on") {
+  Fixture fixture({{{Plain("ok")}}});
+  const std::string got = fixture.Call(
+      "/once/1 HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 5\r\nX: 1\r\n"
+      "Y:",
+      "POST");
+  CHECK(got.starts_with("HTTP/1.1 400 "));
+  CHECK(fixture.Requests() == 0);
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -20,10 +20,10 @@
   void Start(std::shared_ptr<UpstreamConnection> connection,
              const std::string& target, const Dialect& dialect) {
     connection_ = std::move(connection);
-    connection_->Send("GET " + target + " HTTP/1.1\r\nHost: " +
-                          connection_->address() + "\r\n\r\n",
-                      std::make_shared<const std::string>(), false, "", dialect,
-                      this);
+    connection_->Send(
+        "GET " + target + " HTTP/1.1\r\nHost: " + connection_->address() +
+            "\r\n\r\n",
+        std::make_shared<const std::string>(), false, "", dialect, this);
   }
   // Returns true once the result was given.
   bool Check(TimePoint now) {
--- a/src/dataplane/http_text.cc
+++ b/src/dataplane/http_text.cc
@@ -13,11 +13,17 @@
 
 // Headers of one connection, RFC 9110 section 7.6.1, and Expect, which the
 // router answers itself.
-constexpr std::string_view kHopByHop[] = {
-    "connection",        "keep-alive", "te",
-    "trailer",           "upgrade",    "proxy-connection",
-    "transfer-encoding", "expect",     "proxy-authorization",
-    "content-length",    "proxy-authenticate"};
+constexpr std::string_view kHopByHop[] = {"connection",
+                                          "keep-alive",
+                                          "te",
+                                          "trailer",
+                                          "upgrade",
+                                          "proxy-connection",
+                                          "transfer-encoding",
+                                          "expect",
+                                          "proxy-authorization",
+                                          "content-length",
+                                          "proxy-authenticate"};
 
 bool IsHopByHop(std::string_view name,
                 const std::vector<std::string>& connection) {
@@ -154,8 +160,9 @@
         std::chrono::duration<double>(answer.retry_after).count();
     const auto end = std::to_chars(buf, buf + sizeof(buf), seconds,
                                    std::chars_format::fixed, 3);
-    AppendHeader(out, "Retry-After",
-                 std::string_view(buf, static_cast<std::size_t>(end.ptr - buf)));
+    AppendHeader(
+        out, "Retry-After",
+        std::string_view(buf, static_cast<std::size_t>(end.ptr - buf)));
   }
   if (closes) {
     out.append("Connection: close\r\n");
--- /dev/null
+++ b/src/dataplane/http_text_test.cc
@@ -0,0 +1,109 @@
+#include "dataplane/http_text.h"
+
+#include <doctest/doctest.h>
+
+#include "platform/decode.h"
+
+namespace corianderpost {
+namespace {
+
+namespace http = boost::beast::http;
+
+HttpRequest Request() {
+  HttpRequest request(http::verb::post, "/a/b?q=1", 11);
+  request.set(http::field::host, "desk.example");
+  request.set("X-Own", "kept");
+  request.body() = "hello";
+  request.set(http::field::content_length, "5");
+  return request;
+}
+
+ForwardedContext Context() {
+  ForwardedContext context;
+  context.remaining = std::chrono::milliseconds(1234);
+  context.target_id = "i-1";
+  context.customer = "club";
+  return context;
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("A forwarded head keeps method, target and the caller's headers") {
+  const std::string head =
+      FormatForwardedHead(Request(), platform::PlatformDialect(), Context());
+  CHECK(head.starts_with("POST /a/b?q=1 HTTP/1.1\r\n"));
+  CHECK(Has(head, "Host: desk.example\r\n"));
+  CHECK(Has(head, "X-Own: kept\r\n"));
+  CHECK(Has(head, "Content-Length: 5\r\n"));
+  CHECK(head.ends_with("\r\n\r\n"));
+}
+
+TEST_CASE("A forwarded head drops headers of one connection") {
+  HttpRequest request = Request();
+  request.set(http::field::connection, "close, X-Own");
+  request.set("Keep-Alive", "timeout=5");
+  request.set("TE", "trailers");
+  const std::string head =
+      FormatForwardedHead(request, platform::PlatformDialect(), Context());
+  CHECK_FALSE(Has(head, "X-Own"));
+  CHECK_FALSE(Has(head, "Keep-Alive"));
+  CHECK_FALSE(Has(head, "TE:"));
+  CHECK_FALSE(Has(head, "Connection"));
+}
+
+TEST_CASE("A Connection header can't remove the host") {
+  HttpRequest request = Request();
+  request.set(http::field::connection, "host");
+  CHECK(
+      Has(FormatForwardedHead(request, platform::PlatformDialect(), Context()),
+          "Host: desk.example\r\n"));
+}
+
+TEST_CASE("A forwarded head replaces what only the router may set") {
+  HttpRequest request = Request();
+  request.set("Corianderpost-Tenant", "somebody-else");
+  request.set("Corianderpost-Pin-Ms", "900");
+  request.set("Kv-From", "10.0.0.1:1/x");
+  request.set("Authorization", "Bearer secret");
+  const std::string head =
+      FormatForwardedHead(request, platform::PlatformDialect(), Context());
+  CHECK_FALSE(Has(head, "somebody-else"));
+  CHECK_FALSE(Has(head, "secret"));
+  CHECK_FALSE(Has(head, "Pin-Ms"));
+  CHECK_FALSE(Has(head, "Kv-From"));
+  CHECK(Has(head, "Corianderpost-Tenant: club\r\n"));
+  CHECK(Has(head, "Corianderpost-Deadline-Ms: 1234\r\n"));
+  CHECK(Has(head, "Corianderpost-Expect-Instance: i-1\r\n"));
+}
+
+TEST_CASE("A resumed stream names the last event that was passed on") {
+  HttpRequest request = Request();
+  request.set("Last-Event-Id", "3");
+  ForwardedContext context = Context();
+  context.last_event_id = "9";
+  const std::string head =
+      FormatForwardedHead(request, platform::PlatformDialect(), context);
+  CHECK(Has(head, "Last-Event-Id: 9\r\n"));
+  CHECK_FALSE(Has(head, "Last-Event-Id: 3"));
+}
+
+TEST_CASE("An own answer tells when to come back") {
+  OwnAnswer answer;
+  answer.reason = "overloaded";
+  answer.retry_after = std::chrono::milliseconds(250);
+  const std::string text = FormatOwnAnswer(answer, true, false);
+  CHECK(text.starts_with("HTTP/1.1 503 Service Unavailable\r\n"));
+  CHECK(Has(text, "Retry-After: 0.250\r\n"));
+  CHECK(Has(text, "Connection: close\r\n"));
+  CHECK(text.ends_with("{\"error\":\"overloaded\"}"));
+}
+
+TEST_CASE("A chunk tells its size in hexadecimal") {
+  CHECK(FormatChunk(std::string(17, 'x')) ==
+        "11\r\n" + std::string(17, 'x') + "\r\n");
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -51,8 +51,7 @@
   const std::string_view digits = address.substr(colon + 1);
   const auto [end, parse_ec] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (ec || parse_ec != std::errc() ||
-      end != digits.data() + digits.size()) {
+  if (ec || parse_ec != std::errc() || end != digits.data() + digits.size()) {
     return std::nullopt;
   }
   return asio::ip::tcp::endpoint(ip, port);
@@ -151,26 +150,26 @@
   listener_->OnSent();
   const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_),
                                                   asio::buffer(*body_)};
-  asio::async_write(
-      socket_, buffers,
-      [self = shared_from_this(), body = body_](boost::system::error_code ec,
-                                                std::size_t n) {
-        if (self->listener_ == nullptr && self->is_write_done_) {
-          return;
-        }
-        self->is_write_done_ = true;
-        if (ec && self->listener_ != nullptr) {
-          if (n == 0) {
-            self->Fail(UpstreamFailure::kNotSent);
-          } else {
-            // The target may have answered before it reset the connection.
-            self->ReadAvailable();
-            if (self->listener_ != nullptr) {
-              self->Fail(UpstreamFailure::kBroken);
-            }
-          }
-        }
-      });
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this(), body = body_](
+                        boost::system::error_code ec, std::size_t n) {
+                      if (self->listener_ == nullptr && self->is_write_done_) {
+                        return;
+                      }
+                      self->is_write_done_ = true;
+                      if (ec && self->listener_ != nullptr) {
+                        if (n == 0) {
+                          self->Fail(UpstreamFailure::kNotSent);
+                        } else {
+                          // The target may have answered before it reset the
+                          // connection.
+                          self->ReadAvailable();
+                          if (self->listener_ != nullptr) {
+                            self->Fail(UpstreamFailure::kBroken);
+                          }
+                        }
+                      }
+                    });
 }
 
 void UpstreamConnection::AwaitRead() {
@@ -358,9 +357,9 @@
     idle.pop_back();
     const Duration age = now - connection->idle_since();
     const Duration limit =
-        may_repeat ? connection->keep_alive() - kKeepAliveMargin
-                   : std::min(connection->keep_alive() - kKeepAliveMargin,
-                              kFreshIdle);
+        may_repeat
+            ? connection->keep_alive() - kKeepAliveMargin
+            : std::min(connection->keep_alive() - kKeepAliveMargin, kFreshIdle);
     if (!connection->is_open()) {
       continue;
     }
@@ -375,8 +374,7 @@
     idle.push_back(std::move(connection));
     break;
   }
-  auto connection =
-      std::make_shared<UpstreamConnection>(loop_, *this, address);
+  auto connection = std::make_shared<UpstreamConnection>(loop_, *this, address);
   all_.push_back(connection);
   ++connects_;
   return connection;
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -2,8 +2,6 @@
 #ifndef CORIANDERPOST_DATAPLANE_UPSTREAM_H_
 #define CORIANDERPOST_DATAPLANE_UPSTREAM_H_
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -12,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "corianderpost/clock.h"
@@ -141,8 +140,7 @@
 
   boost::asio::io_context& loop_;
   const Clock& clock_;
-  std::map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>>
-      idle_;
+  std::map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
   std::vector<std::weak_ptr<UpstreamConnection>> all_;
   std::uint64_t connects_ = 0;
 };
--- /dev/null
+++ b/src/decisions/crash_suspects_test.cc
@@ -0,0 +1,46 @@
+#include "decisions/crash_suspects.h"
+
+#include <doctest/doctest.h>
+
+namespace corianderpost {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr RequestFingerprint kRequest = 7;
+const TimePoint kStart(seconds(100));
+
+TEST_CASE("CrashSuspects holds a request after three crashes") {
+  CrashSuspects suspects;
+  suspects.Blame(kStart, {kRequest, 1});
+  suspects.Blame(kStart, {kRequest, 2});
+  CHECK_FALSE(suspects.IsHeld(kStart, kRequest));
+  suspects.Blame(kStart, {kRequest, 3});
+  CHECK(suspects.IsHeld(kStart, kRequest));
+}
+
+TEST_CASE("CrashSuspects counts a crash once however often it is reported") {
+  CrashSuspects suspects;
+  CHECK(suspects.Blame(kStart, {kRequest, 1}));
+  CHECK_FALSE(suspects.Blame(kStart, {kRequest, 1}));
+  CHECK(suspects.CrashCount(kRequest) == 1);
+}
+
+TEST_CASE("CrashSuspects clears a request that a target completed") {
+  CrashSuspects suspects;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    suspects.Blame(kStart, {kRequest, crash});
+  }
+  suspects.Clear(kRequest);
+  CHECK_FALSE(suspects.IsHeld(kStart, kRequest));
+}
+
+TEST_CASE("CrashSuspects tells peers only of recent crashes") {
+  CrashSuspects suspects;
+  suspects.Blame(kStart, {kRequest, 1});
+  CHECK(suspects.Recent(kStart + seconds(1)).size() == 1);
+  CHECK(suspects.Recent(kStart + seconds(5)).empty());
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -52,8 +52,7 @@
   peer_demand_ = std::move(demand);
 }
 
-FairShare::Account& FairShare::AccountOf(TimePoint now,
-                                         CustomerId customer) {
+FairShare::Account& FairShare::AccountOf(TimePoint now, CustomerId customer) {
   const auto it = accounts_.find(customer);
   if (it != accounts_.end()) {
     return it->second;
@@ -64,8 +63,7 @@
       .first->second;
 }
 
-void FairShare::NoteAsked(TimePoint now, CustomerId customer,
-                          double units) {
+void FairShare::NoteAsked(TimePoint now, CustomerId customer, double units) {
   AccountOf(now, customer).asked.Add(now, units);
 }
 
@@ -100,6 +98,12 @@
   return level_;
 }
 
+bool FairShare::AsksWithinShare(TimePoint now, CustomerId customer) {
+  const double level = Level(now);
+  const auto it = total_.find(customer);
+  return it == total_.end() || it->second.asked <= level;
+}
+
 bool FairShare::MayUseSpare(TimePoint now, CustomerId customer) {
   Update(now);
   const auto own = total_.find(customer);
@@ -129,8 +133,7 @@
   return level * own / total;
 }
 
-void FairShare::Fill(TimePoint now, CustomerId customer,
-                     Account& account) {
+void FairShare::Fill(TimePoint now, CustomerId customer, Account& account) {
   const double rate = LocalRate(now, customer, account);
   const double elapsed =
       Seconds(std::max(Duration(0), now - account.filled_at));
@@ -152,16 +155,14 @@
          account.bucket >= 0;
 }
 
-void FairShare::Charge(TimePoint now, CustomerId customer,
-                       double units) {
+void FairShare::Charge(TimePoint now, CustomerId customer, double units) {
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
   account.bucket -= units;
   account.served.Add(now, units);
 }
 
-Duration FairShare::TimeUntilWithinShare(TimePoint now,
-                                         CustomerId customer) {
+Duration FairShare::TimeUntilWithinShare(TimePoint now, CustomerId customer) {
   Account& account = AccountOf(now, customer);
   Fill(now, customer, account);
   const double rate = LocalRate(now, customer, account);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -45,6 +45,8 @@
 
   // Returns whether the customer's bucket is not in debt. Takes nothing.
   bool IsWithinShare(TimePoint now, CustomerId customer);
+  // Returns whether the customer asks no more than its share, over all routers.
+  bool AsksWithinShare(TimePoint now, CustomerId customer);
   // Returns whether a customer beyond its share may use capacity that is left
   // over: no other customer that waits has been given much less.
   bool MayUseSpare(TimePoint now, CustomerId customer);
@@ -69,8 +71,7 @@
   };
   void Update(TimePoint now);
   Account& AccountOf(TimePoint now, CustomerId customer);
-  double LocalRate(TimePoint now, CustomerId customer,
-                   const Account& account);
+  double LocalRate(TimePoint now, CustomerId customer, const Account& account);
   void Fill(TimePoint now, CustomerId customer, Account& account);
 
   double capacity_ = 0;
--- /dev/null
+++ b/src/decisions/fair_share_test.cc
@@ -0,0 +1,111 @@
+#include "decisions/fair_share.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <random>
+
+namespace corianderpost {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart(std::chrono::seconds(100));
+const CustomerId kLarge = CustomerId::FromName("large");
+const CustomerId kOther = CustomerId::FromName("other");
+
+// Asks for `rate` units a second in requests of `units` for ten seconds and
+// takes what is within the share; returns the units a second admitted in the
+// second half.
+double AdmittedRate(FairShare& share, CustomerId customer, double rate,
+                    double units, std::uint64_t seed) {
+  INFO("seed ", seed);
+  std::mt19937_64 random(seed);
+  std::exponential_distribution<double> gap(rate / units);
+  double admitted = 0;
+  for (double at = 0; at < 10; at += gap(random)) {
+    const TimePoint now = kStart + Duration(static_cast<int>(at * 1e6));
+    share.NoteAsked(now, customer, units);
+    if (share.IsWithinShare(now, customer)) {
+      share.Charge(now, customer, units);
+      admitted += at >= 5 ? units : 0;
+    }
+  }
+  return admitted / 5;
+}
+
+TEST_CASE("MaxMinLevel fills the capacity") {
+  CHECK(MaxMinLevel({10, 100, 100}, 110) == doctest::Approx(50));
+  CHECK(MaxMinLevel({10, 20, 100}, 60) == doctest::Approx(30));
+}
+
+TEST_CASE("MaxMinLevel is infinite if all demands fit") {
+  CHECK(std::isinf(MaxMinLevel({10, 20}, 30)));
+  CHECK(std::isinf(MaxMinLevel({}, 30)));
+}
+
+TEST_CASE("FairShare leaves customers alone while the capacity is unknown") {
+  FairShare share;
+  share.NoteAsked(kStart, kLarge, 1e9);
+  share.Charge(kStart, kLarge, 1e9);
+  CHECK(share.IsWithinShare(kStart, kLarge));
+}
+
+TEST_CASE("FairShare admits a flooding customer at the level") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand({{kOther, {200'000, 50'000}}});
+  const double admitted = AdmittedRate(share, kLarge, 400'000, 1000, 1);
+  CHECK(admitted > 42'000);
+  CHECK(admitted < 58'000);
+}
+
+TEST_CASE("FairShare gives a router its part of a customer's demand") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  // The customer's callers ask three times as much at other routers.
+  share.SetPeerDemand({{kLarge, {600'000, 0}}, {kOther, {200'000, 50'000}}});
+  const double admitted = AdmittedRate(share, kLarge, 200'000, 1000, 2);
+  CHECK(admitted > 9'000);
+  CHECK(admitted < 17'000);
+}
+
+TEST_CASE("FairShare admits a small customer whole beside a flood") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand({{kOther, {900'000, 80'000}}});
+  const double admitted = AdmittedRate(share, kLarge, 20'000, 500, 3);
+  CHECK(admitted > 18'000);
+}
+
+TEST_CASE("FairShare takes targets for as fast as they serve") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand({{kOther, {900'000, 300'000}}});
+  share.NoteAsked(kStart, kLarge, 1e9);
+  CHECK(share.Level(kStart) > 140'000);
+}
+
+// Seed 738070823539 of the consortium's scale-1: a large customer took the
+// spare capacity of one region and got over twice what another got.
+TEST_CASE("FairShare keeps spare capacity from who is far ahead") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand({{kOther, {300'000, 20'000}}});
+  share.NoteAsked(kStart, kLarge, 600'000);
+  CHECK(share.MayUseSpare(kStart, kLarge));
+  share.Charge(kStart, kLarge, 60'000);
+  CHECK_FALSE(share.MayUseSpare(kStart + milliseconds(200), kLarge));
+}
+
+TEST_CASE("FairShare gives spare capacity to who waits alone") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand({{kOther, {1'000, 1'000}}});
+  share.NoteAsked(kStart, kLarge, 600'000);
+  share.Charge(kStart, kLarge, 300'000);
+  CHECK(share.MayUseSpare(kStart + milliseconds(200), kLarge));
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -20,9 +20,11 @@
 // An answer from another region takes longer by about this.
 constexpr double kCrossRegionSeconds = 0.060;
 // Part of the latency goal that a prediction may fill; the rest covers what
-// the prediction misses.
-constexpr double kGoalPart = 0.80;
-// The same for customers beyond their share.
+// the prediction misses. Customers that ask more than their share, and those
+// that have used it up, leave room, so that no small customer waits behind a
+// large one.
+constexpr double kGoalPart = 0.85;
+constexpr double kLargeCustomerPart = 0.65;
 constexpr double kOverSharePart = 0.40;
 // Goal for routes that state none.
 constexpr double kDefaultGoalSeconds = 1.0;
@@ -61,8 +63,8 @@
 }
 
 Duration FromSeconds(double seconds) {
-  return Duration(static_cast<std::int64_t>(
-      std::min(std::max(seconds, 0.0), 1e6) * 1e6));
+  return Duration(
+      static_cast<std::int64_t>(std::min(std::max(seconds, 0.0), 1e6) * 1e6));
 }
 
 std::uint64_t Combine(std::uint64_t chain, std::uint64_t part) {
@@ -124,10 +126,9 @@
 }
 
 double Scheduler::UnitsOf(const ScheduledRequest& request) {
-  const double own =
-      request.prompt.empty()
-          ? static_cast<double>(request.prompt_tokens)
-          : static_cast<double>(request.prompt.back().tokens);
+  const double own = request.prompt.empty()
+                         ? static_cast<double>(request.prompt_tokens)
+                         : static_cast<double>(request.prompt.back().tokens);
   return own + 2.0 * static_cast<double>(request.max_output_tokens);
 }
 
@@ -219,10 +220,9 @@
       shared += static_cast<double>(request.prompt[i].tokens);
     }
   }
-  const double own =
-      request.prompt.empty()
-          ? static_cast<double>(request.prompt_tokens)
-          : static_cast<double>(request.prompt.back().tokens);
+  const double own = request.prompt.empty()
+                         ? static_cast<double>(request.prompt_tokens)
+                         : static_cast<double>(request.prompt.back().tokens);
   const double token_seconds = TokenSeconds(request.service);
   candidate.uncached_tokens = own + shared;
   candidate.memory_tokens =
@@ -253,9 +253,8 @@
 bool Scheduler::LinkAllows(TimePoint now, std::size_t bytes) {
   const double rate = kLinkPart * surroundings_.region_link_bytes /
                       std::max(1, region_routers_);
-  link_bytes_ =
-      std::min(rate * kLinkBurstSeconds,
-               link_bytes_ + rate * Seconds(now - link_filled_at_));
+  link_bytes_ = std::min(rate * kLinkBurstSeconds,
+                         link_bytes_ + rate * Seconds(now - link_filled_at_));
   link_filled_at_ = now;
   return link_bytes_ >= kLinkReserve * static_cast<double>(bytes);
 }
@@ -271,15 +270,13 @@
   const std::uint64_t turn =
       XXH64(target.entry.id.data(), target.entry.id.size(), 0) %
       static_cast<std::uint64_t>(routers_);
-  const int offset =
-      (position_ - static_cast<int>(turn) + routers_) % routers_;
+  const int offset = (position_ - static_cast<int>(turn) + routers_) % routers_;
   if (offset >= senders) {
     return false;
   }
   const double rate = kColdPart * service->cold_per_second / senders;
-  target.cold_tokens =
-      std::min(1.0, target.cold_tokens +
-                        rate * Seconds(now - target.cold_filled_at));
+  target.cold_tokens = std::min(
+      1.0, target.cold_tokens + rate * Seconds(now - target.cold_filled_at));
   target.cold_filled_at = now;
   if (target.cold_tokens < 1.0) {
     return false;
@@ -290,8 +287,8 @@
 
 Decision Scheduler::Place(TimePoint now, const ScheduledRequest& request) {
   if (suspects_.IsHeld(now, request.fingerprint)) {
-    return Refusal{RefusalReason::kCrashesTargets, kMaxRetryAfter,
-                   Duration(0), 0};
+    return Refusal{RefusalReason::kCrashesTargets, kMaxRetryAfter, Duration(0),
+                   0};
   }
   const std::vector<TargetState*> usable = Usable(now, request);
   const ServiceProfile* service = configuration_->FindService(request.service);
@@ -330,21 +327,23 @@
     candidates.push_back(
         Assess(now, request, *it, it == home || it == far_home));
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.cost < b.cost;
-            });
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
   const double goal = request.route->latency_goal > Duration(0)
                           ? Seconds(request.route->latency_goal)
                           : kDefaultGoalSeconds;
   const bool is_within_share =
       !is_engine || request.customer == nullptr ||
       fair_share_.IsWithinShare(now, request.customer->id);
-  if (!is_within_share &&
-      !fair_share_.MayUseSpare(now, request.customer->id)) {
+  if (!is_within_share && !fair_share_.MayUseSpare(now, request.customer->id)) {
     return Refuse(now, request, RefusalReason::kOverShare, 0, 0);
   }
-  const double limit = goal * (is_within_share ? kGoalPart : kOverSharePart);
+  const bool is_large = is_engine && request.customer != nullptr &&
+                        !fair_share_.AsksWithinShare(now, request.customer->id);
+  const double limit = goal * (!is_within_share ? kOverSharePart
+                               : is_large       ? kLargeCustomerPart
+                                                : kGoalPart);
   double best = 0;
   double best_near = std::numeric_limits<double>::infinity();
   for (const Candidate& it : candidates) {
@@ -353,8 +352,7 @@
     }
   }
   const bool may_spill =
-      best_near > kSpillPart * limit &&
-      LinkAllows(now, request.body_bytes);
+      best_near > kSpillPart * limit && LinkAllows(now, request.body_bytes);
   for (const Candidate& it : candidates) {
     if (best == 0 || it.predicted_seconds < best) {
       best = it.predicted_seconds;
@@ -372,7 +370,8 @@
     if (!request.tried.empty() &&
         !retry_budgets_[request.service].TrySpend(
             now, surroundings_.retry_budget, routers_)) {
-      return Refusal{RefusalReason::kRetryBudget, kMinRetryAfter, Duration(0), 0};
+      return Refusal{RefusalReason::kRetryBudget, kMinRetryAfter, Duration(0),
+                     0};
     }
     return Reserve(now, request, it);
   }
@@ -380,10 +379,10 @@
     return Refusal{RefusalReason::kNoTarget, kNoTargetRetryAfter, Duration(0),
                    0};
   }
-  return Refuse(now, request,
-                is_within_share ? RefusalReason::kOverloaded
-                                : RefusalReason::kOverShare,
-                best, limit);
+  return Refuse(
+      now, request,
+      is_within_share ? RefusalReason::kOverloaded : RefusalReason::kOverShare,
+      best, limit);
 }
 
 Decision Scheduler::Refuse(TimePoint now, const ScheduledRequest& request,
@@ -394,8 +393,8 @@
     wait = std::max(wait, FromSeconds(best_seconds - limit_seconds));
   }
   if (reason == RefusalReason::kOverShare) {
-    wait = std::max(wait, fair_share_.TimeUntilWithinShare(
-                              now, request.customer->id));
+    wait = std::max(
+        wait, fair_share_.TimeUntilWithinShare(now, request.customer->id));
   }
   const double level = fair_share_.Level(now);
   return Refusal{
@@ -407,9 +406,8 @@
 void Scheduler::Keep(TimePoint now, const ScheduledRequest& request,
                      TargetState& target) {
   if (target.kept.size() > kMaxKeptParts) {
-    std::erase_if(target.kept, [now](const auto& it) {
-      return now - it.second > kKeptFor;
-    });
+    std::erase_if(target.kept,
+                  [now](const auto& it) { return now - it.second > kKeptFor; });
   }
   std::uint64_t chain = 0;
   for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
--- /dev/null
+++ b/src/decisions/scheduler_test.cc
@@ -0,0 +1,394 @@
+#include "decisions/scheduler.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace corianderpost {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart(seconds(100));
+
+ConfigurationParts Parts(double tokens_per_second) {
+  ConfigurationParts parts;
+  Route route;
+  route.name = "report";
+  route.host = "h";
+  route.prefix = "/";
+  route.kind = RequestKind::kStreaming;
+  route.is_resumable = true;
+  route.max_attempts = 2;
+  route.latency_goal = milliseconds(600);
+  route.timeout = seconds(4);
+  route.split = {{"assistant", 1.0}};
+  parts.routes = {route};
+  ServiceProfile service;
+  service.name = "assistant";
+  service.cold_start = seconds(3);
+  service.cold_per_second = 20;
+  service.engine = EngineProfile{128, 400'000};
+  parts.services = {service};
+  for (const char* name : {"small", "large", "other"}) {
+    CustomerProfile customer;
+    customer.id = CustomerId::FromName(name);
+    customer.name = name;
+    parts.customers.push_back(customer);
+  }
+  parts.has_customers = true;
+  parts.tokens_per_second = tokens_per_second;
+  return parts;
+}
+
+Surroundings InWest() {
+  Surroundings surroundings;
+  surroundings.zone = "a";
+  surroundings.region = "west";
+  surroundings.region_of_zone = {{"a", "west"}, {"b", "west"}, {"c", "east"}};
+  surroundings.retry_budget = {0.2, seconds(10), 50};
+  surroundings.region_link_bytes = 4e6;
+  return surroundings;
+}
+
+// A scheduler over targets "t0", "t1", ... in the given zones.
+class Fixture {
+ public:
+  explicit Fixture(const std::vector<std::string>& zones,
+                   double tokens_per_second = 0)
+      : configuration_(Configuration::Create(Parts(tokens_per_second))),
+        scheduler_(InWest()) {
+    scheduler_.SetConfiguration(configuration_);
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+      scheduler_.targets().TakeEntry(kStart, Entry(i, zones[i]));
+    }
+  }
+
+  static TargetEntry Entry(std::size_t number, const std::string& zone) {
+    TargetEntry entry;
+    entry.id = "t" + std::to_string(number);
+    entry.service = "assistant";
+    entry.address = "10.0.0." + std::to_string(number + 1) + ":80";
+    entry.zone = zone;
+    entry.slots = 128;
+    entry.incarnation = 1;
+    return entry;
+  }
+
+  ScheduledRequest Request(const std::string& customer, std::uint64_t subject,
+                           std::int64_t own_tokens) const {
+    ScheduledRequest request;
+    request.route = &configuration_->routes().front();
+    for (const CustomerProfile& it : configuration_->customers()) {
+      if (it.name == customer) {
+        request.customer = &it;
+      }
+    }
+    request.service = "assistant";
+    request.prompt = {
+        {1, 2000}, {subject, 4000}, {subject * 1000 + 7, own_tokens}};
+    request.prompt_tokens = 6000 + own_tokens;
+    request.max_output_tokens = 50;
+    request.body_bytes = 2000;
+    request.fingerprint = subject;
+    request.remaining = seconds(4);
+    return request;
+  }
+
+  Scheduler& scheduler() { return scheduler_; }
+
+ private:
+  std::shared_ptr<const Configuration> configuration_;
+  Scheduler scheduler_;
+};
+
+std::string TargetOf(const Decision& decision) {
+  const auto* assignment = std::get_if<Assignment>(&decision);
+  return assignment == nullptr ? "" : assignment->target_id;
+}
+
+TEST_CASE("Scheduler keeps a subject's prompts at one target") {
+  Fixture fixture({"a", "a", "b", "b"});
+  std::set<std::string> used;
+  for (int i = 0; i < 5; ++i) {
+    const Decision decision = fixture.scheduler().Place(
+        kStart + seconds(i), fixture.Request("small", 42, 100));
+    REQUIRE(std::holds_alternative<Assignment>(decision));
+    used.insert(TargetOf(decision));
+    fixture.scheduler().Finish(kStart + seconds(i),
+                               std::get<Assignment>(decision),
+                               AttemptOutcome::kCompleted);
+  }
+  CHECK(used.size() == 1);
+}
+
+TEST_CASE("Schedulers of a region choose the same home without an exchange") {
+  Fixture one({"a", "a", "b", "b"});
+  Fixture two({"a", "a", "b", "b"});
+  for (std::uint64_t subject = 1; subject < 20; ++subject) {
+    CHECK(TargetOf(one.scheduler().Place(kStart,
+                                         one.Request("small", subject, 10))) ==
+          TargetOf(two.scheduler().Place(kStart,
+                                         two.Request("small", subject, 10))));
+  }
+}
+
+TEST_CASE("Scheduler moves a hot subject on when its home is busy") {
+  Fixture fixture({"a", "a", "b"});
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) {
+    used.insert(TargetOf(
+        fixture.scheduler().Place(kStart, fixture.Request("small", 42, 3000))));
+  }
+  CHECK(used.size() > 1);
+}
+
+TEST_CASE("Scheduler counts what peers have in flight") {
+  Fixture fixture({"a", "b"});
+  const std::string home = TargetOf(
+      fixture.scheduler().Place(kStart, fixture.Request("small", 42, 10)));
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName(home), {60, 30'000, 200'000}}});
+  CHECK(TargetOf(fixture.scheduler().Place(
+            kStart, fixture.Request("small", 42, 10))) != home);
+}
+
+TEST_CASE("Scheduler refuses at once what would miss its goal everywhere") {
+  Fixture fixture({"a", "b"});
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName("t0"), {100, 40'000, 0}},
+       {TargetId::FromName("t1"), {100, 40'000, 0}}});
+  const Decision decision =
+      fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100));
+  REQUIRE(std::holds_alternative<Refusal>(decision));
+  const Refusal& refusal = std::get<Refusal>(decision);
+  CHECK(refusal.reason == RefusalReason::kOverloaded);
+  CHECK(refusal.retry_after > Duration(0));
+  CHECK(refusal.predicted > milliseconds(600));
+}
+
+TEST_CASE("Scheduler sends no more to a cold target than it bears") {
+  Fixture fixture({});
+  TargetEntry cold = Fixture::Entry(0, "a");
+  cold.cold_remaining = seconds(30);
+  fixture.scheduler().targets().TakeEntry(kStart, cold);
+  constexpr int kRouters = 4;
+  int sent = 0;
+  for (int router = 0; router < kRouters; ++router) {
+    fixture.scheduler().SetFleet(kRouters, router);
+    fixture.scheduler().targets().Find("t0")->cold_tokens = 1.0;
+    fixture.scheduler().targets().Find("t0")->cold_filled_at = kStart;
+    for (int i = 0; i < 1000; ++i) {
+      const TimePoint now = kStart + milliseconds(i);
+      const Decision decision =
+          fixture.scheduler().Place(now, fixture.Request("small", 42, 10));
+      if (const auto* assignment = std::get_if<Assignment>(&decision)) {
+        ++sent;
+        fixture.scheduler().Finish(now, *assignment,
+                                   AttemptOutcome::kCompleted);
+      }
+    }
+  }
+  CHECK(sent > 0);
+  CHECK(sent <= 20 * 1.5 + 5);
+}
+
+TEST_CASE("Only some routers of a large fleet send to a cold target") {
+  Fixture fixture({});
+  TargetEntry cold = Fixture::Entry(0, "a");
+  cold.cold_remaining = seconds(30);
+  fixture.scheduler().targets().TakeEntry(kStart, cold);
+  int senders = 0;
+  for (int router = 0; router < 91; ++router) {
+    fixture.scheduler().SetFleet(91, router);
+    fixture.scheduler().targets().Find("t0")->cold_tokens = 1.0;
+    senders += std::holds_alternative<Assignment>(fixture.scheduler().Place(
+                   kStart, fixture.Request("small", 42, 10)))
+                   ? 1
+                   : 0;
+  }
+  CHECK(senders <= 20);
+  CHECK(senders > 0);
+}
+
+TEST_CASE("Scheduler stays in its region while that has room") {
+  Fixture fixture({"a", "c", "c", "c"});
+  for (std::uint64_t subject = 1; subject < 5; ++subject) {
+    CHECK(TargetOf(fixture.scheduler().Place(
+              kStart, fixture.Request("small", subject, 10))) == "t0");
+  }
+}
+
+// Seed 738070823539 of the consortium's scale-1: one region was full while the
+// other had room.
+TEST_CASE("Scheduler uses the other region when its own is full") {
+  Fixture fixture({"a", "c"});
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+  ScheduledRequest request = fixture.Request("small", 42, 100);
+  request.body_bytes = 18'000;
+  CHECK(TargetOf(fixture.scheduler().Place(kStart, request)) == "t1");
+}
+
+TEST_CASE("Scheduler keeps to its part of the link between regions") {
+  Fixture fixture({"a", "c", "c", "c"});
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+  double bytes = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    const TimePoint now = kStart + Duration(i * 100);
+    ScheduledRequest request =
+        fixture.Request("small", static_cast<std::uint64_t>(i), 1);
+    request.prompt.clear();
+    request.prompt_tokens = 1;
+    request.body_bytes = 18'000;
+    const Decision decision = fixture.scheduler().Place(now, request);
+    if (const auto* assignment = std::get_if<Assignment>(&decision)) {
+      bytes += assignment->target_id == "t0" ? 0 : 18'000;
+      fixture.scheduler().Finish(now, *assignment, AttemptOutcome::kCompleted);
+    }
+  }
+  CHECK(bytes > 1e6);
+  CHECK(bytes <= 4e6);
+}
+
+TEST_CASE("Scheduler serves only in allowed regions") {
+  Fixture fixture({"a", "c"});
+  ScheduledRequest request = fixture.Request("small", 42, 10);
+  CustomerProfile customer = *request.customer;
+  customer.allowed_regions = {"east"};
+  request.customer = &customer;
+  CHECK(TargetOf(fixture.scheduler().Place(kStart, request)) == "t1");
+  customer.allowed_regions = {"north"};
+  const Decision decision = fixture.scheduler().Place(kStart, request);
+  REQUIRE(std::holds_alternative<Refusal>(decision));
+  CHECK(std::get<Refusal>(decision).reason == RefusalReason::kNoTarget);
+}
+
+TEST_CASE("Scheduler does not try a target twice for one attempt") {
+  Fixture fixture({"a", "b"});
+  ScheduledRequest request = fixture.Request("small", 42, 10);
+  request.tried = {"t0"};
+  fixture.scheduler().NoteRequest(kStart, request);
+  CHECK(TargetOf(fixture.scheduler().Place(kStart, request)) == "t1");
+}
+
+TEST_CASE("Scheduler refuses a request that crashed three targets") {
+  Fixture fixture({"a", "b"});
+  const ScheduledRequest request = fixture.Request("small", 42, 10);
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    fixture.scheduler().suspects().Blame(kStart, {request.fingerprint, crash});
+  }
+  const Decision decision = fixture.scheduler().Place(kStart, request);
+  REQUIRE(std::holds_alternative<Refusal>(decision));
+  CHECK(std::get<Refusal>(decision).reason == RefusalReason::kCrashesTargets);
+}
+
+// Plays an open load against engines that read prompts one after the other,
+// and tells what callers got.
+struct Played {
+  int asked = 0;
+  int on_time = 0;
+  int late = 0;
+  int refused = 0;
+  std::map<std::string, int> served_of;
+  std::map<std::string, int> asked_of;
+};
+
+struct Source {
+  std::string customer;
+  double per_second = 0;
+};
+
+Played Play(const std::vector<Source>& sources, int engines, double seconds,
+            std::uint64_t seed) {
+  INFO("seed ", seed);
+  // An engine reads 60 tokens a millisecond; the stated figure is lower.
+  constexpr double kEngineTokenSeconds = 1.0 / 60'000;
+  Fixture fixture(
+      std::vector<std::string>(static_cast<std::size_t>(engines), "a"),
+      50'000.0 * engines);
+  Scheduler& scheduler = fixture.scheduler();
+  std::mt19937_64 random(seed);
+  struct Event {
+    double at = 0;
+    // Index of a source that asks, or -1 for the end of an assignment.
+    int source = -1;
+    Assignment assignment;
+    bool operator>(const Event& other) const { return at > other.at; }
+  };
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+  std::vector<double> free_at(static_cast<std::size_t>(engines), 0.0);
+  std::map<std::string, std::set<std::uint64_t>> kept;
+  Played played;
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    events.push({0.001 * static_cast<double>(i), static_cast<int>(i), {}});
+  }
+  while (!events.empty()) {
+    Event event = events.top();
+    events.pop();
+    const TimePoint now =
+        kStart + Duration(static_cast<std::int64_t>(event.at * 1e6));
+    if (event.source < 0) {
+      scheduler.NoteFirstEvent(now, event.assignment);
+      scheduler.Finish(now, event.assignment, AttemptOutcome::kCompleted);
+      continue;
+    }
+    if (event.at > seconds) {
+      continue;
+    }
+    const Source& source = sources[static_cast<std::size_t>(event.source)];
+    std::exponential_distribution<double> gap(source.per_second);
+    events.push({event.at + gap(random), event.source, {}});
+    const std::uint64_t subject = 1 + random() % 30;
+    const ScheduledRequest request =
+        fixture.Request(source.customer, subject, 2000);
+    scheduler.NoteRequest(now, request);
+    ++played.asked;
+    ++played.asked_of[source.customer];
+    const Decision decision = scheduler.Place(now, request);
+    const auto* assignment = std::get_if<Assignment>(&decision);
+    if (assignment == nullptr) {
+      ++played.refused;
+      continue;
+    }
+    const auto engine =
+        static_cast<std::size_t>(std::stoi(assignment->target_id.substr(1)));
+    const double tokens =
+        kept[assignment->target_id].insert(subject).second ? 6000 : 2000;
+    free_at[engine] =
+        std::max(free_at[engine], event.at) + tokens * kEngineTokenSeconds;
+    const double first_event = free_at[engine] - event.at;
+    (first_event <= 0.6 ? played.on_time : played.late) += 1;
+    ++played.served_of[source.customer];
+    events.push({free_at[engine], -1, *assignment});
+  }
+  return played;
+}
+
+TEST_CASE("At half load all callers are served on time") {
+  const Played played = Play({{"small", 30}}, 4, 20, 1);
+  CHECK(played.refused == 0);
+  CHECK(played.on_time >= 0.99 * played.asked);
+}
+
+TEST_CASE("Under twice the load what is admitted is on time") {
+  const Played played = Play({{"small", 120}, {"large", 120}}, 4, 20, 2);
+  CHECK(played.late <= 0.05 * (played.on_time + played.late));
+  // The engines read 120 such prompts a second.
+  CHECK(played.on_time >= 0.75 * 120 * 20);
+}
+
+TEST_CASE("A flood does not take a small customer's share") {
+  const Played played =
+      Play({{"small", 15}, {"large", 400}, {"other", 60}}, 4, 20, 3);
+  CHECK(played.served_of.at("small") >= 0.9 * played.asked_of.at("small"));
+  CHECK(played.served_of.at("other") >= 0.4 * played.served_of.at("large"));
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -54,8 +54,8 @@
     target.ejection = Duration(0);
     target.is_on_trial = false;
   }
-  if (is_reborn || (target.is_unsure &&
-                    now - target.unsure_since >= kEntryAfterFailure)) {
+  if (is_reborn ||
+      (target.is_unsure && now - target.unsure_since >= kEntryAfterFailure)) {
     target.is_unsure = false;
   }
   return is_changed;
@@ -112,8 +112,8 @@
       if (target.is_on_trial && now >= target.ejected_until) {
         target.is_on_trial = false;
         target.ejection = Duration(0);
-        target.failure_share = std::min(target.failure_share,
-                                        kFailureShareLimit / 2);
+        target.failure_share =
+            std::min(target.failure_share, kFailureShareLimit / 2);
       }
       break;
     case AttemptOutcome::kServerError:
--- /dev/null
+++ b/src/decisions/target_table_test.cc
@@ -0,0 +1,123 @@
+#include "decisions/target_table.h"
+
+#include <doctest/doctest.h>
+
+namespace corianderpost {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart(seconds(100));
+
+TargetEntry Entry(const std::string& id) {
+  TargetEntry entry;
+  entry.id = id;
+  entry.service = "assistant";
+  entry.address = "10.0.0.1:80";
+  entry.zone = "a";
+  entry.slots = 8;
+  entry.incarnation = 1;
+  return entry;
+}
+
+TEST_CASE("TargetTable closes a draining target at once") {
+  TargetTable table;
+  TargetEntry entry = Entry("t");
+  table.TakeEntry(kStart, entry);
+  CHECK(table.IsOpen(kStart, *table.Find("t")));
+  entry.is_draining = true;
+  table.TakeEntry(kStart, entry);
+  CHECK_FALSE(table.IsOpen(kStart, *table.Find("t")));
+}
+
+TEST_CASE("TargetTable closes targets of a zone that is taken out") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  table.SetTakenOutZones({"a"});
+  CHECK_FALSE(table.IsOpen(kStart, *table.Find("t")));
+  table.SetTakenOutZones({});
+  CHECK(table.IsOpen(kStart, *table.Find("t")));
+}
+
+TEST_CASE("TargetTable keeps a target whose entry lapsed in an outage") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  table.TakeRemoval(kStart, "t", seconds(2));
+  CHECK(table.IsOpen(kStart + seconds(1), *table.Find("t")));
+  table.TakeEntry(kStart + seconds(1), Entry("t"));
+  table.Expire(kStart + seconds(3));
+  REQUIRE(table.Find("t") != nullptr);
+  CHECK(table.IsOpen(kStart + seconds(3), *table.Find("t")));
+}
+
+TEST_CASE("TargetTable drops a target that stays missing after an outage") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  table.TakeRemoval(kStart, "t", seconds(2));
+  CHECK_FALSE(table.IsOpen(kStart + seconds(2), *table.Find("t")));
+  table.Expire(kStart + seconds(2));
+  CHECK(table.Find("t") == nullptr);
+}
+
+TEST_CASE("TargetTable leaves a target that refuses connections") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  TargetState& target = *table.Find("t");
+  table.NoteOutcome(kStart, target, AttemptOutcome::kConnectFailed);
+  CHECK(target.ejected_until > kStart);
+  // It may have crashed and come back cold before the list says so.
+  CHECK(table.IsCold(kStart, target));
+}
+
+TEST_CASE("TargetTable takes a target for warm once a later entry says so") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  TargetState& target = *table.Find("t");
+  table.NoteOutcome(kStart, target, AttemptOutcome::kConnectFailed);
+  table.TakeEntry(kStart + milliseconds(500), Entry("t"));
+  CHECK(table.IsCold(kStart + milliseconds(500), target));
+  table.TakeEntry(kStart + milliseconds(1800), Entry("t"));
+  CHECK_FALSE(table.IsCold(kStart + milliseconds(1800), target));
+}
+
+TEST_CASE("TargetTable leaves a target that fails part of its requests") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  TargetState& target = *table.Find("t");
+  for (int i = 0; i < 20; ++i) {
+    table.NoteOutcome(
+        kStart, target,
+        i % 2 == 0 ? AttemptOutcome::kServerError : AttemptOutcome::kCompleted);
+  }
+  CHECK(target.ejected_until > kStart);
+}
+
+TEST_CASE("TargetTable forgives rare failures") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  TargetState& target = *table.Find("t");
+  TimePoint now = kStart;
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(50);
+    table.NoteOutcome(
+        now, target,
+        i % 20 == 0 ? AttemptOutcome::kBroken : AttemptOutcome::kCompleted);
+  }
+  CHECK(target.ejected_until <= now);
+}
+
+TEST_CASE("TargetTable forgets what a former life kept") {
+  TargetTable table;
+  table.TakeEntry(kStart, Entry("t"));
+  table.Find("t")->kept[1] = kStart;
+  TargetEntry reborn = Entry("t");
+  reborn.incarnation = 2;
+  reborn.cold_remaining = seconds(3);
+  CHECK(table.TakeEntry(kStart, reborn));
+  CHECK(table.Find("t")->kept.empty());
+  CHECK(table.IsCold(kStart, *table.Find("t")));
+}
+
+}  // namespace
+}  // namespace corianderpost
--- /dev/null
+++ b/src/model/configuration_test.cc
@@ -0,0 +1,63 @@
+#include "model/configuration.h"
+
+#include <doctest/doctest.h>
+
+namespace corianderpost {
+namespace {
+
+Route RouteOf(const std::string& name, const std::string& host,
+              const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  return route;
+}
+
+std::string Find(const Configuration& configuration, std::string_view host,
+                 std::string_view path) {
+  const Route* route = configuration.FindRoute(host, path);
+  return route == nullptr ? "" : route->name;
+}
+
+TEST_CASE("Configuration finds the route with the longest prefix") {
+  ConfigurationParts parts;
+  parts.routes = {RouteOf("short", "a.example", "/x/"),
+                  RouteOf("long", "a.example", "/x/y/"),
+                  RouteOf("elsewhere", "b.example", "/x/y/z/")};
+  const auto configuration = Configuration::Create(parts);
+  CHECK(Find(*configuration, "a.example", "/x/y/z/1") == "long");
+  CHECK(Find(*configuration, "a.example", "/x/1") == "short");
+  CHECK(Find(*configuration, "A.Example:8080", "/x/1") == "short");
+  CHECK(Find(*configuration, "a.example", "/x") == "");
+  CHECK(Find(*configuration, "c.example", "/x/") == "");
+}
+
+TEST_CASE("Configuration finds a customer by each of its keys") {
+  ConfigurationParts parts;
+  CustomerProfile club;
+  club.name = "club";
+  club.api_keys = {"one", "two"};
+  parts.customers = {club};
+  const auto configuration = Configuration::Create(parts);
+  REQUIRE(configuration->FindCustomerByKey("two") != nullptr);
+  CHECK(configuration->FindCustomerByKey("two")->name == "club");
+  CHECK(configuration->FindCustomerByKey("three") == nullptr);
+  CHECK(configuration->FindCustomerByKey("") == nullptr);
+}
+
+TEST_CASE("Only idempotent and resumable requests may run again") {
+  Route route;
+  route.kind = RequestKind::kIdempotent;
+  CHECK(route.MayRepeat());
+  route.kind = RequestKind::kNonIdempotent;
+  route.is_resumable = true;
+  CHECK_FALSE(route.MayRepeat());
+  route.kind = RequestKind::kStreaming;
+  CHECK(route.MayRepeat());
+  route.is_resumable = false;
+  CHECK_FALSE(route.MayRepeat());
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/bundle.cc
+++ b/src/operators/bundle.cc
@@ -1,4 +1,4 @@
-#include "corianderpost/bundle.h"
+#include "operators/bundle.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/include/corianderpost/bundle.h
+++ b/src/operators/bundle.h
@@ -3,8 +3,8 @@
 // A `Bundle` is what the collecting step writes and the users publish. A
 // `VmList` is what the platform says of live and leaving VMs. Both are
 // immutable once parsed and are shared as `std::shared_ptr<const ...>`.
-#ifndef CORIANDERPOST_BUNDLE_H_
-#define CORIANDERPOST_BUNDLE_H_
+#ifndef CORIANDERPOST_OPERATORS_BUNDLE_H_
+#define CORIANDERPOST_OPERATORS_BUNDLE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -165,4 +165,4 @@
 
 }  // namespace corianderpost
 
-#endif  // CORIANDERPOST_BUNDLE_H_
+#endif  // CORIANDERPOST_OPERATORS_BUNDLE_H_
--- a/src/collect_main.cc
+++ b/src/operators/collect_main.cc
@@ -3,8 +3,8 @@
 #include <iostream>
 #include <sstream>
 
-#include "corianderpost/internal/command_line.h"
-#include "corianderpost/operator_files.h"
+#include "operators/operator_files.h"
+#include "runtime/command_line.h"
 
 namespace {
 
--- a/src/operator_files.cc
+++ b/src/operators/operator_files.cc
@@ -1,4 +1,4 @@
-#include "corianderpost/operator_files.h"
+#include "operators/operator_files.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/include/corianderpost/operator_files.h
+++ b/src/operators/operator_files.h
@@ -3,14 +3,14 @@
 // Operators keep files named `*.corianderpost.yaml` beside each service's code.
 // Each holds any of the keys `zones`, `customers` and `service`. All files are
 // checked as a whole, so that a bundle is either complete or not written.
-#ifndef CORIANDERPOST_OPERATOR_FILES_H_
-#define CORIANDERPOST_OPERATOR_FILES_H_
+#ifndef CORIANDERPOST_OPERATORS_OPERATOR_FILES_H_
+#define CORIANDERPOST_OPERATORS_OPERATOR_FILES_H_
 
 #include <string>
 #include <vector>
 
-#include "corianderpost/bundle.h"
-#include "corianderpost/checked_yaml.h"
+#include "operators/bundle.h"
+#include "runtime/checked_yaml.h"
 
 namespace corianderpost {
 
@@ -28,4 +28,4 @@
 
 }  // namespace corianderpost
 
-#endif  // CORIANDERPOST_OPERATOR_FILES_H_
+#endif  // CORIANDERPOST_OPERATORS_OPERATOR_FILES_H_
--- a/src/operator_files_test.cc
+++ b/src/operators/operator_files_test.cc
@@ -1,4 +1,4 @@
-#include "corianderpost/operator_files.h"
+#include "operators/operator_files.h"
 
 #include <doctest/doctest.h>
 #include <unistd.h>
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -146,15 +146,15 @@
 }
 
 int PeerTable::FleetSize(TimePoint now) const {
-  return 1 + static_cast<int>(std::count_if(
-                 peers_.begin(), peers_.end(), [this, now](const auto& it) {
-                   return IsAlive(now, it.second);
-                 }));
+  return 1 + static_cast<int>(std::count_if(peers_.begin(), peers_.end(),
+                                            [this, now](const auto& it) {
+                                              return IsAlive(now, it.second);
+                                            }));
 }
 
 int PeerTable::OwnPosition(TimePoint now) const {
-  return static_cast<int>(std::count_if(
-      peers_.begin(), peers_.end(), [this, now](const auto& it) {
+  return static_cast<int>(
+      std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& it) {
         return IsAlive(now, it.second) && it.first < self_.vm;
       }));
 }
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -62,9 +62,9 @@
                             const PeerReport& own) const;
 
   // Control-plane facts of the live peer with the newest copy.
-  std::optional<std::string> NewerCopy(
-      TimePoint now, std::uint64_t PeerReport::*revision,
-      std::uint64_t own) const;
+  std::optional<std::string> NewerCopy(TimePoint now,
+                                       std::uint64_t PeerReport::*revision,
+                                       std::uint64_t own) const;
   // When some peer that has no newer copy than `own` last proved it current.
   TimePoint OperatorCopyProvenAt(TimePoint now, std::uint64_t own) const;
 
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -1,6 +1,6 @@
 #include "peers/store_reader.h"
 
-#include "corianderpost/internal/json_log.h"
+#include "runtime/json_log.h"
 
 namespace corianderpost {
 namespace {
@@ -53,9 +53,9 @@
     outage_until_ = now + kSettling;
     Log(LogLevel::kInfo, "store answers again",
         {{"prefix", options_.prefix},
-         {"away_ms", std::chrono::duration_cast<milliseconds>(
-                         now - advanced_at_)
-                         .count()}});
+         {"away_ms",
+          std::chrono::duration_cast<milliseconds>(now - advanced_at_)
+              .count()}});
   }
   advanced_at_ = now;
 }
@@ -165,48 +165,45 @@
 void StoreReader::AskPeer(const std::string& peer) {
   is_asking_peer_ = true;
   peer_next_at_ = clock_.Now() + kPeerInterval;
-  fetcher_.Get(
-      peer,
-      "/mirror?prefix=" + options_.prefix +
-          "&after=" + std::to_string(mirror_.is_filled() ? mirror_.revision()
-                                                         : 0),
-      kPeerTimeout, [this, peer](FetchResult result) {
-        is_asking_peer_ = false;
-        if (result.status != 200) {
-          return;
-        }
-        const auto batch = protocol_.DecodeBatch(result.body);
-        if (!batch.ok()) {
-          Log(LogLevel::kWarning, "peer's copy can't be read",
-              {{"peer", peer},
-               {"reason", std::string(batch.status().message())}});
-          return;
-        }
-        if (batch->store_revision <= mirror_.revision() ||
-            (!batch->is_complete && !mirror_.is_filled())) {
-          return;
-        }
-        NoteAdvance(clock_.Now());
-        const std::vector<StoreItem> changes =
-            batch->is_complete ? mirror_.Replace(*batch)
-                               : mirror_.Apply(*batch);
-        // The copy is filled, so a watch may follow it.
-        must_list_ = must_list_ && !mirror_.is_filled();
-        if (!changes.empty()) {
-          Log(LogLevel::kInfo, "copy taken from a peer",
-              {{"prefix", options_.prefix},
-               {"peer", peer},
-               {"revision", mirror_.revision()},
-               {"changes", changes.size()}});
-          listener_(changes, IsAfterOutage(clock_.Now()));
-        }
-      });
+  fetcher_.Get(peer,
+               "/mirror?prefix=" + options_.prefix + "&after=" +
+                   std::to_string(mirror_.is_filled() ? mirror_.revision() : 0),
+               kPeerTimeout, [this, peer](FetchResult result) {
+                 is_asking_peer_ = false;
+                 if (result.status != 200) {
+                   return;
+                 }
+                 const auto batch = protocol_.DecodeBatch(result.body);
+                 if (!batch.ok()) {
+                   Log(LogLevel::kWarning, "peer's copy can't be read",
+                       {{"peer", peer},
+                        {"reason", std::string(batch.status().message())}});
+                   return;
+                 }
+                 if (batch->store_revision <= mirror_.revision() ||
+                     (!batch->is_complete && !mirror_.is_filled())) {
+                   return;
+                 }
+                 NoteAdvance(clock_.Now());
+                 const std::vector<StoreItem> changes =
+                     batch->is_complete ? mirror_.Replace(*batch)
+                                        : mirror_.Apply(*batch);
+                 // The copy is filled, so a watch may follow it.
+                 must_list_ = must_list_ && !mirror_.is_filled();
+                 if (!changes.empty()) {
+                   Log(LogLevel::kInfo, "copy taken from a peer",
+                       {{"prefix", options_.prefix},
+                        {"peer", peer},
+                        {"revision", mirror_.revision()},
+                        {"changes", changes.size()}});
+                   listener_(changes, IsAfterOutage(clock_.Now()));
+                 }
+               });
 }
 
 void StoreReader::Tick(TimePoint now, const std::optional<std::string>& peer,
                        bool reads_store) {
-  if (!is_busy_ && now >= next_at_ &&
-      (reads_store || !mirror_.is_filled())) {
+  if (!is_busy_ && now >= next_at_ && (reads_store || !mirror_.is_filled())) {
     is_busy_ = true;
     if (must_list_) {
       listing_ = {};
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "corianderpost/internal/json_log.h"
 #include "dataplane/upstream.h"
+#include "runtime/json_log.h"
 
 namespace corianderpost {
 namespace {
@@ -63,9 +63,9 @@
     if (ec) {
       if (ec != asio::error::would_block &&
           ec != asio::error::connection_aborted) {
-        internal::Log(internal::LogLevel::kError, "accept failed",
-                      {{"reason", ec.message()},
-                       {"connections", connections_.size()}});
+        internal::Log(
+            internal::LogLevel::kError, "accept failed",
+            {{"reason", ec.message()}, {"connections", connections_.size()}});
         MakeRoom();
       }
       return;
@@ -73,8 +73,8 @@
     if (connections_.size() >= most_) {
       MakeRoom();
     }
-    auto connection = std::make_shared<CallerConnection>(std::move(socket),
-                                                         handler_, clock_);
+    auto connection =
+        std::make_shared<CallerConnection>(std::move(socket), handler_, clock_);
     connections_.push_back(connection);
     connection->Start();
   }
@@ -108,6 +108,10 @@
   });
 }
 
+std::uint16_t Listener::port() const {
+  return acceptor_.local_endpoint().port();
+}
+
 void Listener::CloseIdle() {
   for (const auto& it : connections_) {
     it->CloseIfIdle();
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -2,12 +2,11 @@
 #ifndef CORIANDERPOST_ROUTER_LISTENER_H_
 #define CORIANDERPOST_ROUTER_LISTENER_H_
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dataplane/caller.h"
@@ -28,6 +27,8 @@
   void Tick(TimePoint now);
   void CloseIdle();
   std::size_t size() const { return connections_.size(); }
+  // The port that is listened at; useful if the address left it open.
+  std::uint16_t port() const;
 
  private:
   void Await();
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,10 +1,10 @@
 // corianderpost-router: one router of the fleet.
 #include <iostream>
 
-#include "corianderpost/internal/command_line.h"
-#include "corianderpost/internal/json_log.h"
 #include "platform/platform_deployment.h"
 #include "router/router.h"
+#include "runtime/command_line.h"
+#include "runtime/json_log.h"
 
 namespace {
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -13,13 +13,13 @@
 #include <sstream>
 #include <unordered_map>
 
-#include "corianderpost/internal/json_log.h"
-#include "corianderpost/internal/metrics.h"
 #include "dataplane/exchange.h"
 #include "dataplane/fetch.h"
 #include "peers/peer_table.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
+#include "runtime/json_log.h"
+#include "runtime/metrics.h"
 
 namespace corianderpost {
 namespace {
@@ -230,8 +230,9 @@
   void SendToMesh(TimePoint now);
   void SendAsMember(TimePoint now);
   void SendAsRelay(TimePoint now);
-  std::optional<std::string> PeerWithNewer(
-      TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own);
+  std::optional<std::string> PeerWithNewer(TimePoint now,
+                                           std::uint64_t PeerReport::*revision,
+                                           std::uint64_t own);
   std::string ControlAddressOf(const std::string& vm) const;
 
   asio::io_context loop_{1};
@@ -289,8 +290,13 @@
       scheduler_(SurroundingsOf(settings)),
       pool_(loop_, clock_),
       fetcher_(pool_, deployment.dialect()),
-      plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_,
-             nullptr, {}, {}, false, false, false, false, {}, {}},
+      plane_{clock_,     deployment.dialect(),
+             scheduler_, pool_,
+             metrics_,   nullptr,
+             {},         {},
+             false,      false,
+             false,      false,
+             {},         {}},
       peers_({settings.ip, settings.zone, settings.region, settings.capacity,
               Duration(0)}),
       operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
@@ -307,8 +313,9 @@
                    }),
       front_(*this),
       ready_side_([this](const HttpRequest&) { return AnswerReady(); }),
-      control_side_(
-          [this](const HttpRequest& request) { return AnswerControl(request); }),
+      control_side_([this](const HttpRequest& request) {
+        return AnswerControl(request);
+      }),
       callers_(loop_, settings.callers, front_, clock_),
       readiness_(loop_, settings.readiness, ready_side_, clock_),
       control_(loop_, settings.control, control_side_, clock_),
@@ -324,8 +331,8 @@
   plane_.on_unreachable = [this](const std::string& id) {
     unreachable_[id] = clock_.Now();
   };
-  callers_.SetMost(static_cast<std::size_t>(
-      std::max(64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
+  callers_.SetMost(static_cast<std::size_t>(std::max(
+      64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
   suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
   OpenPeerSocket();
   for (const std::string& it : settings_.seeds) {
@@ -334,9 +341,8 @@
 }
 
 bool Router::Impl::IsReady() const {
-  return plane_.configuration != nullptr &&
-         target_list_.mirror().is_filled() && !plane_.is_draining &&
-         !plane_.is_overloaded;
+  return plane_.configuration != nullptr && target_list_.mirror().is_filled() &&
+         !plane_.is_draining && !plane_.is_overloaded;
 }
 
 OwnAnswerText Router::Impl::AnswerReady() {
@@ -351,8 +357,7 @@
     metrics_.Set("corianderpost_open_requests",
                  static_cast<double>(exchanges_.size()));
     metrics_.Set("corianderpost_callers", static_cast<double>(callers_.size()));
-    metrics_.Set("corianderpost_peers",
-                 peers_.FleetSize(clock_.Now()) - 1);
+    metrics_.Set("corianderpost_peers", peers_.FleetSize(clock_.Now()) - 1);
     metrics_.Set("corianderpost_configuration_version",
                  plane_.configuration
                      ? static_cast<double>(plane_.configuration->version())
@@ -471,9 +476,9 @@
   const Duration suspended = now.time_since_epoch() - MonotonicNow();
   if (suspended - suspended_ >= kSuspension) {
     Log(LogLevel::kWarning, "process was suspended",
-        {{"for_ms", std::chrono::duration_cast<milliseconds>(suspended -
-                                                             suspended_)
-                        .count()}});
+        {{"for_ms",
+          std::chrono::duration_cast<milliseconds>(suspended - suspended_)
+              .count()}});
     pool_.DropIdle();
     operators_.Restart();
     target_list_.Restart();
@@ -538,8 +543,8 @@
 }
 
 void Router::Impl::TickReaders(TimePoint now) {
-  const bool is_reader = !peers_.UsesRelays(now) ||
-                         peers_.OwnRank(now) < kReadersPerZone;
+  const bool is_reader =
+      !peers_.UsesRelays(now) || peers_.OwnRank(now) < kReadersPerZone;
   std::optional<std::string> operator_peer = PeerWithNewer(
       now, &PeerReport::operator_revision, operators_.mirror().revision());
   if (!operator_peer) {
@@ -553,13 +558,13 @@
     // The own watch brings it as a rule.
     operator_peer.reset();
   }
-  const TimePoint proven = peers_.OperatorCopyProvenAt(
-      now, operators_.mirror().revision());
+  const TimePoint proven =
+      peers_.OperatorCopyProvenAt(now, operators_.mirror().revision());
   operators_.Tick(now, operator_peer,
                   is_reader || now - proven > kStoreSilence);
-  const bool is_behind =
-      target_list_.is_failing() || !target_list_.mirror().is_filled() ||
-      now - target_list_.advanced_at() > kStoreSilence;
+  const bool is_behind = target_list_.is_failing() ||
+                         !target_list_.mirror().is_filled() ||
+                         now - target_list_.advanced_at() > kStoreSilence;
   plane_.list_read_at = target_list_.advanced_at();
   target_list_.Tick(now,
                     is_behind || !is_reader
@@ -589,8 +594,7 @@
   }
 }
 
-void Router::Impl::Take(const ConfigurationChanged& change,
-                        bool after_outage) {
+void Router::Impl::Take(const ConfigurationChanged& change, bool after_outage) {
   static_cast<void>(after_outage);
   if (plane_.configuration &&
       change.configuration->version() < plane_.configuration->version()) {
@@ -819,10 +823,9 @@
   }
   PeerReport zone = own;
   peers_.AddZone(now, zone);
-  std::copy_if(alive.begin(), alive.end(), std::back_inserter(zone.roster),
-               [this](const RosterEntry& it) {
-                 return it.zone == settings_.zone;
-               });
+  std::copy_if(
+      alive.begin(), alive.end(), std::back_inserter(zone.roster),
+      [this](const RosterEntry& it) { return it.zone == settings_.zone; });
   for (const RosterEntry& it : peers_.OtherRelays(now)) {
     if (it.region == settings_.region || reaches_far) {
       SendReport(zone, it.vm);
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "corianderpost/checked_yaml.h"
 #include "corianderpost/clock.h"
 #include "decisions/retry_budget.h"
+#include "runtime/checked_yaml.h"
 
 namespace corianderpost {
 
--- /dev/null
+++ b/src/router/settings_test.cc
@@ -0,0 +1,51 @@
+#include "router/settings.h"
+
+#include <doctest/doctest.h>
+
+namespace corianderpost {
+namespace {
+
+const std::string kGood =
+    "vm: v\nzone: a\nregion: west\nip: 10.0.0.1\n"
+    "callers: 10.0.0.1:80\nreadiness: 10.0.0.1:81\ncontrol: 10.0.0.1:82\n"
+    "peer_port: 7400\nseeds: [\"10.0.0.2:82\"]\nzones: {a: west}\n"
+    "store: 10.0.0.9:90\ngrace_seconds: 8\nretry_ratio: 0.2\n"
+    "retry_window_seconds: 10\nretry_slack: 0\nmax_descriptors: 4100\n"
+    "memory_mb: 110\nprocessor_share: 0.25\nregion_link_mbit: 30\n";
+
+std::string Fault(const std::string& text) {
+  try {
+    RouterSettings::FromYaml(CheckedYaml::FromText(text, "router.yaml"));
+  } catch (const YamlError& ex) {
+    return ex.what();
+  }
+  return "no fault";
+}
+
+TEST_CASE("RouterSettings reads every field") {
+  const RouterSettings settings =
+      RouterSettings::FromYaml(CheckedYaml::FromText(kGood, "router.yaml"));
+  CHECK(settings.vm == "v");
+  CHECK(settings.peer_port == 7400);
+  CHECK(settings.seeds == std::vector<std::string>{"10.0.0.2:82"});
+  CHECK(settings.region_of_zone.at("a") == "west");
+  CHECK(settings.grace == std::chrono::seconds(8));
+  CHECK(settings.retry_budget.ratio == doctest::Approx(0.2));
+  CHECK(settings.retry_budget.slack == 0);
+  CHECK(settings.capacity == 250);
+  CHECK(settings.region_link_bytes == doctest::Approx(3.75e6));
+}
+
+TEST_CASE("RouterSettings points at an address that is none") {
+  std::string text = kGood;
+  text.replace(text.find("10.0.0.9:90"), 11, "store:90   ");
+  CHECK(Fault(text).find("router.yaml:11:8: 'store:90' is not IPv4:port") !=
+        std::string::npos);
+}
+
+TEST_CASE("RouterSettings refuses a key that it does not know") {
+  CHECK(Fault(kGood + "memory_md: 9\n").find("memory_mb") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/checked_yaml.cc
+++ b/src/runtime/checked_yaml.cc
@@ -1,4 +1,4 @@
-#include "corianderpost/checked_yaml.h"
+#include "runtime/checked_yaml.h"
 
 #include <algorithm>
 #include <cmath>
--- a/include/corianderpost/checked_yaml.h
+++ b/src/runtime/checked_yaml.h
@@ -2,8 +2,8 @@
 //
 // Every fault is a `YamlError` whose text begins with "file:line:column: ".
 // Unknown keys are refused with the nearest known one.
-#ifndef CORIANDERPOST_CHECKED_YAML_H_
-#define CORIANDERPOST_CHECKED_YAML_H_
+#ifndef CORIANDERPOST_RUNTIME_CHECKED_YAML_H_
+#define CORIANDERPOST_RUNTIME_CHECKED_YAML_H_
 
 #include <yaml-cpp/yaml.h>
 
@@ -72,4 +72,4 @@
 
 }  // namespace corianderpost
 
-#endif  // CORIANDERPOST_CHECKED_YAML_H_
+#endif  // CORIANDERPOST_RUNTIME_CHECKED_YAML_H_
--- a/src/command_line.cc
+++ b/src/runtime/command_line.cc
@@ -1,8 +1,8 @@
-#include "corianderpost/internal/command_line.h"
+#include "runtime/command_line.h"
 
 #include <iostream>
 
-#include "corianderpost/checked_yaml.h"
+#include "runtime/checked_yaml.h"
 
 namespace corianderpost::internal {
 namespace {
--- a/include/corianderpost/internal/command_line.h
+++ b/src/runtime/command_line.h
@@ -1,6 +1,6 @@
 // What every program's command line has in common.
-#ifndef CORIANDERPOST_INTERNAL_COMMAND_LINE_H_
-#define CORIANDERPOST_INTERNAL_COMMAND_LINE_H_
+#ifndef CORIANDERPOST_RUNTIME_COMMAND_LINE_H_
+#define CORIANDERPOST_RUNTIME_COMMAND_LINE_H_
 
 #include <boost/program_options.hpp>
 #include <functional>
@@ -37,4 +37,4 @@
 
 }  // namespace corianderpost::internal
 
-#endif  // CORIANDERPOST_INTERNAL_COMMAND_LINE_H_
+#endif  // CORIANDERPOST_RUNTIME_COMMAND_LINE_H_
--- a/src/json_log.cc
+++ b/src/runtime/json_log.cc
@@ -1,11 +1,10 @@
-#include "corianderpost/internal/json_log.h"
+#include "runtime/json_log.h"
 
 #include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
-
 #include <poll.h>
 #include <unistd.h>
 
--- a/include/corianderpost/internal/json_log.h
+++ b/src/runtime/json_log.h
@@ -1,6 +1,6 @@
 // Structured logs: one JSON object a line, through log4cplus.
-#ifndef CORIANDERPOST_INTERNAL_JSON_LOG_H_
-#define CORIANDERPOST_INTERNAL_JSON_LOG_H_
+#ifndef CORIANDERPOST_RUNTIME_JSON_LOG_H_
+#define CORIANDERPOST_RUNTIME_JSON_LOG_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -65,4 +65,4 @@
 
 }  // namespace corianderpost::internal
 
-#endif  // CORIANDERPOST_INTERNAL_JSON_LOG_H_
+#endif  // CORIANDERPOST_RUNTIME_JSON_LOG_H_
--- a/src/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -1,4 +1,4 @@
-#include "corianderpost/internal/metrics.h"
+#include "runtime/metrics.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
--- a/include/corianderpost/internal/metrics.h
+++ b/src/runtime/metrics.h
@@ -1,6 +1,6 @@
 // Counters and latency distributions in the usual text form.
-#ifndef CORIANDERPOST_INTERNAL_METRICS_H_
-#define CORIANDERPOST_INTERNAL_METRICS_H_
+#ifndef CORIANDERPOST_RUNTIME_METRICS_H_
+#define CORIANDERPOST_RUNTIME_METRICS_H_
 
 #include <cstdint>
 #include <map>
@@ -46,4 +46,4 @@
 
 }  // namespace corianderpost::internal
 
-#endif  // CORIANDERPOST_INTERNAL_METRICS_H_
+#endif  // CORIANDERPOST_RUNTIME_METRICS_H_
