One queue bound for all requests of a service; the link's budget is shared by use

Bodies over 14 KB never crossed regions where 40 routers shared the link evenly. Ruled out: fairness between customers (the lax kinds are refused as often). Change: waiting behind others may take 0.7 of the shortest goal served there; routers tell what they send to other regions, and the budget holds for the sum.

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -26,6 +26,9 @@
 constexpr double kGoalPart = 0.85;
 constexpr double kLargeCustomerPart = 0.65;
 constexpr double kOverSharePart = 0.40;
+// Part of that which waiting behind others may take; the rest is for reading
+// the request itself.
+constexpr double kWaitPart = 0.7;
 // Goal for routes that state none.
 constexpr double kDefaultGoalSeconds = 1.0;
 // Part of an engine's memory that requests may be promised.
@@ -48,11 +51,10 @@
 constexpr Duration kNoTargetRetryAfter = milliseconds(500);
 // Part of the link between regions that request bodies may take together.
 constexpr double kLinkPart = 0.6;
-// Seconds of a router's part that may be saved up.
-constexpr double kLinkBurstSeconds = 0.5;
-// Larger bodies wait until more has been saved up: small requests carry more
+// Larger bodies leave this part of the budget to small ones, which carry more
 // work for each byte.
-constexpr double kLinkReserve = 2.0;
+constexpr double kLargeBodyPart = 0.8;
+constexpr std::size_t kLargeBody = 8 * 1024;
 // Another region is used once the own one takes this part of the limit.
 constexpr double kSpillPart = 0.6;
 // Most plain requests in flight for a slot; beyond it targets shed.
@@ -120,6 +122,17 @@
     std::shared_ptr<const Configuration> configuration) {
   configuration_ = std::move(configuration);
   fair_share_.SetCapacity(configuration_->tokens_per_second());
+  shortest_goals_.clear();
+  for (const Route& route : configuration_->routes()) {
+    if (route.latency_goal <= Duration(0)) {
+      continue;
+    }
+    for (const TrafficShare& share : route.split) {
+      const auto [it, is_new] =
+          shortest_goals_.emplace(share.service, Seconds(route.latency_goal));
+      it->second = std::min(it->second, Seconds(route.latency_goal));
+    }
+  }
 }
 
 void Scheduler::SetFleet(int routers, int position) {
@@ -225,6 +238,7 @@
       kBaseSeconds + (pending + candidate.uncached_tokens) * token_seconds;
   candidate.predicted_seconds =
       candidate.expected_seconds * target.slowness + distance;
+  candidate.wait_seconds = pending * token_seconds * target.slowness;
   // Reading a part again also delays others at that target.
   candidate.cost =
       candidate.predicted_seconds + shared * token_seconds * target.slowness;
@@ -242,13 +256,15 @@
   return candidate;
 }
 
-bool Scheduler::LinkAllows(TimePoint now, std::size_t bytes) {
-  const double rate = kLinkPart * surroundings_.region_link_bytes /
-                      std::max(1, region_routers_);
-  link_bytes_ = std::min(rate * kLinkBurstSeconds,
-                         link_bytes_ + rate * Seconds(now - link_filled_at_));
-  link_filled_at_ = now;
-  return link_bytes_ >= kLinkReserve * static_cast<double>(bytes);
+bool Scheduler::LinkAllows(TimePoint now, std::size_t bytes) const {
+  const double budget = kLinkPart * surroundings_.region_link_bytes *
+                        (bytes > kLargeBody ? kLargeBodyPart : 1.0);
+  return peer_link_use_ + link_use_.PerSecond(now) < budget;
+}
+
+double Scheduler::ShortestGoal(const std::string& service) const {
+  const auto it = shortest_goals_.find(service);
+  return it == shortest_goals_.end() ? kDefaultGoalSeconds : it->second;
 }
 
 bool Scheduler::TakeColdToken(TimePoint now, TargetState& target) {
@@ -333,24 +349,32 @@
   }
   const bool is_large = is_engine && request.customer != nullptr &&
                         !fair_share_.AsksWithinShare(now, request.customer->id);
-  const double limit = goal * (!is_within_share ? kOverSharePart
-                               : is_large       ? kLargeCustomerPart
-                                                : kGoalPart);
+  const double part = !is_within_share ? kOverSharePart
+                      : is_large       ? kLargeCustomerPart
+                                       : kGoalPart;
+  const double limit = goal * part;
+  // All requests of a service wait in one queue. One that is longer than the
+  // shortest goal bears would shut out the requests with that goal.
+  const double wait_limit = kWaitPart * part * ShortestGoal(request.service);
   double best = 0;
   double best_near = std::numeric_limits<double>::infinity();
+  double near_wait = std::numeric_limits<double>::infinity();
   for (const Candidate& it : candidates) {
     if (it.is_local) {
       best_near = std::min(best_near, it.predicted_seconds);
+      near_wait = std::min(near_wait, it.wait_seconds);
     }
   }
   const bool may_spill =
-      best_near > kSpillPart * limit && LinkAllows(now, request.body_bytes);
+      (best_near > kSpillPart * limit || near_wait > kSpillPart * wait_limit) &&
+      LinkAllows(now, request.body_bytes);
   for (const Candidate& it : candidates) {
     if (best == 0 || it.predicted_seconds < best) {
       best = it.predicted_seconds;
     }
     if (it.predicted_seconds > std::max(limit, 2 * kBaseSeconds) ||
-        it.predicted_seconds > Seconds(request.remaining)) {
+        it.predicted_seconds > Seconds(request.remaining) ||
+        (is_engine && it.wait_seconds > wait_limit)) {
       continue;
     }
     if (!it.is_local && !may_spill) {
@@ -422,7 +446,7 @@
   assignment.is_trial = candidate.is_trial;
   assignment.sent_at = now;
   if (!candidate.is_local) {
-    link_bytes_ -= static_cast<double>(request.body_bytes);
+    link_use_.Add(now, static_cast<double>(request.body_bytes));
   }
   ++target.own.in_flight;
   target.own.pending_tokens += candidate.uncached_tokens;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -19,6 +19,7 @@
 #include "corianderpost/clock.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
+#include "decisions/rate_meter.h"
 #include "decisions/retry_budget.h"
 #include "decisions/target_table.h"
 #include "model/configuration.h"
@@ -105,8 +106,12 @@
   // How many routers share budgets and cold limits, this one included, and
   // this one's place among them, from 0, in an order that all agree on.
   void SetFleet(int routers, int position);
-  // How many routers of this region share the link to the others.
-  void SetRoutersOfRegion(int routers) { region_routers_ = routers; }
+  // Bytes a second that the other routers of this region send to others.
+  void SetLinkUseOfPeers(double bytes_per_second) {
+    peer_link_use_ = bytes_per_second;
+  }
+  // The same for this router.
+  double LinkUse(TimePoint now) const { return link_use_.PerSecond(now); }
 
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
@@ -133,6 +138,8 @@
     double memory_tokens = 0;
     double expected_seconds = 0;
     double predicted_seconds = 0;
+    // Time that the work of others takes before this request is read.
+    double wait_seconds = 0;
     double cost = 0;
     bool is_local = false;
     bool is_trial = false;
@@ -144,8 +151,10 @@
                               const std::string& region);
   Candidate Assess(TimePoint now, const ScheduledRequest& request,
                    TargetState& target, bool is_home);
-  // Whether a body may cross to another region now; `TakeLink` pays for it.
-  bool LinkAllows(TimePoint now, std::size_t bytes);
+  // Whether a body may cross to another region now.
+  bool LinkAllows(TimePoint now, std::size_t bytes) const;
+  // Shortest latency goal of the routes that a service answers.
+  double ShortestGoal(const std::string& service) const;
   bool TakeColdToken(TimePoint now, TargetState& target);
   Decision Refuse(TimePoint now, const ScheduledRequest& request,
                   RefusalReason reason, double best_seconds,
@@ -160,9 +169,9 @@
   std::shared_ptr<const Configuration> configuration_;
   int routers_ = 1;
   int position_ = 0;
-  int region_routers_ = 1;
-  double link_bytes_ = 0;
-  TimePoint link_filled_at_;
+  double peer_link_use_ = 0;
+  RateMeter link_use_{std::chrono::milliseconds(500)};
+  std::map<std::string, double> shortest_goals_;
   TargetTable targets_;
   FairShare fair_share_;
   CrashSuspects suspects_;
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -256,6 +256,29 @@
   CHECK(bytes <= 4e6);
 }
 
+TEST_CASE("Scheduler leaves the link to peers that use it up") {
+  Fixture fixture({"a", "c"});
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+  fixture.scheduler().SetLinkUseOfPeers(4e6);
+  CHECK(std::holds_alternative<Refusal>(
+      fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100))));
+}
+
+// Grown scale-1: requests with a lax goal filled the engines' queues beyond
+// what those with the shortest goal could bear.
+TEST_CASE("A lax goal does not lengthen the queue for others") {
+  Fixture fixture({"a"});
+  Route lax = *fixture.Request("small", 1, 1).route;
+  lax.latency_goal = seconds(10);
+  fixture.scheduler().targets().SetPeerLoad(
+      {{TargetId::FromName("t0"), {100, 30'000, 0}}});
+  ScheduledRequest request = fixture.Request("small", 42, 100);
+  request.route = &lax;
+  CHECK(std::holds_alternative<Refusal>(
+      fixture.scheduler().Place(kStart, request)));
+}
+
 TEST_CASE("Scheduler serves only in allowed regions") {
   Fixture fixture({"a", "c"});
   ScheduledRequest request = fixture.Request("small", 42, 10);
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -11,8 +11,8 @@
 using std::chrono::milliseconds;
 
 // Version of the encoding; a router ignores other versions.
-constexpr int kFormat = 3;
-constexpr std::size_t kFields = 13;
+constexpr int kFormat = 4;
+constexpr std::size_t kFields = 14;
 // Numbers for each target and each router of the roster.
 constexpr std::size_t kLoadFields = 4;
 constexpr std::size_t kDemandFields = 3;
@@ -76,7 +76,8 @@
                      std::move(demand),
                      std::move(crashes),
                      report.unreachable,
-                     std::move(roster)};
+                     std::move(roster),
+                     static_cast<std::int64_t>(report.link_use)};
   const std::vector<std::uint8_t> bytes = Json::to_msgpack(json);
   return {bytes.begin(), bytes.end()};
 }
@@ -119,6 +120,7 @@
          i += kRosterFields) {
       report.roster.push_back(RosterEntryAt(json[12], i));
     }
+    report.link_use = json[13].get<double>();
     return report;
   } catch (const Json::exception& ex) {
     return absl::InvalidArgumentError(ex.what());
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -59,6 +59,9 @@
   Duration operator_age{0};
   LoadByTarget load;
   DemandByCustomer demand;
+  // Bytes a second that routers of the sender's region, as far as the scope
+  // covers them, send to other regions.
+  double link_use = 0;
   std::vector<CrashReport> crashes;
   // Targets that refused connections lately.
   std::vector<std::string> unreachable;
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -263,6 +263,26 @@
   return sum;
 }
 
+double PeerTable::LinkUseOfOthers(TimePoint now) const {
+  const bool has_relays = UsesRelays(now);
+  if (has_relays && !IsRelay(now)) {
+    return fleet_ && now - fleet_at_ <= kLoadFor ? fleet_->link_use : 0.0;
+  }
+  double sum = 0;
+  for (const auto& [vm, peer] : peers_) {
+    if (peer.entry.region != self_.region) {
+      continue;
+    }
+    const bool is_direct = !has_relays || peer.entry.zone == self_.zone;
+    if (is_direct && peer.own && now - peer.own_at <= kLoadFor) {
+      sum += peer.own->link_use;
+    } else if (!is_direct && peer.zone && now - peer.zone_at <= kLoadFor) {
+      sum += peer.zone->link_use;
+    }
+  }
+  return sum;
+}
+
 void PeerTable::AddZone(TimePoint now, PeerReport& own) const {
   own.scope = ReportScope::kZone;
   for (const auto& [vm, peer] : peers_) {
@@ -270,6 +290,7 @@
         now - peer.own_at <= kLoadFor) {
       AddLoad(peer.own->load, own.load);
       AddDemand(peer.own->demand, own.demand);
+      own.link_use += peer.own->link_use;
     }
   }
 }
@@ -280,11 +301,13 @@
   report.scope = ReportScope::kFleet;
   AddLoad(LoadOfOthers(now), report.load);
   AddDemand(DemandOfOthers(now), report.demand);
+  report.link_use += LinkUseOfOthers(now);
   const auto it = peers_.find(vm);
   if (it != peers_.end() && it->second.own &&
       now - it->second.own_at <= kLoadFor) {
     Subtract(it->second.own->load, report.load);
     Subtract(it->second.own->demand, report.demand);
+    report.link_use = std::max(0.0, report.link_use - it->second.own->link_use);
   }
   return report;
 }
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -55,6 +55,8 @@
   // Work of all others, as far as it was told.
   LoadByTarget LoadOfOthers(TimePoint now) const;
   DemandByCustomer DemandOfOthers(TimePoint now) const;
+  // Bytes a second that the others of this region send to other regions.
+  double LinkUseOfOthers(TimePoint now) const;
   // Work of this router's zone, `own` included.
   void AddZone(TimePoint now, PeerReport& own) const;
   // Work of all but `vm`, a member of the zone; `own` is this router's.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -38,6 +38,7 @@
   report.operator_age = milliseconds(140);
   report.crashes = {{1, 2}};
   report.unreachable = {"i-1"};
+  report.link_use = 12'000;
   report.roster = {Entry("10.0.0.2", "b", 500)};
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -780,6 +780,7 @@
     }
   }
   report.demand = scheduler_.fair_share().OwnDemand(now);
+  report.link_use = scheduler_.LinkUse(now);
   report.crashes = scheduler_.suspects().Recent(now);
   std::erase_if(unreachable_,
                 [now](const auto& it) { return now - it.second > kNews; });
@@ -875,11 +876,7 @@
     scheduler_.targets().SetPeerLoad(peers_.LoadOfOthers(now));
     scheduler_.fair_share().SetPeerDemand(peers_.DemandOfOthers(now));
     scheduler_.SetFleet(peers_.FleetSize(now), peers_.OwnPosition(now));
-    int of_region = 1;
-    for (const RosterEntry& it : peers_.Alive(now)) {
-      of_region += it.region == settings_.region ? 1 : 0;
-    }
-    scheduler_.SetRoutersOfRegion(of_region);
+    scheduler_.SetLinkUseOfPeers(peers_.LinkUseOfOthers(now));
   }
   if (now >= report_at_) {
     SendReports(now);
