--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -44,6 +44,8 @@
 // A prompt part not used for this long is taken for evicted.
 constexpr Duration kKeptFor = std::chrono::seconds(15);
 constexpr std::size_t kMaxKeptParts = 4096;
+// What the first homes of a chain are taken to have to read of it.
+constexpr double kUnkeptOfRank[] = {0.0, 0.3, 0.6};
 // Bounds of what callers are told to wait.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -87,10 +89,46 @@
   return XXH64(id.data(), id.size(), chain);
 }
 
+// Expected part of a chain that a target of this rank has to read. All routers
+// send a chain to its home, and on to the next ranks while that is busy.
+double UnkeptPart(int rank) {
+  return rank < static_cast<int>(std::size(kUnkeptOfRank)) ? kUnkeptOfRank[rank]
+                                                           : 1.0;
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
+// Returns each target's place among the homes of a chain in its region; a
+// request without a chain has none.
+std::vector<int> RanksOf(const std::vector<TargetState*>& targets,
+                         std::uint64_t chain) {
+  constexpr int kNone = 1000;
+  std::vector<int> ranks(targets.size(), kNone);
+  if (chain == 0) {
+    return ranks;
+  }
+  struct Ranked {
+    std::uint64_t weight;
+    std::size_t index;
+  };
+  std::vector<Ranked> order;
+  order.reserve(targets.size());
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    order.push_back({HomeWeight(targets[i]->entry.id, chain), i});
+  }
+  std::sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
+    return a.weight > b.weight;
+  });
+  int near = 0;
+  int far = 0;
+  for (const Ranked& it : order) {
+    ranks[it.index] = targets[it.index]->is_near ? near++ : far++;
+  }
+  return ranks;
+}
+
 }  // namespace
 
 std::string_view ToString(RefusalReason reason) {
@@ -195,7 +233,7 @@
 
 Scheduler::Candidate Scheduler::Assess(TimePoint now,
                                        const ScheduledRequest& request,
-                                       TargetState& target, bool is_home) {
+                                       TargetState& target, int rank) {
   Candidate candidate;
   candidate.target = &target;
   candidate.is_local = target.is_near;
@@ -219,10 +257,9 @@
   for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
     chain = Combine(chain, request.prompt[i].id);
     const auto kept = target.kept.find(chain);
-    const bool is_kept = is_home || (kept != target.kept.end() &&
-                                     now - kept->second <= kKeptFor);
-    if (!is_kept) {
-      shared += static_cast<double>(request.prompt[i].tokens);
+    if (kept == target.kept.end() || now - kept->second > kKeptFor) {
+      shared +=
+          UnkeptPart(rank) * static_cast<double>(request.prompt[i].tokens);
     }
   }
   const double own = request.prompt.empty()
@@ -312,28 +349,11 @@
     }
   }
   const std::uint64_t chain = ChainOf(request);
-  // Each region has its own home of a chain.
-  const TargetState* home = nullptr;
-  const TargetState* far_home = nullptr;
-  if (chain != 0) {
-    std::uint64_t heaviest = 0;
-    std::uint64_t far_heaviest = 0;
-    for (const TargetState* it : usable) {
-      const std::uint64_t weight = HomeWeight(it->entry.id, chain);
-      const bool is_near = it->is_near;
-      const TargetState*& best = is_near ? home : far_home;
-      std::uint64_t& best_weight = is_near ? heaviest : far_heaviest;
-      if (best == nullptr || weight > best_weight) {
-        best = it;
-        best_weight = weight;
-      }
-    }
-  }
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
-  for (TargetState* it : usable) {
-    candidates.push_back(
-        Assess(now, request, *it, it == home || it == far_home));
+  const std::vector<int> ranks = RanksOf(usable, chain);
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    candidates.push_back(Assess(now, request, *usable[i], ranks[i]));
   }
   std::sort(
       candidates.begin(), candidates.end(),
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -149,8 +149,10 @@
                                    const ScheduledRequest& request);
   static bool IsAllowedRegion(const ScheduledRequest& request,
                               const std::string& region);
+  // `rank` is the target's place among the homes of the prompt's chain in its
+  // region, from 0.
   Candidate Assess(TimePoint now, const ScheduledRequest& request,
-                   TargetState& target, bool is_home);
+                   TargetState& target, int rank);
   // Whether a body may cross to another region now.
   bool LinkAllows(TimePoint now, std::size_t bytes) const;
   // Shortest latency goal of the routes that a service answers.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -49,13 +49,16 @@
 constexpr Duration kHelloInterval = seconds(1);
 // The target list changes often; its changes are read in batches. The users
 // allow 3 s until a leaving target gets nothing more.
-constexpr Duration kTargetListPause = milliseconds(500);
+constexpr Duration kTargetListPause = milliseconds(700);
 // The same for the operators' prefix, which rarely changes.
 constexpr Duration kOperatorPause = milliseconds(100);
-constexpr Duration kOperatorWait = milliseconds(1500);
+// Peers tell of a newer configuration sooner than a silent watch ends.
+constexpr Duration kOperatorWait = milliseconds(3000);
 constexpr Duration kTargetListWait = milliseconds(1000);
-// The store is asked about by peers when it was silent this long.
-constexpr Duration kStoreSilence = milliseconds(2600);
+// Copies that did not advance, or were not proved current, for this long are
+// read from elsewhere.
+constexpr Duration kListSilence = milliseconds(2600);
+constexpr Duration kOperatorSilence = milliseconds(4500);
 // A peer's newer configuration is fetched if the own watch did not bring it.
 constexpr Duration kNewerAtPeer = milliseconds(300);
 // A jump of the clock that counts suspended time means a suspension.
@@ -573,10 +576,10 @@
   const TimePoint proven =
       peers_.OperatorCopyProvenAt(now, operators_.mirror().revision());
   operators_.Tick(now, operator_peer,
-                  is_reader || now - proven > kStoreSilence);
+                  is_reader || now - proven > kOperatorSilence);
   const bool is_behind = target_list_.is_failing() ||
                          !target_list_.mirror().is_filled() ||
-                         now - target_list_.advanced_at() > kStoreSilence;
+                         now - target_list_.advanced_at() > kListSilence;
   plane_.list_read_at = target_list_.advanced_at();
   target_list_.Tick(now,
                     is_behind || !is_reader
