--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -57,8 +57,11 @@
 // work for each byte.
 constexpr double kLargeBodyPart = 0.8;
 constexpr std::size_t kLargeBody = 8 * 1024;
-// Another region is used once the own one takes this part of the limit.
-constexpr double kSpillPart = 0.6;
+// Another region is used once the own one takes this part of the limit. Small
+// bodies cross sooner: they carry more work for each byte, and leave the own
+// region to large ones.
+constexpr double kSmallSpillPart = 0.4;
+constexpr double kLargeSpillPart = 0.75;
 // Most plain requests in flight for a slot; beyond it targets shed.
 constexpr double kPlainQueuePerSlot = 3.0;
 
@@ -385,8 +388,10 @@
       near_wait = std::min(near_wait, it.wait_seconds);
     }
   }
+  const double spill_part =
+      request.body_bytes > kLargeBody ? kLargeSpillPart : kSmallSpillPart;
   const bool may_spill =
-      (best_near > kSpillPart * limit || near_wait > kSpillPart * wait_limit) &&
+      (best_near > spill_part * limit || near_wait > spill_part * wait_limit) &&
       LinkAllows(now, request.body_bytes);
   for (const Candidate& it : candidates) {
     if (best == 0 || it.predicted_seconds < best) {
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -18,6 +18,7 @@
 #include <boost/asio/write.hpp>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -51,14 +52,25 @@
 constexpr int kProxyPort = 19300;
 constexpr Duration kCallTimeout = seconds(6);
 constexpr Duration kGrace = seconds(4);
-// Until a change is in force everywhere, as the users ask.
-constexpr Duration kInForce = seconds(5);
+// Until a change is in force everywhere, as the users ask, and the longest
+// outage of the store that may come in between.
+constexpr Duration kInForce = seconds(5) + milliseconds(2800);
 // Calm at the end, of which the second half must be served.
 constexpr Duration kCalm = seconds(8);
 constexpr double kServedAfterFaults = 0.9;
 
+// Loopback network of this run, so that several run side by side.
+int& Network() {
+  static int network = 0;
+  return network;
+}
+
+std::string LoopbackIp(int host) {
+  return "127.0." + std::to_string(Network()) + "." + std::to_string(host);
+}
+
 std::string Loopback(int host, int port) {
-  return "127.0.0." + std::to_string(host) + ":" + std::to_string(port);
+  return LoopbackIp(host) + ":" + std::to_string(port);
 }
 
 // A router as a process, ended by its id alone.
@@ -70,8 +82,9 @@
         log_(folder + "/router-" + std::to_string(number) + ".jsonl"),
         host_(10 + number) {
     std::ofstream(settings_)
-        << "vm: router-" << number << "\nzone: a\nregion: west\nip: 127.0.0."
-        << host_ << "\ncallers: " << address()
+        << "vm: router-" << number
+        << "\nzone: a\nregion: west\nip: " << LoopbackIp(host_)
+        << "\ncallers: " << address()
         << "\nreadiness: " << Loopback(host_, kReadinessPort)
         << "\ncontrol: " << Loopback(host_, kControlPort)
         << "\npeer_port: " << kPeerPort << "\nseeds: [\""
@@ -184,7 +197,7 @@
   std::uint64_t calls_ = 0;
   int open_ = 0;
   int served_ = 0;
-  TimePoint revoked_at_ = TimePoint::max();
+  std::optional<TimePoint> revoked_at_;
   TimePoint calm_at_ = TimePoint::max();
   int calm_calls_ = 0;
   int calm_served_ = 0;
@@ -334,8 +347,8 @@
       }
     }
     call.was_refused_as_not_run = status == 503 || status == 429;
-    if (status == 200 && call.key == kRevokedKey &&
-        call.sent_at > revoked_at_ + kInForce) {
+    if (status == 200 && call.key == kRevokedKey && revoked_at_ &&
+        call.sent_at > *revoked_at_ + kInForce) {
       Violate(call, "served with a key that was taken away");
     }
   }
@@ -407,7 +420,7 @@
       break;
     case 9:
       ++faults_["configuration"];
-      PublishConfiguration(revoked_at_ == TimePoint::max());
+      PublishConfiguration(!revoked_at_);
       break;
     default: {
       ++faults_["leaving_target"];
@@ -433,7 +446,6 @@
   TimePoint next_call = began + seconds(2);
   TimePoint next_fault = faults_begin;
   TimePoint next_list = began;
-  bool has_revoked = false;
   while (Now() < ends || open_ > 0) {
     loop_.run_for(milliseconds(4));
     loop_.restart();
@@ -454,11 +466,10 @@
         it->Tick(now);
       }
     }
-    if (!has_revoked && now - began > length / 2) {
-      has_revoked = true;
+    if (!revoked_at_ && now - began > length / 2) {
       PublishConfiguration(false);
       store_.SetDown(false);
-      revoked_at_ = now + kCalm;
+      revoked_at_ = now;
     }
     for (std::size_t i = 0; i < undo_.size();) {
       if (now >= undo_[i].first || now >= faults_end) {
@@ -506,6 +517,7 @@
 int Main(const po::variables_map& values) {
   const auto seed = values["seed"].as<std::uint64_t>();
   const std::string folder = values["folder"].as<std::string>();
+  Network() = values["network"].as<int>();
   std::cout << "seed " << seed << std::endl;
   Soak soak(values["router"].as<std::string>(), folder, seed,
             values["routers"].as<int>(), values["rate"].as<int>());
@@ -535,6 +547,8 @@
       "seconds", po::value<int>()->default_value(30), "length of the run")(
       "routers", po::value<int>()->default_value(4), "router processes")(
       "rate", po::value<int>()->default_value(100), "requests a second")(
+      "network", po::value<int>()->default_value(0),
+      "third part of the loopback addresses, 0 to 255")(
       "router", po::value<std::string>()->required(), "router program")(
       "folder", po::value<std::string>()->default_value("/tmp"),
       "where settings and logs go");
