--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: all install build test format lint
+SEED ?= 1
+SECONDS ?= 25
+
+.PHONY: all install build test soak format lint
 
 all: build
 
@@ -12,6 +15,10 @@
 test: install build
 	ctest --test-dir build --output-on-failure
 
+soak: install build
+	build/bin/corianderpost-soak --seed $(SEED) --seconds $(SECONDS) \
+	  --router build/bin/corianderpost-router --folder build
+
 format:
 	clang-format -i $$(git ls-files '*.cc' '*.h')
 
