--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -20,10 +20,7 @@
 // that waits is given; the users' rule allows a factor of two.
 constexpr double kSpareRatio = 1.25;
 // A customer that is given less than this part of what it asks waits.
-constexpr double kWaitingPart = 0.75;
-// Customers that ask less than this part of the level do not hold others back:
-// what they miss is little, and may have other causes.
-constexpr double kConsideredPart = 0.5;
+constexpr double kWaitingPart = 0.9;
 // Capacity is taken for a little more than what is being served, so that it
 // can be found to be larger.
 constexpr double kCapacityProbe = 1.05;
@@ -114,8 +111,7 @@
     return true;
   }
   for (const auto& [other, rates] : total_) {
-    const bool waits = other != customer &&
-                       rates.asked > kConsideredPart * level_ &&
+    const bool waits = other != customer && rates.asked > level_ &&
                        rates.served < kWaitingPart * rates.asked;
     if (waits && own->second.served > kSpareRatio * rates.served) {
       return false;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -44,8 +44,11 @@
 // A prompt part not used for this long is taken for evicted.
 constexpr Duration kKeptFor = std::chrono::seconds(15);
 constexpr std::size_t kMaxKeptParts = 4096;
+// Reading a part again costs others at that target the same time once more,
+// and those whose parts it displaces.
+constexpr double kReadAgainWeight = 3.0;
 // What the first homes of a chain are taken to have to read of it.
-constexpr double kUnkeptOfRank[] = {0.0, 0.3, 0.6};
+constexpr double kUnkeptOfRank[] = {0.0};
 // Bounds of what callers are told to wait.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -280,8 +283,8 @@
       candidate.expected_seconds * target.slowness + distance;
   candidate.wait_seconds = pending * token_seconds * target.slowness;
   // Reading a part again also delays others at that target.
-  candidate.cost =
-      candidate.predicted_seconds + shared * token_seconds * target.slowness;
+  candidate.cost = candidate.predicted_seconds +
+                   kReadAgainWeight * shared * token_seconds * target.slowness;
   const double memory = target.own.memory_tokens + target.peers.memory_tokens +
                         candidate.memory_tokens;
   const bool is_full =
