--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -19,9 +19,9 @@
 constexpr Duration kLinger = milliseconds(1000);
 // A body may take this long beyond the time for the head.
 constexpr Duration kBodyTimeout = seconds(10);
-constexpr std::size_t kReadSize = 64 * 1024;
+constexpr std::size_t kReadSize = std::size_t{64} * 1024;
 // Bytes of further requests that are held while one is answered.
-constexpr std::size_t kMaxPipelined = 64 * 1024;
+constexpr std::size_t kMaxPipelined = std::size_t{64} * 1024;
 
 std::array<char, kReadSize>& SharedBuffer() {
   static std::array<char, kReadSize> buffer;
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -31,9 +31,9 @@
 // Time for the balancer to send a caller to another router.
 constexpr Duration kOverloadRetryAfter = milliseconds(300);
 // Output that may wait for a slow caller before the target is paused.
-constexpr std::size_t kMaxBuffered = 256 * 1024;
+constexpr std::size_t kMaxBuffered = std::size_t{256} * 1024;
 // Largest answer that is held until it is whole.
-constexpr std::size_t kMaxWholeAnswer = 32 * 1024 * 1024;
+constexpr std::size_t kMaxWholeAnswer = std::size_t{32} * 1024 * 1024;
 // Routes whose deadlines are remembered.
 constexpr std::size_t kMaxUsualDeadlines = 10'000;
 
@@ -284,8 +284,8 @@
   if (answer_kind_ != AnswerKind::kStream) {
     return;
   }
-  for (StreamEvent& it : splitter_.Take(piece)) {
-    HandleEvent(std::move(it));
+  for (const StreamEvent& it : splitter_.Take(piece)) {
+    HandleEvent(it);
     if (is_done_ || answer_kind_ != AnswerKind::kStream) {
       return;
     }
@@ -300,7 +300,7 @@
   }
 }
 
-void Exchange::HandleEvent(StreamEvent event) {
+void Exchange::HandleEvent(const StreamEvent& event) {
   const auto number = EventNumber(event.id);
   const auto last = EventNumber(last_event_id_);
   if (number && last) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -94,7 +94,7 @@
   void Refuse(const Refusal& refusal);
   void AnswerOwn(int status, std::string_view reason, Duration retry_after);
   void FinishCaller();
-  void HandleEvent(StreamEvent event);
+  void HandleEvent(const StreamEvent& event);
   void BlameForCrash();
   void Finish(std::string_view outcome);
   Duration Remaining(TimePoint now) const;
--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -3,7 +3,7 @@
 namespace corianderpost {
 namespace {
 
-constexpr std::size_t kMaxBody = 16 * 1024 * 1024;
+constexpr std::size_t kMaxBody = std::size_t{16} * 1024 * 1024;
 
 }  // namespace
 
@@ -49,7 +49,7 @@
   void OnDone(bool is_framed) override {
     static_cast<void>(is_framed);
     connection_.reset();
-    End(std::move(result_));
+    End(result_);
   }
   void OnFailed(UpstreamFailure failure) override {
     static_cast<void>(failure);
@@ -58,9 +58,9 @@
   }
 
  private:
-  void End(FetchResult result) {
+  void End(const FetchResult& result) {
     const Callback done = std::move(done_);
-    done(std::move(result));
+    done(result);
   }
   Callback done_;
   const TimePoint deadline_;
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -19,7 +19,7 @@
 // Calls in progress, each with a deadline. Used from the event loop only.
 class Fetcher {
  public:
-  using Callback = std::function<void(FetchResult)>;
+  using Callback = std::function<void(const FetchResult&)>;
 
   Fetcher(UpstreamPool& pool, const Dialect& dialect);
   ~Fetcher();
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -25,7 +25,7 @@
 constexpr Duration kKeepAliveMargin = milliseconds(500);
 // Idle time up to which a request that must not run twice takes a connection.
 constexpr Duration kFreshIdle = milliseconds(1500);
-constexpr std::size_t kReadSize = 64 * 1024;
+constexpr std::size_t kReadSize = std::size_t{64} * 1024;
 // Largest answer head and body that are taken from a target.
 constexpr std::uint32_t kMaxAnswerHead = 64 * 1024;
 constexpr std::uint64_t kMaxAnswerBody = 64ULL * 1024 * 1024;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -59,7 +59,7 @@
 // Larger bodies leave this part of the budget to small ones, which carry more
 // work for each byte.
 constexpr double kLargeBodyPart = 0.8;
-constexpr std::size_t kLargeBody = 8 * 1024;
+constexpr std::size_t kLargeBody = std::size_t{8} * 1024;
 // Another region is used once the own one takes this part of the limit. Small
 // bodies cross sooner: they carry more work for each byte, and leave the own
 // region to large ones.
@@ -254,7 +254,7 @@
     candidate.predicted_seconds = candidate.expected_seconds + distance;
     candidate.cost = candidate.predicted_seconds * (1.0 + target.failure_share);
     if (per_slot >= kPlainQueuePerSlot) {
-      candidate.predicted_seconds += std::numeric_limits<double>::infinity();
+      candidate.predicted_seconds = std::numeric_limits<double>::infinity();
     }
     return candidate;
   }
@@ -293,8 +293,8 @@
        memory > kMemoryPart *
                     static_cast<double>(service->engine->kv_capacity_tokens));
   if (is_full) {
-    candidate.predicted_seconds += std::numeric_limits<double>::infinity();
-    candidate.cost += std::numeric_limits<double>::infinity();
+    candidate.predicted_seconds = std::numeric_limits<double>::infinity();
+    candidate.cost = std::numeric_limits<double>::infinity();
   }
   return candidate;
 }
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -93,8 +93,8 @@
 
 // Bounds on what callers may send.
 struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -214,6 +214,7 @@
     }
   }
   std::vector<RosterEntry> relays;
+  relays.reserve(best.size());
   for (auto& [zone, entry] : best) {
     relays.push_back(std::move(entry));
   }
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -84,6 +84,7 @@
 
 TEST_CASE("All routers of a zone agree on its relay") {
   std::vector<RosterEntry> entries;
+  entries.reserve(20);
   for (int i = 0; i < 20; ++i) {
     entries.push_back(Entry("10.0.0." + std::to_string(10 + i), "a",
                             i == 7 || i == 9 ? 500 : 120));
@@ -125,6 +126,7 @@
     }
   }
   std::vector<PeerTable> tables;
+  tables.reserve(entries.size());
   for (const RosterEntry& it : entries) {
     tables.emplace_back(it);
   }
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -86,7 +86,7 @@
 
 void StoreReader::List(const std::string& after) {
   fetcher_.Get(options_.address, protocol_.RangeCall(options_.prefix, after),
-               kListTimeout, [this, run = run_](FetchResult result) {
+               kListTimeout, [this, run = run_](const FetchResult& result) {
                  if (run != run_) {
                    return;
                  }
@@ -131,7 +131,8 @@
   fetcher_.Get(
       options_.address,
       protocol_.WatchCall(options_.prefix, mirror_.revision(), options_.wait),
-      options_.wait + kCallMargin, [this, run = run_](FetchResult result) {
+      options_.wait + kCallMargin,
+      [this, run = run_](const FetchResult& result) {
         if (run != run_) {
           return;
         }
@@ -168,7 +169,7 @@
   fetcher_.Get(peer,
                "/mirror?prefix=" + options_.prefix + "&after=" +
                    std::to_string(mirror_.is_filled() ? mirror_.revision() : 0),
-               kPeerTimeout, [this, peer](FetchResult result) {
+               kPeerTimeout, [this, peer](const FetchResult& result) {
                  is_asking_peer_ = false;
                  if (result.status != 200) {
                    return;
--- a/src/router/settings.cc
+++ b/src/router/settings.cc
@@ -10,7 +10,7 @@
 constexpr double kBytesPerMbit = 1e6 / 8;
 
 std::string AddressOf(const CheckedYaml& yaml) {
-  const std::string text = yaml.AsString();
+  std::string text = yaml.AsString();
   if (!ParseEndpoint(text)) {
     yaml.Fail("'" + text + "' is not IPv4:port");
   }
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -76,7 +76,7 @@
 // A router as a process, ended by its id alone.
 class RouterProcess {
  public:
-  RouterProcess(std::string program, std::string folder, int number)
+  RouterProcess(std::string program, const std::string& folder, int number)
       : program_(std::move(program)),
         settings_(folder + "/router-" + std::to_string(number) + ".yaml"),
         log_(folder + "/router-" + std::to_string(number) + ".jsonl"),
@@ -101,6 +101,7 @@
   void Start() {
     std::vector<std::string> words = {program_, "--settings", settings_};
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (std::string& it : words) {
       argv.push_back(it.data());
     }
@@ -160,8 +161,8 @@
 
 class Soak {
  public:
-  Soak(std::string program, std::string folder, std::uint64_t seed, int routers,
-       int per_second);
+  Soak(const std::string& program, const std::string& folder,
+       std::uint64_t seed, int routers, int per_second);
   // Runs for `length` and returns the violations.
   std::vector<std::string> Run(Duration length);
   std::string Summary() const;
@@ -203,8 +204,8 @@
   int calm_served_ = 0;
 };
 
-Soak::Soak(std::string program, std::string folder, std::uint64_t seed,
-           int routers, int per_second)
+Soak::Soak(const std::string& program, const std::string& folder,
+           std::uint64_t seed, int routers, int per_second)
     : random_(seed),
       per_second_(per_second),
       store_(loop_, Loopback(1, kStorePort), deployment_, clock_) {
