A stopped router ends at once instead of being killed after its grace period

The logging library's static destructor waits for its idle threads. With both routers of a zone away for 8 s its callers crossed to the other region, filled the link and reached routers a second late. Ruled out: open exchanges (none were left), a late tick (ticks were on time). Change: the process ends by quick_exit once the loop has stopped; log lines are written unbuffered before. The fault needs a process, so the check belongs to the soak.

--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,4 +1,5 @@
 // corianderpost-router: one router of the fleet.
+#include <cstdlib>
 #include <iostream>
 
 #include "platform/platform_deployment.h"
@@ -24,7 +25,9 @@
   const corianderpost::platform::PlatformDeployment deployment;
   corianderpost::Router router(settings, path, deployment);
   router.Run();
-  return in::kExitSuccess;
+  // Every answer is written and log lines are never buffered. The logging
+  // library's destructor may wait for its idle threads past the grace period.
+  std::quick_exit(in::kExitSuccess);
 }
 
 }  // namespace
