A request whose caller has left is not passed on

Ruled out: the router's own delay (ticks on time, other requests served all the while). Change: once a request is whole, the connection is read once more without waiting; a close there drops the request. One more system call a request.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -127,6 +127,10 @@
   if (!parser_->is_done()) {
     return;
   }
+  if (HasLeft()) {
+    Close();
+    return;
+  }
   state_ = State::kAnswering;
   wants_close_ = !parser_->get().keep_alive();
   ReceivedRequest request{parser_->release(), began_at_};
@@ -134,6 +138,14 @@
   handler_.OnRequest(shared_from_this(), std::move(request));
 }
 
+bool CallerConnection::HasLeft() {
+  boost::system::error_code ec;
+  auto& buffer = SharedBuffer();
+  const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
+  in_.append(buffer.data(), n);
+  return ec && ec != asio::error::would_block;
+}
+
 void CallerConnection::Reject(int status, const std::string& reason) {
   handler_.OnBadRequest(status, reason);
   has_unread_ = true;
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -90,6 +90,8 @@
   void AwaitRead();
   void ReadAvailable();
   void Feed();
+  // Returns whether the caller has closed the connection behind its request.
+  bool HasLeft();
   void Reject(int status, const std::string& reason);
   void Flush();
   void BeginLinger();
