Guarantee shares by the stated capacity alone

Ruled out: a slow exchange of demand (levels of all routers agreed within 10%). Change: the level is worked out from the stated capacity; what engines give beyond is spare and goes by the rule for spare capacity.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -21,9 +21,6 @@
 constexpr double kSpareRatio = 1.25;
 // A customer that is given less than this part of what it asks waits.
 constexpr double kWaitingPart = 0.9;
-// Capacity is taken for a little more than what is being served, so that it
-// can be found to be larger.
-constexpr double kCapacityProbe = 1.05;
 // Longest debt, in seconds of a customer's rate.
 constexpr double kDebtSeconds = 1.0;
 // A refused request's retry is not sent further ahead than this.
@@ -79,13 +76,10 @@
   }
   std::vector<double> demands;
   demands.reserve(total_.size());
-  double served = 0;
   for (const auto& [customer, rates] : total_) {
     demands.push_back(rates.asked);
-    served += rates.served;
   }
-  level_ = MaxMinLevel(std::move(demands),
-                       std::max(capacity_, kCapacityProbe * served));
+  level_ = MaxMinLevel(std::move(demands), capacity_);
   level_at_ = now;
   has_level_ = true;
 }
