One home in the fleet for a long chain; the link between regions is measured

Change: one home a chain over all regions, chosen where it is worth the distance and the link's budget allows; the budget begins with the setting, grows while used and quiet, shrinks when round trips between reports show a queue. The end of a request is logged with its first event's time, what was to be read, and whether at home. 'Scheduler stays in its region while that has room' now asks it for prompts that gain nothing elsewhere; a chain's home may be far.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -199,6 +199,8 @@
   const TimePoint now = plane_.clock.Now();
   assignment_ = assignment;
   predicted_ = assignment.predicted;
+  read_tokens_ = assignment.uncached_tokens;
+  was_home_ = assignment.is_home;
   scheduled_.tried.push_back(KeyOf(assignment));
   ++attempts_;
   was_sent_ = false;
@@ -318,12 +320,12 @@
   std::string out;
   if (!has_begun_) {
     has_begun_ = true;
+    first_event_ = progressed_at_ - began_at_;
     caller_->BeginStream();
     status_ = static_cast<int>(answer_head_->result_int());
     out = FormatAnswerHead(*answer_head_, Framing::kChunked, 0,
                            CloseAfterAnswer());
-    plane_.metrics.Observe("corianderpost_first_event_seconds",
-                           progressed_at_ - began_at_);
+    plane_.metrics.Observe("corianderpost_first_event_seconds", first_event_);
   }
   out.append(FormatChunk(event.text));
   if (!event.id.empty()) {
@@ -508,6 +510,9 @@
        {"took_ms", Millis(took)},
        {"deadline_ms", Millis(deadline_)},
        {"predicted_ms", Millis(predicted_)},
+       {"first_event_ms", Millis(first_event_)},
+       {"read_tokens", static_cast<std::int64_t>(read_tokens_)},
+       {"at_home", was_home_},
        {"retry_after_ms", Millis(retry_after_)},
        {"share_level", static_cast<std::int64_t>(share_level_)},
        {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
--- /dev/null
+++ b/src/decisions/link_budget.h
@@ -0,0 +1,47 @@
+// How much request bodies may cross to other regions.
+//
+// The link's capacity is not stated by the platform and is shared with answers
+// and with callers that reach a router of the other region. The budget begins
+// with what operators set, grows while it is used and the link is quiet, and
+// shrinks when round trips show a queue.
+#ifndef CORIANDERPOST_DECISIONS_LINK_BUDGET_H_
+#define CORIANDERPOST_DECISIONS_LINK_BUDGET_H_
+
+#include "corianderpost/clock.h"
+
+namespace corianderpost {
+
+// Not thread-safe.
+class LinkBudget {
+ public:
+  // `bytes_per_second` is the smallest capacity that the link is known to
+  // have; zero closes it.
+  explicit LinkBudget(double bytes_per_second);
+
+  // Takes a round trip to a router of another region.
+  void NoteRoundTrip(TimePoint now, Duration round_trip);
+  // Notes what bodies of this region use together, in bytes a second.
+  void NoteUse(double bytes_per_second) { use_ = bytes_per_second; }
+  // Takes over what this router's relay measured.
+  void Set(double bytes_per_second) { budget_ = bytes_per_second; }
+
+  double BytesPerSecond() const { return budget_; }
+  // Shortest round trip of the last second beyond the shortest of all.
+  Duration queueing() const { return queueing_; }
+
+ private:
+  void Adjust(TimePoint now);
+
+  double floor_;
+  double ceiling_;
+  double budget_;
+  double use_ = 0;
+  Duration shortest_ = Duration::max();
+  Duration window_shortest_ = Duration::max();
+  Duration queueing_{0};
+  TimePoint window_began_;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DECISIONS_LINK_BUDGET_H_
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -47,15 +47,14 @@
 // Reading a part again costs others at that target the same time once more,
 // and those whose parts it displaces.
 constexpr double kReadAgainWeight = 3.0;
-// What the first homes of a chain are taken to have to read of it.
-constexpr double kUnkeptOfRank[] = {0.0};
+// Part of a chain that the home in a region is taken to have to read, if the
+// fleet's home is in the other region.
+constexpr double kUnkeptAtRegionHome = 0.5;
 // Bounds of what callers are told to wait.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
 // Wait for the routers' own view to recover.
 constexpr Duration kNoTargetRetryAfter = milliseconds(500);
-// Part of the link between regions that request bodies may take together.
-constexpr double kLinkPart = 0.6;
 // Larger bodies leave this part of the budget to small ones, which carry more
 // work for each byte.
 constexpr double kLargeBodyPart = 0.8;
@@ -95,44 +94,36 @@
   return XXH64(id.data(), id.size(), chain);
 }
 
-// Expected part of a chain that a target of this rank has to read. All routers
-// send a chain to its home, and on to the next ranks while that is busy.
-double UnkeptPart(int rank) {
-  return rank < static_cast<int>(std::size(kUnkeptOfRank)) ? kUnkeptOfRank[rank]
-                                                           : 1.0;
-}
-
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-// Returns each target's place among the homes of a chain in its region; a
-// request without a chain has none.
-std::vector<int> RanksOf(const std::vector<TargetState*>& targets,
-                         std::uint64_t chain) {
-  constexpr int kNone = 1000;
-  std::vector<int> ranks(targets.size(), kNone);
+// The targets that keep a chain of shared prompt parts.
+struct Homes {
+  const TargetState* of_fleet = nullptr;
+  const TargetState* of_near = nullptr;
+  const TargetState* of_far = nullptr;
+};
+
+// Finds a chain's homes by rendezvous hash; a request without a chain has none.
+Homes HomesOf(const std::vector<TargetState*>& targets, std::uint64_t chain) {
+  Homes homes;
   if (chain == 0) {
-    return ranks;
+    return homes;
+  }
+  std::uint64_t most_near = 0;
+  std::uint64_t most_far = 0;
+  for (const TargetState* it : targets) {
+    std::uint64_t& most = it->is_near ? most_near : most_far;
+    const TargetState*& home = it->is_near ? homes.of_near : homes.of_far;
+    const std::uint64_t weight = HomeWeight(it->entry.id, chain);
+    if (home == nullptr || weight > most) {
+      most = weight;
+      home = it;
+    }
   }
-  struct Ranked {
-    std::uint64_t weight;
-    std::size_t index;
-  };
-  std::vector<Ranked> order;
-  order.reserve(targets.size());
-  for (std::size_t i = 0; i < targets.size(); ++i) {
-    order.push_back({HomeWeight(targets[i]->entry.id, chain), i});
-  }
-  std::sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
-    return a.weight > b.weight;
-  });
-  int near = 0;
-  int far = 0;
-  for (const Ranked& it : order) {
-    ranks[it.index] = targets[it.index]->is_near ? near++ : far++;
-  }
-  return ranks;
+  homes.of_fleet = most_near >= most_far ? homes.of_near : homes.of_far;
+  return homes;
 }
 
 }  // namespace
@@ -158,6 +149,9 @@
 }
 
 void Scheduler::SetSurroundings(Surroundings surroundings) {
+  if (surroundings.region_link_bytes != surroundings_.region_link_bytes) {
+    link_budget_ = LinkBudget(surroundings.region_link_bytes);
+  }
   surroundings_ = std::move(surroundings);
   targets_.SetRegions(surroundings_.region_of_zone, surroundings_.region);
 }
@@ -239,7 +233,8 @@
 
 Scheduler::Candidate Scheduler::Assess(TimePoint now,
                                        const ScheduledRequest& request,
-                                       TargetState& target, int rank) {
+                                       TargetState& target,
+                                       double unkept_part) {
   Candidate candidate;
   candidate.target = &target;
   candidate.is_local = target.is_near;
@@ -265,7 +260,7 @@
     const auto kept = target.kept.find(chain);
     if (kept == target.kept.end() || now - kept->second > kKeptFor) {
       shared +=
-          UnkeptPart(rank) * static_cast<double>(request.prompt[i].tokens);
+          unkept_part * static_cast<double>(request.prompt[i].tokens);
     }
   }
   const double own = request.prompt.empty()
@@ -300,7 +295,7 @@
 }
 
 bool Scheduler::LinkAllows(TimePoint now, std::size_t bytes) const {
-  const double budget = kLinkPart * surroundings_.region_link_bytes *
+  const double budget = link_budget_.BytesPerSecond() *
                         (bytes > kLargeBody ? kLargeBodyPart : 1.0);
   return peer_link_use_ + link_use_.PerSecond(now) < budget;
 }
@@ -357,9 +352,14 @@
   const std::uint64_t chain = ChainOf(request);
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
-  const std::vector<int> ranks = RanksOf(usable, chain);
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    candidates.push_back(Assess(now, request, *usable[i], ranks[i]));
+  const Homes homes = HomesOf(usable, chain);
+  for (TargetState* it : usable) {
+    const bool is_region_home = it == homes.of_near || it == homes.of_far;
+    const double unkept_part = it == homes.of_fleet ? 0.0
+                               : is_region_home     ? kUnkeptAtRegionHome
+                                                    : 1.0;
+    candidates.push_back(Assess(now, request, *it, unkept_part));
+    candidates.back().is_home = it == homes.of_fleet;
   }
   std::sort(
       candidates.begin(), candidates.end(),
@@ -393,9 +393,9 @@
   }
   const double spill_part =
       request.body_bytes > kLargeBody ? kLargeSpillPart : kSmallSpillPart;
-  const bool may_spill =
-      (best_near > spill_part * limit || near_wait > spill_part * wait_limit) &&
-      LinkAllows(now, request.body_bytes);
+  const bool is_near_busy =
+      best_near > spill_part * limit || near_wait > spill_part * wait_limit;
+  const bool link_allows = LinkAllows(now, request.body_bytes);
   for (const Candidate& it : candidates) {
     if (best == 0 || it.predicted_seconds < best) {
       best = it.predicted_seconds;
@@ -405,7 +405,8 @@
         (is_engine && it.wait_seconds > wait_limit)) {
       continue;
     }
-    if (!it.is_local && !may_spill) {
+    if (!it.is_local &&
+        !(link_allows && (is_near_busy || it.is_home))) {
       continue;
     }
     if (!TakeColdToken(now, *it.target)) {
@@ -471,6 +472,7 @@
   assignment.memory_tokens = candidate.memory_tokens;
   assignment.expected = FromSeconds(candidate.expected_seconds);
   assignment.predicted = FromSeconds(candidate.predicted_seconds);
+  assignment.is_home = candidate.is_home;
   assignment.is_trial = candidate.is_trial;
   assignment.sent_at = now;
   if (!candidate.is_local) {
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -2,8 +2,9 @@
 //
 // A model request is placed where its first event comes earliest, counting the
 // shared prompt parts that the target would have to read again. Each chain of
-// shared parts has a home target by rendezvous hash, so all routers keep a
-// chain in the same place without asking each other. A request whose first
+// shared parts has one home in the fleet, and one in each region for when that
+// can't be used, by rendezvous hash, so all routers keep a chain in the same
+// place without asking each other. A request whose first
 // event would miss its goal everywhere is refused; customers beyond their
 // max-min share are refused earlier.
 #ifndef CORIANDERPOST_DECISIONS_SCHEDULER_H_
@@ -19,6 +20,7 @@
 #include "corianderpost/clock.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
+#include "decisions/link_budget.h"
 #include "decisions/rate_meter.h"
 #include "decisions/retry_budget.h"
 #include "decisions/target_table.h"
@@ -34,7 +36,8 @@
   // Region of each zone.
   std::map<std::string, std::string> region_of_zone;
   RetryBudgetLimits retry_budget;
-  // Bytes a second that the link to another region carries; zero if unknown.
+  // Bytes a second that the link to another region carries at least; zero if
+  // nothing may cross.
   double region_link_bytes = 0;
   friend bool operator==(const Surroundings&, const Surroundings&) = default;
 };
@@ -86,6 +89,8 @@
   // Prompt tokens that the target is expected to read.
   double uncached_tokens = 0;
   double memory_tokens = 0;
+  // The target is the home of the prompt's chain in the fleet.
+  bool is_home = false;
   // Time to the first event that the load alone predicts.
   Duration expected{0};
   Duration predicted{0};
@@ -107,9 +112,11 @@
   // this one's place among them, from 0, in an order that all agree on.
   void SetFleet(int routers, int position);
   // Bytes a second that the other routers of this region send to others.
-  void SetLinkUseOfPeers(double bytes_per_second) {
+  void SetLinkUseOfPeers(TimePoint now, double bytes_per_second) {
     peer_link_use_ = bytes_per_second;
+    link_budget_.NoteUse(peer_link_use_ + LinkUse(now));
   }
+  LinkBudget& link_budget() { return link_budget_; }
   // The same for this router.
   double LinkUse(TimePoint now) const { return link_use_.PerSecond(now); }
 
@@ -142,6 +149,7 @@
     double wait_seconds = 0;
     double cost = 0;
     bool is_local = false;
+    bool is_home = false;
     bool is_trial = false;
   };
 
@@ -149,10 +157,10 @@
                                    const ScheduledRequest& request);
   static bool IsAllowedRegion(const ScheduledRequest& request,
                               const std::string& region);
-  // `rank` is the target's place among the homes of the prompt's chain in its
-  // region, from 0.
+  // `unkept_part` is the part of the prompt's shared parts that the target is
+  // taken to have to read if this router did not send them there lately.
   Candidate Assess(TimePoint now, const ScheduledRequest& request,
-                   TargetState& target, int rank);
+                   TargetState& target, double unkept_part);
   // Whether a body may cross to another region now.
   bool LinkAllows(TimePoint now, std::size_t bytes) const;
   // Shortest latency goal of the routes that a service answers.
@@ -171,6 +179,7 @@
   std::shared_ptr<const Configuration> configuration_;
   int routers_ = 1;
   int position_ = 0;
+  LinkBudget link_budget_{0};
   double peer_link_use_ = 0;
   RateMeter link_use_{std::chrono::milliseconds(500)};
   std::map<std::string, double> shortest_goals_;
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -152,7 +152,7 @@
   const std::string home = TargetOf(
       fixture.scheduler().Place(kStart, fixture.Request("small", 42, 10)));
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName(home), {60, 30'000, 200'000}}});
+      kStart, {{TargetId::FromName(home), {60, 30'000, 200'000}}});
   CHECK(TargetOf(fixture.scheduler().Place(
             kStart, fixture.Request("small", 42, 10))) != home);
 }
@@ -160,7 +160,7 @@
 TEST_CASE("Scheduler refuses at once what would miss its goal everywhere") {
   Fixture fixture({"a", "b"});
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName("t0"), {100, 40'000, 0}},
+      kStart, {{TargetId::FromName("t0"), {100, 40'000, 0}},
        {TargetId::FromName("t1"), {100, 40'000, 0}}});
   const Decision decision =
       fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100));
@@ -217,6 +217,35 @@
 
 TEST_CASE("Scheduler stays in its region while that has room") {
   Fixture fixture({"a", "c", "c", "c"});
+  for (std::uint64_t subject = 1; subject < 5; ++subject) {
+    ScheduledRequest request = fixture.Request("small", subject, 10);
+    request.prompt = {{subject, 500}};
+    CHECK(TargetOf(fixture.scheduler().Place(kStart, request)) == "t0");
+  }
+}
+
+// Grown scale-1: each region read the shared parts again, 24 of 100 tokens.
+TEST_CASE("Routers of both regions send a long chain to one home") {
+  Fixture west({"a", "a", "c", "c"});
+  Fixture east({"a", "a", "c", "c"});
+  Surroundings in_east = InWest();
+  in_east.zone = "c";
+  in_east.region = "east";
+  east.scheduler().SetSurroundings(in_east);
+  std::set<std::string> used;
+  for (std::uint64_t subject = 1; subject < 20; ++subject) {
+    const std::string home = TargetOf(
+        west.scheduler().Place(kStart, west.Request("small", subject, 10)));
+    CHECK(home == TargetOf(east.scheduler().Place(
+                      kStart, east.Request("small", subject, 10))));
+    used.insert(home);
+  }
+  CHECK(used.size() == 4);
+}
+
+TEST_CASE("A chain stays in its region while the link is used up") {
+  Fixture fixture({"a", "c", "c", "c"});
+  fixture.scheduler().SetLinkUseOfPeers(kStart, 4e6);
   for (std::uint64_t subject = 1; subject < 5; ++subject) {
     CHECK(TargetOf(fixture.scheduler().Place(
               kStart, fixture.Request("small", subject, 10))) == "t0");
@@ -228,7 +257,7 @@
 TEST_CASE("Scheduler uses the other region when its own is full") {
   Fixture fixture({"a", "c"});
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+      kStart, {{TargetId::FromName("t0"), {100, 60'000, 0}}});
   ScheduledRequest request = fixture.Request("small", 42, 100);
   request.body_bytes = 18'000;
   CHECK(TargetOf(fixture.scheduler().Place(kStart, request)) == "t1");
@@ -237,7 +266,7 @@
 TEST_CASE("Scheduler keeps to its part of the link between regions") {
   Fixture fixture({"a", "c", "c", "c"});
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+      kStart, {{TargetId::FromName("t0"), {100, 60'000, 0}}});
   double bytes = 0;
   for (int i = 0; i < 10'000; ++i) {
     const TimePoint now = kStart + Duration(i * 100);
@@ -259,8 +288,8 @@
 TEST_CASE("Scheduler leaves the link to peers that use it up") {
   Fixture fixture({"a", "c"});
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName("t0"), {100, 60'000, 0}}});
-  fixture.scheduler().SetLinkUseOfPeers(4e6);
+      kStart, {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+  fixture.scheduler().SetLinkUseOfPeers(kStart, 4e6);
   CHECK(std::holds_alternative<Refusal>(
       fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100))));
 }
@@ -272,7 +301,7 @@
   Route lax = *fixture.Request("small", 1, 1).route;
   lax.latency_goal = seconds(10);
   fixture.scheduler().targets().SetPeerLoad(
-      {{TargetId::FromName("t0"), {100, 30'000, 0}}});
+      kStart, {{TargetId::FromName("t0"), {100, 30'000, 0}}});
   ScheduledRequest request = fixture.Request("small", 42, 100);
   request.route = &lax;
   CHECK(std::holds_alternative<Refusal>(
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -185,7 +185,20 @@
   }
 }
 
-void TargetTable::SetPeerLoad(const std::map<TargetId, TargetLoad>& load) {
+std::map<TargetId, TargetLoad> TargetTable::OwnLoad(TimePoint now) const {
+  static_cast<void>(now);
+  std::map<TargetId, TargetLoad> load;
+  for (const auto& [id, target] : targets_) {
+    if (target.own.in_flight > 0) {
+      load[target.id] = target.own;
+    }
+  }
+  return load;
+}
+
+void TargetTable::SetPeerLoad(TimePoint now,
+                              const std::map<TargetId, TargetLoad>& load) {
+  static_cast<void>(now);
   for (auto& [id, target] : targets_) {
     const auto it = load.find(target.id);
     target.peers = it == load.end() ? TargetLoad{} : it->second;
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -113,7 +113,9 @@
   void NotePeerEvidence(TimePoint now, const std::string& id);
 
   // Replaces what peers together have in flight.
-  void SetPeerLoad(const std::map<TargetId, TargetLoad>& load);
+  void SetPeerLoad(TimePoint now, const std::map<TargetId, TargetLoad>& load);
+  // What this router has in flight.
+  std::map<TargetId, TargetLoad> OwnLoad(TimePoint now) const;
   void SetTakenOutZones(std::set<std::string> zones) {
     taken_out_zones_ = std::move(zones);
   }
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -11,8 +11,8 @@
 using std::chrono::milliseconds;
 
 // Version of the encoding; a router ignores other versions.
-constexpr int kFormat = 4;
-constexpr std::size_t kFields = 14;
+constexpr int kFormat = 5;
+constexpr std::size_t kFields = 18;
 // Numbers for each target and each router of the roster.
 constexpr std::size_t kLoadFields = 4;
 constexpr std::size_t kDemandFields = 3;
@@ -77,7 +77,11 @@
                      std::move(crashes),
                      report.unreachable,
                      std::move(roster),
-                     static_cast<std::int64_t>(report.link_use)};
+                     static_cast<std::int64_t>(report.link_use),
+                     static_cast<std::int64_t>(report.link_budget),
+                     report.sent_at,
+                     report.echo_of,
+                     report.echo_held.count()};
   const std::vector<std::uint8_t> bytes = Json::to_msgpack(json);
   return {bytes.begin(), bytes.end()};
 }
@@ -121,6 +125,10 @@
       report.roster.push_back(RosterEntryAt(json[12], i));
     }
     report.link_use = json[13].get<double>();
+    report.link_budget = json[14].get<double>();
+    report.sent_at = json[15].get<std::int64_t>();
+    report.echo_of = json[16].get<std::int64_t>();
+    report.echo_held = Duration(json[17].get<std::int64_t>());
     return report;
   } catch (const Json::exception& ex) {
     return absl::InvalidArgumentError(ex.what());
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -62,6 +62,15 @@
   // Bytes a second that routers of the sender's region, as far as the scope
   // covers them, send to other regions.
   double link_use = 0;
+  // What bodies of the sender's region may use of the link to other regions, in
+  // bytes a second; zero if the sender does not measure it.
+  double link_budget = 0;
+  // Send time by the sender's clock in microseconds; zero within a region.
+  std::int64_t sent_at = 0;
+  // `sent_at` of the receiver's last report, and how long it was held; zero if
+  // none came.
+  std::int64_t echo_of = 0;
+  Duration echo_held{0};
   std::vector<CrashReport> crashes;
   // Targets that refused connections lately.
   std::vector<std::string> unreachable;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -2,9 +2,7 @@
 
 #include <sys/resource.h>
 #include <time.h>
-#include <xxhash.h>
 
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
@@ -15,7 +13,7 @@
 
 #include "dataplane/exchange.h"
 #include "dataplane/fetch.h"
-#include "peers/peer_table.h"
+#include "peers/peer_messenger.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
 #include "runtime/json_log.h"
@@ -34,19 +32,8 @@
 constexpr Duration kTick = milliseconds(25);
 constexpr Duration kHousekeeping = milliseconds(250);
 constexpr Duration kSettingsCheck = seconds(1);
-// Reports to routers of the own region, and to others over the narrow link.
-constexpr Duration kReportInterval = milliseconds(100);
-constexpr Duration kRemoteReportInterval = milliseconds(400);
-// The same for routers that report to a relay.
-constexpr Duration kRelayedReportInterval = milliseconds(150);
-// A relay that was silent this long is passed over.
-constexpr Duration kRelaySilence = milliseconds(700);
 // Routers of a zone that read the store; the others copy from them.
 constexpr int kReadersPerZone = 2;
-// What peers told is summed up this often.
-constexpr Duration kSumInterval = milliseconds(75);
-// Addresses that never answered are tried this often.
-constexpr Duration kHelloInterval = seconds(1);
 // The target list changes often; its changes are read in batches. The users
 // allow 3 s until a leaving target gets nothing more.
 constexpr Duration kTargetListPause = milliseconds(700);
@@ -68,8 +55,6 @@
 constexpr Duration kLeaveRotation = milliseconds(2800);
 // Open answers are cut this long before the process would be killed.
 constexpr Duration kCutBeforeKill = milliseconds(700);
-// Failed connects are told to peers for this long.
-constexpr Duration kNews = milliseconds(300);
 // Plain requests are refused this long before open answers are cut; they take
 // some ten milliseconds.
 constexpr Duration kLastRequests = milliseconds(1500);
@@ -91,7 +76,6 @@
 constexpr Duration kRelapse = milliseconds(6000);
 // Descriptors kept for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
-constexpr std::size_t kMaxDatagram = 60'000;
 
 Duration MonotonicNow() {
   timespec at{};
@@ -215,7 +199,6 @@
   void Tick();
   void TickExchanges(TimePoint now);
   void TickReaders(TimePoint now);
-  void TickPeers(TimePoint now);
   void TickDrain(TimePoint now);
   void CheckOwnLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
@@ -231,17 +214,8 @@
   void Take(const UnreadableItem& change, bool after_outage);
   void Take(const UnknownItem& change, bool after_outage);
 
-  void OpenPeerSocket();
-  void AwaitReport();
-  void ReceiveReports();
-  void TakeReport(TimePoint now, PeerReport report);
-  // What this router tells of its own work.
-  PeerReport BuildReport(TimePoint now);
-  void SendReport(const PeerReport& report, const std::string& vm);
-  void SendReports(TimePoint now);
-  void SendToMesh(TimePoint now);
-  void SendAsMember(TimePoint now);
-  void SendAsRelay(TimePoint now);
+  // Says in a report how current the copies of the store are.
+  void AddCopies(TimePoint now, PeerReport& report) const;
   std::optional<std::string> PeerWithNewer(TimePoint now,
                                            std::uint64_t PeerReport::*revision,
                                            std::uint64_t own);
@@ -258,7 +232,7 @@
   UpstreamPool pool_;
   Fetcher fetcher_;
   DataPlane plane_;
-  PeerTable peers_;
+  PeerMessenger messenger_;
   StoreReader operators_;
   StoreReader target_list_;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges_;
@@ -268,12 +242,9 @@
   Listener callers_;
   Listener readiness_;
   Listener control_;
-  asio::ip::udp::socket peer_socket_;
   asio::steady_timer tick_timer_;
   asio::signal_set signals_;
 
-  const std::uint64_t incarnation_;
-  std::uint64_t sequence_ = 0;
   TimePoint tick_due_;
   double mean_late_ms_ = 0;
   TimePoint busy_at_;
@@ -282,18 +253,11 @@
   Duration calm_for_ = kFirstCalm;
   TimePoint housekeeping_at_;
   TimePoint settings_at_;
-  TimePoint report_at_;
-  TimePoint remote_report_at_;
-  TimePoint hello_at_;
   TimePoint newer_since_;
   bool is_peer_newer_ = false;
-  bool has_reports_ = false;
-  TimePoint fleet_heard_at_;
-  TimePoint sums_at_;
   TimePoint drain_began_;
   TimePoint last_busy_at_;
   Duration suspended_{0};
-  std::map<std::string, TimePoint> unreachable_;
   std::set<std::string> taken_out_;
 };
 
@@ -307,8 +271,13 @@
       pool_(loop_, clock_),
       fetcher_(pool_, deployment.dialect()),
       plane_{clock_, deployment.dialect(), scheduler_, pool_, metrics_},
-      peers_({settings.ip, settings.zone, settings.region, settings.capacity,
-              Duration(0)}),
+      messenger_(loop_, clock_,
+                 {settings.ip, settings.zone, settings.region,
+                  settings.capacity, Duration(0)},
+                 settings.peer_port, scheduler_, metrics_,
+                 [this](TimePoint now, PeerReport& report) {
+                   AddCopies(now, report);
+                 }),
       operators_({deployment.operator_prefix(), settings.store, kOperatorPause,
                   kOperatorWait},
                  deployment.store(), fetcher_, clock_,
@@ -329,24 +298,21 @@
       callers_(loop_, settings.callers, front_, clock_),
       readiness_(loop_, settings.readiness, ready_side_, clock_),
       control_(loop_, settings.control, control_side_, clock_),
-      peer_socket_(loop_),
       tick_timer_(loop_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-      incarnation_(clock_.WallMicros()) {
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
   plane_.on_crash = [this](const CrashReport& report) {
     Log(LogLevel::kWarning, "request was part of a crash",
         {{"fingerprint", report.request}, {"crash", report.crash_id}});
-    report_at_ = TimePoint();
+    messenger_.Hurry();
   };
   plane_.on_unreachable = [this](const std::string& id) {
-    unreachable_[id] = clock_.Now();
+    messenger_.TellUnreachable(clock_.Now(), id);
   };
   callers_.SetMost(static_cast<std::size_t>(std::max(
       64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
   suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
-  OpenPeerSocket();
   for (const std::string& it : settings_.seeds) {
-    peers_.NoteAddress(it.substr(0, it.find(':')));
+    messenger_.NoteAddress(it.substr(0, it.find(':')));
   }
 }
 
@@ -367,7 +333,7 @@
     metrics_.Set("corianderpost_open_requests",
                  static_cast<double>(exchanges_.size()));
     metrics_.Set("corianderpost_callers", static_cast<double>(callers_.size()));
-    metrics_.Set("corianderpost_peers", peers_.FleetSize(clock_.Now()) - 1);
+    metrics_.Set("corianderpost_peers", messenger_.peers().FleetSize(clock_.Now()) - 1);
     metrics_.Set("corianderpost_configuration_version",
                  plane_.configuration
                      ? static_cast<double>(plane_.configuration->version())
@@ -394,7 +360,7 @@
        {"callers", settings_.callers},
        {"seeds", settings_.seeds}});
   AwaitSignal();
-  AwaitReport();
+  messenger_.Start();
   ScheduleTick();
   Tick();
   loop_.run();
@@ -422,8 +388,7 @@
   }
   plane_.is_draining = true;
   drain_began_ = clock_.Now();
-  report_at_ = TimePoint();
-  remote_report_at_ = TimePoint();
+  messenger_.Hurry();
   Log(LogLevel::kInfo, "router stops",
       {{"open_requests", exchanges_.size()}, {"callers", callers_.size()}});
 }
@@ -438,7 +403,7 @@
     RouterSettings settings =
         RouterSettings::FromYaml(CheckedYaml::FromText(text, settings_path_));
     for (const std::string& it : settings.seeds) {
-      peers_.NoteAddress(it.substr(0, it.find(':')));
+      messenger_.NoteAddress(it.substr(0, it.find(':')));
     }
     scheduler_.SetSurroundings(SurroundingsOf(settings));
     operators_.SetAddress(settings.store);
@@ -522,7 +487,7 @@
   TickExchanges(now);
   fetcher_.Tick(now);
   TickReaders(now);
-  TickPeers(now);
+  messenger_.Tick(now);
   if (now >= housekeeping_at_) {
     housekeeping_at_ = now + kHousekeeping;
     pool_.Tick();
@@ -530,7 +495,7 @@
     readiness_.Tick(now);
     control_.Tick(now);
     scheduler_.targets().Expire(now);
-    peers_.Expire(now);
+    messenger_.Expire(now);
   }
   if (now >= settings_at_) {
     settings_at_ = now + kSettingsCheck;
@@ -574,7 +539,7 @@
 
 void Router::Impl::TickReaders(TimePoint now) {
   const bool is_reader =
-      !peers_.UsesRelays(now) || peers_.OwnRank(now) < kReadersPerZone;
+      !messenger_.peers().UsesRelays(now) || messenger_.peers().OwnRank(now) < kReadersPerZone;
   std::optional<std::string> operator_peer = PeerWithNewer(
       now, &PeerReport::operator_revision, operators_.mirror().revision());
   if (!operator_peer) {
@@ -589,7 +554,7 @@
     operator_peer.reset();
   }
   const TimePoint proven =
-      peers_.OperatorCopyProvenAt(now, operators_.mirror().revision());
+      messenger_.peers().OperatorCopyProvenAt(now, operators_.mirror().revision());
   operators_.Tick(now, operator_peer,
                   is_reader || now - proven > kOperatorSilence);
   const bool is_behind = target_list_.is_failing() ||
@@ -611,10 +576,19 @@
 
 std::optional<std::string> Router::Impl::PeerWithNewer(
     TimePoint now, std::uint64_t PeerReport::*revision, std::uint64_t own) {
-  const auto vm = peers_.NewerCopy(now, revision, own);
+  const auto vm = messenger_.peers().NewerCopy(now, revision, own);
   return vm ? std::optional<std::string>(ControlAddressOf(*vm)) : std::nullopt;
 }
 
+void Router::Impl::AddCopies(TimePoint now, PeerReport& report) const {
+  const std::uint64_t revision = operators_.mirror().revision();
+  report.operator_revision = revision;
+  report.target_revision = target_list_.mirror().revision();
+  report.operator_age =
+      now - std::max(operators_.answered_at(),
+                     messenger_.peers().OperatorCopyProvenAt(now, revision));
+}
+
 void Router::Impl::TakeChanges(const std::vector<StoreItem>& items,
                                bool after_outage) {
   for (const StoreItem& it : items) {
@@ -635,7 +609,7 @@
   }
   plane_.configuration = change.configuration;
   scheduler_.SetConfiguration(change.configuration);
-  report_at_ = TimePoint();
+  messenger_.Hurry();
   Log(LogLevel::kInfo, "configuration in force",
       {{"version", change.configuration->version()},
        {"routes", change.configuration->routes().size()},
@@ -702,215 +676,6 @@
   Log(LogLevel::kDebug, "unknown item", {{"key", change.key}});
 }
 
-void Router::Impl::OpenPeerSocket() {
-  boost::system::error_code ec;
-  const auto ip = asio::ip::make_address_v4(settings_.ip, ec);
-  if (!ec) {
-    peer_socket_.open(asio::ip::udp::v4(), ec);
-  }
-  if (!ec) {
-    peer_socket_.bind({ip, settings_.peer_port}, ec);
-  }
-  if (!ec) {
-    peer_socket_.non_blocking(true, ec);
-  }
-  if (ec) {
-    throw std::runtime_error("cannot open the peer port: " + ec.message());
-  }
-}
-
-void Router::Impl::AwaitReport() {
-  peer_socket_.async_wait(asio::ip::udp::socket::wait_read,
-                          [this](boost::system::error_code ec) {
-                            if (!ec) {
-                              ReceiveReports();
-                              AwaitReport();
-                            }
-                          });
-}
-
-void Router::Impl::ReceiveReports() {
-  static std::array<char, kMaxDatagram> buffer;
-  while (true) {
-    boost::system::error_code ec;
-    asio::ip::udp::endpoint from;
-    const std::size_t n =
-        peer_socket_.receive_from(asio::buffer(buffer), from, 0, ec);
-    if (ec) {
-      if (ec != asio::error::would_block) {
-        Log(LogLevel::kDebug, "peer socket", {{"reason", ec.message()}});
-      }
-      return;
-    }
-    auto report = DecodeReport({buffer.data(), n});
-    if (!report.ok()) {
-      Log(LogLevel::kWarning, "peer report can't be read",
-          {{"from", from.address().to_string()},
-           {"reason", std::string(report.status().message())}});
-      continue;
-    }
-    TakeReport(clock_.Now(), *std::move(report));
-  }
-}
-
-void Router::Impl::TakeReport(TimePoint now, PeerReport report) {
-  for (const CrashReport& it : report.crashes) {
-    scheduler_.suspects().Blame(now, it);
-  }
-  for (const std::string& it : report.unreachable) {
-    TargetState* target = scheduler_.targets().Find(it);
-    if (target != nullptr && now >= target->ejected_until &&
-        !unreachable_.contains(it)) {
-      scheduler_.targets().NotePeerEvidence(now, it);
-      // Told on once: while the target is left, no report is news.
-      unreachable_[it] = now;
-    }
-  }
-  has_reports_ = true;
-  if (report.scope == ReportScope::kFleet) {
-    fleet_heard_at_ = now;
-  }
-  if (peers_.Take(now, report)) {
-    Log(LogLevel::kInfo, "peer heard",
-        {{"peer", report.sender.vm}, {"zone", report.sender.zone}});
-    // A newcomer learns of the others from the answer.
-    PeerReport answer = BuildReport(now);
-    answer.load.clear();
-    answer.roster = peers_.Alive(now);
-    SendReport(answer, report.sender.vm);
-  }
-}
-
-PeerReport Router::Impl::BuildReport(TimePoint now) {
-  PeerReport report;
-  report.sender = peers_.self();
-  report.incarnation = incarnation_;
-  report.sequence = ++sequence_;
-  report.operator_revision = operators_.mirror().revision();
-  report.target_revision = target_list_.mirror().revision();
-  report.operator_age =
-      now - std::max(operators_.answered_at(),
-                     peers_.OperatorCopyProvenAt(
-                         now, operators_.mirror().revision()));
-  for (const auto& [id, target] : scheduler_.targets().targets()) {
-    if (target.own.in_flight > 0) {
-      report.load[target.id] = target.own;
-    }
-  }
-  report.demand = scheduler_.fair_share().OwnDemand(now);
-  report.link_use = scheduler_.LinkUse(now);
-  report.crashes = scheduler_.suspects().Recent(now);
-  std::erase_if(unreachable_,
-                [now](const auto& it) { return now - it.second > kNews; });
-  for (const auto& [id, at] : unreachable_) {
-    report.unreachable.push_back(id);
-  }
-  return report;
-}
-
-void Router::Impl::SendReport(const PeerReport& report, const std::string& vm) {
-  const std::string bytes = EncodeReport(report);
-  boost::system::error_code ec;
-  const auto ip = asio::ip::make_address_v4(vm, ec);
-  if (!ec) {
-    peer_socket_.send_to(asio::buffer(bytes), {ip, settings_.peer_port}, 0, ec);
-  }
-  if (ec) {
-    metrics_.Count("corianderpost_report_send_errors_total", "");
-  }
-}
-
-void Router::Impl::SendToMesh(TimePoint now) {
-  const bool reaches_far = now >= remote_report_at_;
-  PeerReport report = BuildReport(now);
-  if (reaches_far) {
-    remote_report_at_ = now + kRemoteReportInterval;
-    report.roster = peers_.Alive(now);
-  }
-  for (const RosterEntry& it : peers_.Alive(now)) {
-    if (it.region == settings_.region || reaches_far) {
-      SendReport(report, it.vm);
-    }
-  }
-}
-
-void Router::Impl::SendAsMember(TimePoint now) {
-  if (now - fleet_heard_at_ > kRelaySilence) {
-    peers_.SuspectRelay(now);
-    fleet_heard_at_ = now;
-  }
-  if (const auto relay = peers_.RelayOf(now, settings_.zone)) {
-    SendReport(BuildReport(now), *relay);
-  }
-}
-
-void Router::Impl::SendAsRelay(TimePoint now) {
-  const bool reaches_far = now >= remote_report_at_;
-  const PeerReport own = BuildReport(now);
-  std::vector<RosterEntry> alive;
-  if (reaches_far) {
-    remote_report_at_ = now + kRemoteReportInterval;
-    alive = peers_.Alive(now);
-  }
-  PeerReport zone = own;
-  peers_.AddZone(now, zone);
-  std::copy_if(
-      alive.begin(), alive.end(), std::back_inserter(zone.roster),
-      [this](const RosterEntry& it) { return it.zone == settings_.zone; });
-  for (const RosterEntry& it : peers_.OtherRelays(now)) {
-    if (it.region == settings_.region || reaches_far) {
-      SendReport(zone, it.vm);
-    }
-  }
-  for (const RosterEntry& it : peers_.Alive(now)) {
-    if (it.zone == settings_.zone) {
-      PeerReport fleet = peers_.FleetReportFor(now, it.vm, own);
-      fleet.roster = alive;
-      SendReport(fleet, it.vm);
-    }
-  }
-}
-
-void Router::Impl::SendReports(TimePoint now) {
-  if (!peers_.UsesRelays(now)) {
-    report_at_ = now + kReportInterval;
-    fleet_heard_at_ = now;
-    SendToMesh(now);
-    return;
-  }
-  report_at_ = now + kRelayedReportInterval;
-  if (peers_.IsRelay(now)) {
-    fleet_heard_at_ = now;
-    SendAsRelay(now);
-  } else {
-    SendAsMember(now);
-  }
-}
-
-void Router::Impl::TickPeers(TimePoint now) {
-  if (has_reports_ && now >= sums_at_) {
-    has_reports_ = false;
-    sums_at_ = now + kSumInterval;
-    scheduler_.targets().SetPeerLoad(peers_.LoadOfOthers(now));
-    scheduler_.fair_share().SetPeerDemand(peers_.DemandOfOthers(now));
-    scheduler_.SetFleet(peers_.FleetSize(now), peers_.OwnPosition(now));
-    scheduler_.SetLinkUseOfPeers(peers_.LinkUseOfOthers(now));
-  }
-  if (now >= report_at_) {
-    SendReports(now);
-    // Reports that ran out no longer count.
-    has_reports_ = true;
-  }
-  if (now >= hello_at_) {
-    hello_at_ = now + kHelloInterval;
-    PeerReport report = BuildReport(now);
-    report.load.clear();
-    for (const std::string& it : peers_.Silent(now)) {
-      SendReport(report, it);
-    }
-  }
-}
-
 Router::Router(const RouterSettings& settings, std::string settings_path,
                const Deployment& deployment)
     : impl_(std::make_unique<Impl>(settings, std::move(settings_path),
