One router a zone reads the store; the next take over one after the other

Ruled out: fewer looks at the list by the reader, which the bound for leaving targets needs. Change: one reader a zone; the others wait 0.25 s longer for each place in the zone's order before they read for themselves.

--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -33,7 +33,11 @@
 constexpr Duration kHousekeeping = milliseconds(250);
 constexpr Duration kSettingsCheck = seconds(1);
 // Routers of a zone that read the store; the others copy from them.
-constexpr int kReadersPerZone = 2;
+constexpr int kReadersPerZone = 1;
+// Routers further back in the zone's order read for themselves this much later
+// each, up to so many places, so that one takes over and the others copy.
+constexpr Duration kTakeoverStep = milliseconds(250);
+constexpr int kTakeoverPlaces = 4;
 // The target list changes often; its changes are read in batches. The users
 // allow 3 s until a leaving target gets nothing more.
 constexpr Duration kTargetListPause = milliseconds(700);
@@ -308,6 +312,7 @@
   plane_.on_unreachable = [this](const std::string& id) {
     messenger_.TellUnreachable(clock_.Now(), id);
   };
+  scheduler_.SetSeed(static_cast<std::uint32_t>(clock_.WallMicros()));
   callers_.SetMost(static_cast<std::size_t>(std::max(
       64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
   suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
@@ -333,7 +338,8 @@
     metrics_.Set("corianderpost_open_requests",
                  static_cast<double>(exchanges_.size()));
     metrics_.Set("corianderpost_callers", static_cast<double>(callers_.size()));
-    metrics_.Set("corianderpost_peers", messenger_.peers().FleetSize(clock_.Now()) - 1);
+    metrics_.Set("corianderpost_peers",
+                 messenger_.peers().FleetSize(clock_.Now()) - 1);
     metrics_.Set("corianderpost_configuration_version",
                  plane_.configuration
                      ? static_cast<double>(plane_.configuration->version())
@@ -538,8 +544,11 @@
 }
 
 void Router::Impl::TickReaders(TimePoint now) {
-  const bool is_reader =
-      !messenger_.peers().UsesRelays(now) || messenger_.peers().OwnRank(now) < kReadersPerZone;
+  const PeerTable& peers = messenger_.peers();
+  const int rank = peers.UsesRelays(now) ? peers.OwnRank(now) : 0;
+  const bool is_reader = rank < kReadersPerZone;
+  const Duration patience =
+      kTakeoverStep * std::clamp(rank - kReadersPerZone, 0, kTakeoverPlaces);
   std::optional<std::string> operator_peer = PeerWithNewer(
       now, &PeerReport::operator_revision, operators_.mirror().revision());
   if (!operator_peer) {
@@ -553,13 +562,13 @@
     // The own watch brings it as a rule.
     operator_peer.reset();
   }
-  const TimePoint proven =
-      messenger_.peers().OperatorCopyProvenAt(now, operators_.mirror().revision());
+  const TimePoint proven = messenger_.peers().OperatorCopyProvenAt(
+      now, operators_.mirror().revision());
   operators_.Tick(now, operator_peer,
-                  is_reader || now - proven > kOperatorSilence);
-  const bool is_behind = target_list_.is_failing() ||
-                         !target_list_.mirror().is_filled() ||
-                         now - target_list_.advanced_at() > kListSilence;
+                  is_reader || now - proven > kOperatorSilence + patience);
+  const bool is_behind =
+      target_list_.is_failing() || !target_list_.mirror().is_filled() ||
+      now - target_list_.advanced_at() > kListSilence + patience;
   plane_.list_read_at = target_list_.advanced_at();
   target_list_.Tick(now,
                     is_behind || !is_reader
