Shares follow the engines that can serve; who is behind its share gets more room

Change: the stated capacity counts for the engines that can serve, cold ones by half; a large customer that is given less than 0.7 of its share has the room of a small one; an overloaded router stays out of rotation for 4 to 20 s; the link's budget is judged every 0.4 s and shrinks to a third at a harmful queue. Tests: 'Shares follow the engines that can serve', 'FairShare tells who is behind its share'.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -98,6 +98,15 @@
   return it == total_.end() || it->second.asked <= level;
 }
 
+double FairShare::ServedPart(TimePoint now, CustomerId customer) {
+  const double level = Level(now);
+  const auto it = total_.find(customer);
+  if (it == total_.end() || it->second.asked <= 0) {
+    return 1.0;
+  }
+  return it->second.served / std::min(level, it->second.asked);
+}
+
 bool FairShare::MayUseSpare(TimePoint now, CustomerId customer) {
   Update(now);
   const auto own = total_.find(customer);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -47,6 +47,9 @@
   bool IsWithinShare(TimePoint now, CustomerId customer);
   // Returns whether the customer asks no more than its share, over all routers.
   bool AsksWithinShare(TimePoint now, CustomerId customer);
+  // Returns what the customer is given as a part of its share, over all
+  // routers; one if it asks nothing.
+  double ServedPart(TimePoint now, CustomerId customer);
   // Returns whether a customer beyond its share may use capacity that is left
   // over: no other customer that waits has been given much less.
   bool MayUseSpare(TimePoint now, CustomerId customer);
--- a/src/decisions/fair_share_test.cc
+++ b/src/decisions/fair_share_test.cc
@@ -109,5 +109,15 @@
   CHECK(share.MayUseSpare(kStart + milliseconds(200), kLarge));
 }
 
+TEST_CASE("FairShare tells who is behind its share") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  share.SetPeerDemand(
+      {{kOther, {300'000, 10'000}}, {kLarge, {300'000, 60'000}}});
+  CHECK(share.ServedPart(kStart, kOther) == doctest::Approx(0.2));
+  CHECK(share.ServedPart(kStart, kLarge) == doctest::Approx(1.2));
+  CHECK(share.ServedPart(kStart, CustomerId::FromName("nobody")) == 1.0);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/decisions/link_budget.cc
+++ b/src/decisions/link_budget.cc
@@ -13,13 +13,16 @@
 constexpr double kCeilingPart = 10.0;
 // Round trips are judged by the shortest in this time, since a busy router
 // delays single ones.
-constexpr Duration kWindow = std::chrono::milliseconds(800);
+constexpr Duration kWindow = std::chrono::milliseconds(400);
 // A queue of this length on the link delays answers noticeably; one half as
 // long leaves room to grow.
 constexpr Duration kLongQueue = std::chrono::milliseconds(30);
+// A queue of this length costs callers their goals.
+constexpr Duration kHarmfulQueue = std::chrono::milliseconds(150);
 // Factors for one window.
 constexpr double kShrink = 0.7;
-constexpr double kGrow = 1.25;
+constexpr double kShrinkFast = 0.3;
+constexpr double kGrow = 1.15;
 // The budget only grows while it is used up to this part.
 constexpr double kUsedPart = 0.7;
 
@@ -46,7 +49,8 @@
   window_began_ = now;
   window_shortest_ = Duration::max();
   if (queueing_ >= kLongQueue) {
-    budget_ = std::max(floor_, kShrink * std::min(budget_, use_));
+    const double factor = queueing_ >= kHarmfulQueue ? kShrinkFast : kShrink;
+    budget_ = std::max(floor_, factor * std::min(budget_, use_));
   } else if (queueing_ < kLongQueue / 2 && use_ >= kUsedPart * budget_) {
     budget_ = std::min(ceiling_, kGrow * budget_);
   }
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -26,6 +26,9 @@
 constexpr double kGoalPart = 0.85;
 constexpr double kLargeCustomerPart = 0.65;
 constexpr double kOverSharePart = 0.25;
+// A large customer that is given less than this part of its share has the room
+// of a small one until it catches up.
+constexpr double kBehindPart = 0.7;
 // Part of that which waiting behind others may take; the rest is for reading
 // the request itself.
 constexpr double kWaitPart = 0.7;
@@ -46,6 +49,10 @@
 // A prompt that takes up its goal even at an idle target may wait this part of
 // what others may; it is late, but not shut out.
 constexpr double kLargePromptPart = 0.3;
+// How often the engines that can serve are counted.
+constexpr Duration kCapacityInterval = milliseconds(100);
+// Part of an engine's throughput that a cold one gives.
+constexpr double kColdCapacityPart = 0.5;
 // Peers' counts are some hundred ms old: a target that looks idle has been
 // chosen by others meanwhile, and one that looks busy has been avoided. So
 // only this part of the difference to the mean is believed.
@@ -367,6 +374,27 @@
   return true;
 }
 
+void Scheduler::RefreshCapacity(TimePoint now, const std::string& service) {
+  EngineCapacity& capacity = capacities_[service];
+  if (capacity.refreshed_at != TimePoint() &&
+      now - capacity.refreshed_at < kCapacityInterval) {
+    return;
+  }
+  capacity.refreshed_at = now;
+  double usable = 0;
+  for (const TargetState* it : targets_.OfService(service)) {
+    if (targets_.IsOpen(now, *it) && now >= it->ejected_until) {
+      usable += targets_.IsCold(now, *it) ? kColdCapacityPart : 1.0;
+    }
+  }
+  capacity.most = std::max(capacity.most, usable);
+  const double stated = configuration_->tokens_per_second();
+  if (stated > 0 && usable > 0) {
+    token_seconds_[service] = capacity.most / stated;
+    fair_share_.SetCapacity(stated * usable / capacity.most);
+  }
+}
+
 Decision Scheduler::Place(TimePoint now, const ScheduledRequest& request) {
   if (suspects_.IsHeld(now, request.fingerprint)) {
     return Refusal{RefusalReason::kCrashesTargets, kMaxRetryAfter, Duration(0),
@@ -374,6 +402,9 @@
   }
   const ServiceProfile* service = configuration_->FindService(request.service);
   const bool is_engine = service != nullptr && service->engine.has_value();
+  if (is_engine) {
+    RefreshCapacity(now, request.service);
+  }
   // First, since a flood is refused here and each look at all targets costs.
   const bool is_within_share =
       !is_engine || request.customer == nullptr ||
@@ -382,16 +413,6 @@
     return Refuse(now, request, RefusalReason::kOverShare, 0, 0);
   }
   const std::vector<TargetState*> usable = Usable(now, request);
-  if (is_engine) {
-    int engines = 0;
-    for (const TargetState* it : targets_.OfService(request.service)) {
-      engines += targets_.IsOpen(now, *it) ? 1 : 0;
-    }
-    if (configuration_->tokens_per_second() > 0 && engines > 0) {
-      token_seconds_[request.service] =
-          engines / configuration_->tokens_per_second();
-    }
-  }
   const std::uint64_t chain = ChainOf(request);
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
@@ -418,8 +439,10 @@
   const double goal = request.route->latency_goal > Duration(0)
                           ? Seconds(request.route->latency_goal)
                           : kDefaultGoalSeconds;
-  const bool is_large = is_engine && request.customer != nullptr &&
-                        !fair_share_.AsksWithinShare(now, request.customer->id);
+  const bool is_large =
+      is_engine && request.customer != nullptr &&
+      !fair_share_.AsksWithinShare(now, request.customer->id) &&
+      fair_share_.ServedPart(now, request.customer->id) >= kBehindPart;
   const double part = !is_within_share ? kOverSharePart
                       : is_large       ? kLargeCustomerPart
                                        : kGoalPart;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -184,6 +184,8 @@
   Assignment Reserve(TimePoint now, const ScheduledRequest& request,
                      const Candidate& candidate);
   double TokenSeconds(const std::string& service) const;
+  // Takes the stated throughput for the part of the engines that can serve.
+  void RefreshCapacity(TimePoint now, const std::string& service);
   // Uniform from 0 to 1.
   double Random();
   void Keep(TimePoint now, const ScheduledRequest& request,
@@ -201,6 +203,13 @@
   FairShare fair_share_;
   CrashSuspects suspects_;
   std::map<std::string, RetryBudget> retry_budgets_;
+  struct EngineCapacity {
+    TimePoint refreshed_at;
+    // Most engines that could serve at one time; the stated throughput is
+    // theirs.
+    double most = 0;
+  };
+  std::map<std::string, EngineCapacity> capacities_;
   // Seconds that one engine takes for a weighted token, by service.
   std::map<std::string, double> token_seconds_;
   std::minstd_rand random_;
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -331,6 +331,26 @@
       fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100))));
 }
 
+// Ranwala grown scale-1: half of the engines were down, and customers with
+// callers at many routers took the share of one whose callers stood at two.
+TEST_CASE("Shares follow the engines that can serve") {
+  Fixture fixture({"a", "a", "a", "a"}, 200'000);
+  Scheduler& scheduler = fixture.scheduler();
+  const ScheduledRequest request = fixture.Request("large", 1, 1000);
+  for (int i = 0; i < 1000; ++i) {
+    scheduler.NoteRequest(kStart, request);
+  }
+  scheduler.Place(kStart, request);
+  CHECK(scheduler.fair_share().Level(kStart) == doctest::Approx(200'000));
+  for (const char* id : {"t0", "t1"}) {
+    scheduler.targets().NoteOutcome(kStart, *scheduler.targets().Find(id),
+                                    AttemptOutcome::kConnectFailed);
+  }
+  const TimePoint later = kStart + milliseconds(200);
+  scheduler.Place(later, request);
+  CHECK(scheduler.fair_share().Level(later) == doctest::Approx(100'000));
+}
+
 // Grown scale-1: requests with a lax goal filled the engines' queues beyond
 // what those with the shortest goal could bear.
 TEST_CASE("A lax goal does not lengthen the queue for others") {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -73,11 +73,11 @@
 // refused, and the balancer told, until ticks were on time for a while.
 constexpr Duration kOverloadLag = milliseconds(150);
 constexpr Duration kCalmLag = milliseconds(40);
-constexpr Duration kFirstCalm = milliseconds(2000);
+constexpr Duration kFirstCalm = milliseconds(4000);
 // A router that is overloaded again soon stays out longer, so that the callers
 // that are too much for it stay with a larger one.
-constexpr Duration kLongestCalm = milliseconds(12000);
-constexpr Duration kRelapse = milliseconds(6000);
+constexpr Duration kLongestCalm = milliseconds(20000);
+constexpr Duration kRelapse = milliseconds(15000);
 // Descriptors kept for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
 
