--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -177,9 +177,9 @@
     ++chosen[TargetOf(fixture.scheduler().Place(kStart, request))];
   }
   CHECK(chosen.size() >= 10);
-  for (const auto& [id, count] : chosen) {
-    INFO(id);
-    CHECK(count <= kRouters / 4);
+  for (const auto& it : chosen) {
+    INFO(it.first);
+    CHECK(it.second <= kRouters / 4);
   }
 }
 
