--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -90,7 +90,9 @@
         << "\npeer_port: " << kPeerPort << "\nseeds: [\""
         << Loopback(10, kControlPort) << "\", \"" << Loopback(11, kControlPort)
         << "\"]\nzones: {a: west}\nstore: " << Loopback(1, kStorePort)
-        << "\ngrace_seconds: 4\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
+        << "\ngrace_seconds: "
+        << std::chrono::duration_cast<seconds>(kGrace).count()
+        << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
            "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: 110\n"
            "processor_share: 1\nregion_link_mbit: 30\n";
   }
@@ -99,6 +101,8 @@
   RouterProcess& operator=(const RouterProcess&) = delete;
 
   void Start() {
+    was_paused_ = false;
+    stopped_at_.reset();
     std::vector<std::string> words = {program_, "--settings", settings_};
     std::vector<char*> argv;
     argv.reserve(words.size() + 1);
@@ -117,11 +121,28 @@
     }
     posix_spawn_file_actions_destroy(&actions);
   }
-  void Signal(int signal) const {
+  void Signal(int signal) {
     if (pid_ > 0) {
       kill(pid_, signal);
+      was_paused_ = was_paused_ || signal == SIGSTOP;
     }
   }
+  // Asks the process to end.
+  void Stop(TimePoint now) {
+    Signal(SIGTERM);
+    if (!stopped_at_) {
+      stopped_at_ = now;
+    }
+  }
+  // Returns, once, whether the process outlived its grace period unhindered.
+  bool HasOverstayed(TimePoint now) {
+    const bool is_late =
+        pid_ > 0 && !was_paused_ && stopped_at_ && now > *stopped_at_ + kGrace;
+    if (is_late) {
+      stopped_at_.reset();
+    }
+    return is_late;
+  }
   void Kill() {
     if (pid_ > 0) {
       kill(pid_, SIGKILL);
@@ -144,6 +165,8 @@
   const std::string log_;
   const int host_;
   pid_t pid_ = 0;
+  bool was_paused_ = false;
+  std::optional<TimePoint> stopped_at_;
 };
 
 enum class CallKind { kOnce, kRead, kStream };
@@ -408,7 +431,7 @@
       break;
     case 6:
       ++faults_["stop"];
-      router.Signal(SIGTERM);
+      router.Stop(Now());
       break;
     case 7:
       ++faults_["hup"];
@@ -482,6 +505,10 @@
       }
     }
     for (const auto& it : routers_) {
+      if (it->HasOverstayed(now)) {
+        violations_.push_back("router " + it->address() +
+                              " was still there at the end of its grace");
+      }
       // The platform starts what ended.
       if (it->HasEnded() && undo_.empty()) {
         it->Start();
