A late router's counts expire and tell nothing of speed; its load and homes are modules

All routers took all engines for full and refused customers within their share. Change: work that did not begin within about a second is left out of the counts; a router whose timers are late by 10 ms on average tells nothing of targets' speed. OwnLoad and the homes of prompts are modules of their own, the stated capacity counts for the engines of all services together. Tests: 'A router that is late does not make targets look full' and own_load_test.

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -7,6 +7,7 @@
 #include <limits>
 
 #include "corianderpost/ids.h"
+#include "decisions/prompt_homes.h"
 
 namespace corianderpost {
 namespace {
@@ -96,24 +97,6 @@
       static_cast<std::int64_t>(std::min(std::max(seconds, 0.0), 1e6) * 1e6));
 }
 
-std::uint64_t Combine(std::uint64_t chain, std::uint64_t part) {
-  const std::uint64_t pair[] = {chain, part};
-  return XXH64(pair, sizeof(pair), 0);
-}
-
-// Hash of the chain of shared parts; zero if there are none.
-std::uint64_t ChainOf(const ScheduledRequest& request) {
-  std::uint64_t chain = 0;
-  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-    chain = Combine(chain, request.prompt[i].id);
-  }
-  return chain;
-}
-
-std::uint64_t HomeWeight(const std::string& id, std::uint64_t chain) {
-  return XXH64(id.data(), id.size(), chain);
-}
-
 // Mean of what peers have waiting at the targets of this or other regions.
 double MeanPeerTokens(const std::vector<TargetState*>& targets, bool is_near) {
   double sum = 0;
@@ -131,34 +114,6 @@
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-// The targets that keep a chain of shared prompt parts.
-struct Homes {
-  const TargetState* of_fleet = nullptr;
-  const TargetState* of_near = nullptr;
-  const TargetState* of_far = nullptr;
-};
-
-// Finds a chain's homes by rendezvous hash; a request without a chain has none.
-Homes HomesOf(const std::vector<TargetState*>& targets, std::uint64_t chain) {
-  Homes homes;
-  if (chain == 0) {
-    return homes;
-  }
-  std::uint64_t most_near = 0;
-  std::uint64_t most_far = 0;
-  for (const TargetState* it : targets) {
-    std::uint64_t& most = it->is_near ? most_near : most_far;
-    const TargetState*& home = it->is_near ? homes.of_near : homes.of_far;
-    const std::uint64_t weight = HomeWeight(it->entry.id, chain);
-    if (home == nullptr || weight > most) {
-      most = weight;
-      home = it;
-    }
-  }
-  homes.of_fleet = most_near >= most_far ? homes.of_near : homes.of_far;
-  return homes;
-}
-
 }  // namespace
 
 std::string_view ToString(RefusalReason reason) {
@@ -290,7 +245,7 @@
   double shared = 0;
   std::uint64_t chain = 0;
   for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-    chain = Combine(chain, request.prompt[i].id);
+    chain = ExtendChain(chain, request.prompt[i]);
     const auto kept = target.kept.find(chain);
     if (kept == target.kept.end() || now - kept->second > kKeptFor) {
       shared += unkept_part * static_cast<double>(request.prompt[i].tokens);
@@ -304,7 +259,7 @@
   candidate.uncached_tokens = own + shared;
   candidate.memory_tokens =
       own + shared + static_cast<double>(request.max_output_tokens);
-  const double pending = target.own.pending_tokens +
+  const double pending = target.pending_tokens.Sum(now) +
                          kKnownPart * target.peers.pending_tokens +
                          (1.0 - kKnownPart) * mean_peer_tokens;
   candidate.expected_seconds =
@@ -387,11 +342,19 @@
       usable += targets_.IsCold(now, *it) ? kColdCapacityPart : 1.0;
     }
   }
+  capacity.usable = usable;
   capacity.most = std::max(capacity.most, usable);
+  // The stated throughput is that of all services' engines together.
+  double all_usable = 0;
+  double all_most = 0;
+  for (const auto& [name, it] : capacities_) {
+    all_usable += it.usable;
+    all_most += it.most;
+  }
   const double stated = configuration_->tokens_per_second();
-  if (stated > 0 && usable > 0) {
-    token_seconds_[service] = capacity.most / stated;
-    fair_share_.SetCapacity(stated * usable / capacity.most);
+  if (stated > 0 && all_usable > 0) {
+    token_seconds_[service] = all_most / stated;
+    fair_share_.SetCapacity(stated * all_usable / all_most);
   }
 }
 
@@ -413,7 +376,7 @@
     return Refuse(now, request, RefusalReason::kOverShare, 0, 0);
   }
   const std::vector<TargetState*> usable = Usable(now, request);
-  const std::uint64_t chain = ChainOf(request);
+  const std::uint64_t chain = ChainOf(request.prompt);
   std::vector<Candidate> candidates;
   candidates.reserve(usable.size());
   const Homes homes = HomesOf(usable, chain);
@@ -526,7 +489,7 @@
   }
   std::uint64_t chain = 0;
   for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-    chain = Combine(chain, request.prompt[i].id);
+    chain = ExtendChain(chain, request.prompt[i]);
     target.kept[chain] = now;
   }
 }
@@ -543,7 +506,7 @@
   assignment.expected = FromSeconds(candidate.expected_seconds);
   assignment.predicted = FromSeconds(candidate.predicted_seconds);
   assignment.waiting_tokens =
-      target.own.pending_tokens + target.peers.pending_tokens;
+      target.pending_tokens.Sum(now) + target.peers.pending_tokens;
   assignment.is_home = candidate.is_home;
   assignment.is_trial = candidate.is_trial;
   assignment.sent_at = now;
@@ -551,7 +514,7 @@
     link_use_.Add(now, static_cast<double>(request.body_bytes));
   }
   ++target.own.in_flight;
-  target.own.pending_tokens += candidate.uncached_tokens;
+  target.pending_tokens.Add(now, candidate.uncached_tokens);
   target.own.memory_tokens += candidate.memory_tokens;
   target.trials_in_flight += candidate.is_trial ? 1 : 0;
   Keep(now, request, target);
@@ -570,15 +533,17 @@
   if (target == nullptr) {
     return;
   }
-  target->own.pending_tokens =
-      std::max(0.0, target->own.pending_tokens - assignment.uncached_tokens);
+  target->pending_tokens.Remove(now, assignment.sent_at,
+                                assignment.uncached_tokens);
   const double seen = Seconds(now - assignment.sent_at);
   if (assignment.uncached_tokens <= 0) {
     target->service_seconds +=
         kServiceTimeWeight * (seen - target->service_seconds);
     return;
   }
-  targets_.NoteFirstEvent(now, *target, seen, Seconds(assignment.expected));
+  if (!is_late_) {
+    targets_.NoteFirstEvent(now, *target, seen, Seconds(assignment.expected));
+  }
 }
 
 void Scheduler::Finish(TimePoint now, const Assignment& assignment,
@@ -589,8 +554,8 @@
   }
   target->own.in_flight = std::max(0, target->own.in_flight - 1);
   if (!assignment.has_first_event) {
-    target->own.pending_tokens =
-        std::max(0.0, target->own.pending_tokens - assignment.uncached_tokens);
+    target->pending_tokens.Remove(now, assignment.sent_at,
+                                  assignment.uncached_tokens);
   }
   target->own.memory_tokens =
       std::max(0.0, target->own.memory_tokens - assignment.memory_tokens);
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -114,6 +114,9 @@
   // How many routers share budgets and cold limits, this one included, and
   // this one's place among them, from 0, in an order that all agree on.
   void SetFleet(int routers, int position);
+  // Tells that this router handles events late, so that what it sees of
+  // targets' speed says more of itself.
+  void SetLate(bool is_late) { is_late_ = is_late; }
   // Seeds the choice between targets that are about as good.
   void SetSeed(std::uint32_t seed) { random_.seed(seed); }
   // Bytes a second that the other routers of this region send to others.
@@ -195,6 +198,7 @@
   std::shared_ptr<const Configuration> configuration_;
   int routers_ = 1;
   int position_ = 0;
+  bool is_late_ = false;
   LinkBudget link_budget_{0};
   double peer_link_use_ = 0;
   RateMeter link_use_{std::chrono::milliseconds(500)};
@@ -205,6 +209,7 @@
   std::map<std::string, RetryBudget> retry_budgets_;
   struct EngineCapacity {
     TimePoint refreshed_at;
+    double usable = 0;
     // Most engines that could serve at one time; the stated throughput is
     // theirs.
     double most = 0;
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -183,6 +183,30 @@
   }
 }
 
+// Ranwala grown scale-1: a router that could not keep up told of first events
+// seconds late; the others took all engines for full and refused.
+TEST_CASE("A router that is late does not make targets look full") {
+  Fixture fixture({"a"});
+  Scheduler& scheduler = fixture.scheduler();
+  scheduler.SetLate(true);
+  std::vector<Assignment> sent;
+  for (int i = 0; i < 5; ++i) {
+    const Decision decision =
+        scheduler.Place(kStart, fixture.Request("small", 42, 1000));
+    REQUIRE(std::holds_alternative<Assignment>(decision));
+    sent.push_back(std::get<Assignment>(decision));
+  }
+  const TargetId id = TargetId::FromName("t0");
+  CHECK(scheduler.targets().OwnLoad(kStart).at(id).pending_tokens >= 5000);
+  const TimePoint later = kStart + seconds(3);
+  CHECK(scheduler.targets().OwnLoad(later).at(id).pending_tokens == 0);
+  for (Assignment& it : sent) {
+    scheduler.NoteFirstEvent(later, it);
+  }
+  CHECK(scheduler.targets().OwnLoad(later).at(id).first_events == 0);
+  CHECK(scheduler.targets().OwnLoad(later).at(id).pending_tokens == 0);
+}
+
 TEST_CASE("A prompt that fills its goal by itself is not shut out") {
   Fixture fixture({"a"}, 50'000);
   ScheduledRequest request = fixture.Request("small", 1, 30'000);
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -212,6 +212,7 @@
     }
     TargetLoad& own = load[target.id];
     own = target.own;
+    own.pending_tokens = target.pending_tokens.Sum(now);
     own.ended = ended;
     own.failed = target.failed.PerSecond(now);
     own.first_events = target.first_events.PerSecond(now);
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -13,6 +13,7 @@
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
+#include "decisions/pending_work.h"
 #include "decisions/rate_meter.h"
 #include "model/configuration.h"
 #include "model/target.h"
@@ -81,6 +82,9 @@
 
   TargetLoad own;
   TargetLoad peers;
+  // Prompt tokens that this router sent and that are not read yet; told to
+  // peers as part of `own`.
+  PendingWork pending_tokens;
   // What makes up the recent part of `own`.
   RateMeter ended{kEvidenceTime};
   RateMeter failed{kEvidenceTime};
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -16,6 +16,7 @@
 #include "peers/peer_messenger.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
+#include "router/own_load.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
 
@@ -64,20 +65,8 @@
 constexpr Duration kLastRequests = milliseconds(1500);
 // Answers that were just written reach the caller in this time.
 constexpr Duration kFlush = milliseconds(150);
-// Mean lateness of ticks, over about a quarter of a second, at which a router
-// asks the balancer for no more connections, and below which it is back.
-constexpr double kLatenessWeight = 0.1;
-constexpr double kBusyLatenessMs = 25;
-constexpr double kIdleLatenessMs = 8;
-// A tick this late means that the processor can't keep up; new requests are
-// refused, and the balancer told, until ticks were on time for a while.
-constexpr Duration kOverloadLag = milliseconds(150);
-constexpr Duration kCalmLag = milliseconds(40);
-constexpr Duration kFirstCalm = milliseconds(4000);
-// A router that is overloaded again soon stays out longer, so that the callers
-// that are too much for it stay with a larger one.
-constexpr Duration kLongestCalm = milliseconds(20000);
-constexpr Duration kRelapse = milliseconds(15000);
+// From this mean lateness of timers on, first events are seen late.
+constexpr double kLateMs = 10;
 // Descriptors kept for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
 
@@ -250,11 +239,7 @@
   asio::signal_set signals_;
 
   TimePoint tick_due_;
-  double mean_late_ms_ = 0;
-  TimePoint busy_at_;
-  TimePoint calm_since_;
-  TimePoint recovered_at_;
-  Duration calm_for_ = kFirstCalm;
+  OwnLoad own_load_;
   TimePoint housekeeping_at_;
   TimePoint settings_at_;
   TimePoint newer_since_;
@@ -323,7 +308,7 @@
 
 bool Router::Impl::IsReady() const {
   return plane_.configuration != nullptr && target_list_.mirror().is_filled() &&
-         !plane_.is_draining && !plane_.is_overloaded;
+         !plane_.is_draining && !own_load_.is_overloaded();
 }
 
 OwnAnswerText Router::Impl::AnswerReady() {
@@ -423,40 +408,25 @@
 }
 
 void Router::Impl::CheckOwnLoad(TimePoint now) {
+  const bool was_busy = own_load_.is_busy();
+  const bool was_overloaded = own_load_.is_overloaded();
   const Duration late = now - tick_due_;
-  const double late_ms =
-      std::chrono::duration<double, std::milli>(late).count();
-  mean_late_ms_ += kLatenessWeight * (late_ms - mean_late_ms_);
-  if (mean_late_ms_ >= kBusyLatenessMs) {
-    if (!plane_.is_busy) {
-      Log(LogLevel::kInfo, "router is busy and leaves rotation",
-          {{"late_ms", mean_late_ms_}, {"open_requests", exchanges_.size()}});
-    }
-    plane_.is_busy = true;
-    busy_at_ = now;
-  } else if (plane_.is_busy && mean_late_ms_ < kIdleLatenessMs &&
-             now - busy_at_ >= kFirstCalm) {
-    plane_.is_busy = false;
+  own_load_.NoteTick(now, late);
+  plane_.is_busy = own_load_.is_busy();
+  plane_.is_overloaded = own_load_.is_overloaded();
+  scheduler_.SetLate(own_load_.mean_late_ms() >= kLateMs);
+  if (!was_busy && own_load_.is_busy()) {
+    Log(LogLevel::kInfo, "router is busy; callers are asked to reconnect",
+        {{"late_ms", own_load_.mean_late_ms()},
+         {"open_requests", exchanges_.size()}});
   }
-  if (late >= kOverloadLag) {
-    if (!plane_.is_overloaded) {
-      Log(LogLevel::kWarning, "router is overloaded",
-          {{"late_ms", std::chrono::duration_cast<milliseconds>(late).count()},
-           {"open_requests", exchanges_.size()},
-           {"callers", callers_.size()}});
-    }
-    if (!plane_.is_overloaded) {
-      calm_for_ = now - recovered_at_ < kRelapse
-                      ? std::min(2 * calm_for_, kLongestCalm)
-                      : kFirstCalm;
-    }
-    plane_.is_overloaded = true;
-    calm_since_ = now;
-  } else if (late >= kCalmLag) {
-    calm_since_ = now;
-  } else if (plane_.is_overloaded && now - calm_since_ >= calm_for_) {
-    plane_.is_overloaded = false;
-    recovered_at_ = now;
+  if (!was_overloaded && own_load_.is_overloaded()) {
+    Log(LogLevel::kWarning, "router is overloaded",
+        {{"late_ms", std::chrono::duration_cast<milliseconds>(late).count()},
+         {"open_requests", exchanges_.size()},
+         {"callers", callers_.size()}});
+  }
+  if (was_overloaded && !own_load_.is_overloaded()) {
     Log(LogLevel::kInfo, "router is no longer overloaded");
   }
 }
