Log and count what the fair share hypotheses need

Cause: the present logs can't tell the four hypotheses of the incident apart. Rejections by an overloaded router are not counted by customer, a rejection does not say which limit ruled the targets out, ejections have no line, and neither capacity and demand behind a share level nor the connections accepted in one turn of the event loop are visible.

Change: 'requests rejected since the last line' by customer and reason at most once a second, with a counter; 'demand exceeds the capacity' with level, capacity, demand, admitted and usable engines; 'target ejected' with its cause and rates; 'excluded' in a rejected request's line; max_accepts_per_turn in the line on an overload. DecodeApiKey reads the key alone, so that an overloaded router can name the customer at little cost. No decision changes; the checks of the queueing limit are split in two, in the same order, to count them apart.

--- a/src/dataplane/dialect.h
+++ b/src/dataplane/dialect.h
@@ -34,6 +34,9 @@
   // Decodes the headers of a caller's request. A malformed value is treated as
   // absent.
   virtual RequestMeta DecodeRequest(const HttpFields& fields) const = 0;
+  // Returns the API key of a caller's request, or an empty view. Costs less
+  // than `DecodeRequest`. The view is valid as long as `fields`.
+  virtual std::string_view DecodeApiKey(const HttpFields& fields) const = 0;
   // Decodes the headers of a target's response.
   virtual ResponseMeta DecodeResponse(const HttpFields& fields) const = 0;
   // Returns whether a caller's header is forwarded to the target unchanged.
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -126,6 +126,10 @@
     // Rejects the request with as little work as possible. It is not logged,
     // since the router logs the overload itself.
     is_log_suppressed_ = true;
+    if (configuration_) {
+      scheduled_.customer = configuration_->FindCustomerByKey(
+          plane_.dialect.DecodeApiKey(request_));
+    }
     SendLocalReply(503, "this router is overloaded", kOverloadRetryAfter);
     return;
   }
@@ -198,6 +202,7 @@
       "reason=\"" + std::string(ToString(rejection.reason)) + "\"");
   predicted_latency_ = rejection.predicted;
   share_level_ = rejection.share_level;
+  excluded_ = rejection.excluded;
   if (has_stream_begun_) {
     caller_->Abort();
     Finish("cut");
@@ -500,6 +505,11 @@
                               Duration retry_after) {
   status_ = status;
   retry_after_ = retry_after;
+  if (status == 503) {
+    plane_.rejections.Add(reason, scheduled_.customer == nullptr
+                                      ? std::string_view()
+                                      : scheduled_.customer->name);
+  }
   LocalReply reply;
   reply.status = status;
   reply.reason = std::string(reason);
@@ -545,6 +555,13 @@
        {"at_home", was_home_},
        {"retry_after_ms", ToMilliseconds(retry_after_)},
        {"share_level", static_cast<std::int64_t>(share_level_)},
+       {"excluded",
+        {{"latency", excluded_.latency},
+         {"queue", excluded_.queue},
+         {"recompute", excluded_.recompute},
+         {"link", excluded_.link},
+         {"remote", excluded_.remote},
+         {"cold", excluded_.cold}}},
        {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
        {"list_age_ms",
         ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -10,6 +10,7 @@
 
 #include "dataplane/caller.h"
 #include "dataplane/event_splitter.h"
+#include "dataplane/rejection_tally.h"
 #include "dataplane/upstream.h"
 #include "decisions/scheduler.h"
 #include "runtime/json_log.h"
@@ -46,6 +47,7 @@
   // The CPU is saturated: new requests are rejected without being decoded or
   // routed.
   bool is_overloaded = false;
+  RejectionTally rejections = {};
   // Called when a request was running at a target that crashed, so that peers
   // learn of the crash suspect. May be empty.
   std::function<void(const CrashReport&)> on_crash = {};
@@ -167,6 +169,8 @@
   // Max-min fair share level, in units per second, if the scheduler rejected
   // the request; otherwise zero.
   double share_level_ = 0;
+  // Targets that the limits ruled out, if the scheduler rejected the request.
+  ExcludedTargets excluded_;
   // Last time that the attempt started, began to send, or received bytes.
   TimePoint last_progress_at_;
   ResponseKind response_kind_ = ResponseKind::kNone;
--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -95,6 +95,11 @@
   return level_;
 }
 
+const RatesByCustomer& FairShare::FleetRates(TimePoint now) {
+  UpdateLevel(now);
+  return fleet_rates_;
+}
+
 bool FairShare::IsDemandWithinShare(TimePoint now, CustomerId customer) {
   const double level = ShareLevel(now);
   const auto it = fleet_rates_.find(customer);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -42,6 +42,7 @@
   // throughput scaled to the usable engines; zero if unknown, which means no
   // limits. Throughput above this capacity counts as spare capacity.
   void SetCapacity(double units_per_second) { capacity_ = units_per_second; }
+  double capacity() const { return capacity_; }
   // Replaces the rates at all other routers together.
   void SetPeerRates(RatesByCustomer rates);
 
@@ -69,6 +70,9 @@
   // zero if it is not in debt.
   Duration TimeUntilCredit(TimePoint now, CustomerId customer);
 
+  // Returns the rates at all routers together, as of the last update of the
+  // share level.
+  const RatesByCustomer& FleetRates(TimePoint now);
   // Returns the rates at this router, without customers whose demand is below
   // one unit per second.
   RatesByCustomer LocalRates(TimePoint now) const;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -417,7 +417,7 @@
       fair_share_.HasCredit(now, request.customer->id);
   if (!has_share_credit &&
       !fair_share_.MayUseSpareCapacity(now, request.customer->id)) {
-    return Reject(now, request, RejectionReason::kOverShare, 0, 0);
+    return Reject(now, request, RejectionReason::kOverShare, 0, 0, {});
   }
   const std::vector<TargetState*> usable = UsableTargets(now, request);
   const std::uint64_t chain = ChainOf(request.prompt);
@@ -481,6 +481,7 @@
       best_local_seconds > spill_fraction * limit_seconds ||
       local_queueing_seconds > spill_fraction * queueing_limit_seconds;
   const bool fits_link_budget = FitsLinkBudget(now, request.body_bytes);
+  ExcludedTargets excluded;
   for (const Candidate& it : candidates) {
     if (best_seconds == 0 || it.predicted_seconds < best_seconds) {
       best_seconds = it.predicted_seconds;
@@ -489,18 +490,30 @@
             std::max(limit_seconds,
                      it.predicted_idle_seconds +
                          kLargePromptQueueFraction * queueing_limit_seconds) ||
-        it.predicted_seconds > Seconds(request.remaining) ||
-        (is_engine &&
-         it.queueing_seconds >
-             (it.is_mostly_recompute ? kRecomputeQueueFraction : 1.0) *
-                 queueing_limit_seconds)) {
+        it.predicted_seconds > Seconds(request.remaining)) {
+      ++excluded.latency;
       continue;
     }
-    if (!it.is_local &&
-        !(fits_link_budget && (is_local_region_busy || it.is_home))) {
+    if (is_engine && it.queueing_seconds > queueing_limit_seconds) {
+      ++excluded.queue;
+      continue;
+    }
+    if (is_engine && it.is_mostly_recompute &&
+        it.queueing_seconds >
+            kRecomputeQueueFraction * queueing_limit_seconds) {
+      ++excluded.recompute;
+      continue;
+    }
+    if (!it.is_local && !fits_link_budget) {
+      ++excluded.link;
+      continue;
+    }
+    if (!it.is_local && !is_local_region_busy && !it.is_home) {
+      ++excluded.remote;
       continue;
     }
     if (!TrySpendColdCredit(now, *it.target)) {
+      ++excluded.cold;
       continue;
     }
     if (!request.tried_targets.empty() &&
@@ -518,12 +531,13 @@
   return Reject(now, request,
                 has_share_credit ? RejectionReason::kOverloaded
                                  : RejectionReason::kOverShare,
-                best_seconds, limit_seconds);
+                best_seconds, limit_seconds, excluded);
 }
 
 Decision Scheduler::Reject(TimePoint now, const ScheduledRequest& request,
                            RejectionReason reason, double best_seconds,
-                           double limit_seconds) {
+                           double limit_seconds,
+                           const ExcludedTargets& excluded) {
   Duration retry_after = kMinRetryAfter;
   if (std::isfinite(best_seconds)) {
     retry_after =
@@ -537,7 +551,25 @@
   return Rejection{
       reason, std::min(retry_after, kMaxRetryAfter),
       std::isfinite(best_seconds) ? FromSeconds(best_seconds) : Duration(0),
-      std::isfinite(level) ? level : 0.0};
+      std::isfinite(level) ? level : 0.0, excluded};
+}
+
+ShareState Scheduler::CurrentShareState(TimePoint now) {
+  ShareState state;
+  const double level = fair_share_.ShareLevel(now);
+  state.level = std::isfinite(level) ? level : 0.0;
+  state.capacity = fair_share_.capacity();
+  for (const auto& [customer, rates] : fair_share_.FleetRates(now)) {
+    state.demand += rates.demand;
+    state.admitted += rates.admitted;
+    ++state.customers;
+    state.customers_above_level += rates.demand > level ? 1 : 0;
+  }
+  for (const auto& [service, it] : capacities_) {
+    state.usable_engines += it.usable_engines;
+    state.peak_engines += it.peak_engines;
+  }
+  return state;
 }
 
 void Scheduler::MarkCached(TimePoint now, const ScheduledRequest& request,
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -76,6 +76,26 @@
 
 std::string_view ToString(RejectionReason reason);
 
+// Number of targets that each limit ruled out for a rejected request. A target
+// counts for the first limit that ruled it out, in the order of the fields.
+struct ExcludedTargets {
+  // The first event would come too late, or the target is full.
+  int latency = 0;
+  // The target's queue is too long.
+  int queue = 0;
+  // The target would have to recompute what is cached elsewhere, and its queue
+  // is too long for that.
+  int recompute = 0;
+  // The target is in another region, and the link budget is used up.
+  int link = 0;
+  // The target is in another region, and this one has headroom.
+  int remote = 0;
+  // The target is cold, and its rate limit is used up.
+  int cold = 0;
+  friend bool operator==(const ExcludedTargets&,
+                         const ExcludedTargets&) = default;
+};
+
 struct Rejection {
   RejectionReason reason = RejectionReason::kNoTarget;
   // How long the caller should wait before it retries.
@@ -85,6 +105,7 @@
   // Max-min fair share level in units per second at the time of the rejection;
   // zero if all demand fits.
   double share_level = 0;
+  ExcludedTargets excluded = {};
   friend bool operator==(const Rejection&, const Rejection&) = default;
 };
 
@@ -114,6 +135,21 @@
 
 using Decision = std::variant<Assignment, Rejection>;
 
+// What the share level was computed from, for the log. Rates are in units per
+// second, at all routers together.
+struct ShareState {
+  // Zero if all demand fits.
+  double level = 0;
+  double capacity = 0;
+  double demand = 0;
+  double admitted = 0;
+  int customers = 0;
+  int customers_above_level = 0;
+  double usable_engines = 0;
+  double peak_engines = 0;
+  friend bool operator==(const ShareState&, const ShareState&) = default;
+};
+
 // Chooses targets for requests and tracks what this router has sent to them.
 // Call `SetConfiguration` before any other method that takes a request. Not
 // thread-safe.
@@ -147,6 +183,9 @@
     return local_link_use_.PerSecond(now);
   }
 
+  // Returns the state behind the current share level.
+  ShareState CurrentShareState(TimePoint now);
+
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
   CrashSuspects& suspects() { return suspects_; }
@@ -223,7 +262,7 @@
   // target was evaluated.
   Decision Reject(TimePoint now, const ScheduledRequest& request,
                   RejectionReason reason, double best_seconds,
-                  double limit_seconds);
+                  double limit_seconds, const ExcludedTargets& excluded);
   Assignment Reserve(TimePoint now, const ScheduledRequest& request,
                      const Candidate& candidate);
   double SecondsPerToken(const std::string& service) const;
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -244,6 +244,20 @@
   CHECK(rejection.predicted > milliseconds(600));
 }
 
+TEST_CASE("A rejection says how many targets each limit ruled out") {
+  Fixture fixture({"a", "c"});
+  fixture.scheduler().targets().SetPeerLoad(
+      kStart, {{TargetId::FromName("t0"), {100, 60'000, 0}}});
+  fixture.scheduler().SetPeerLinkUse(kStart, 4e6);
+  const Decision decision =
+      fixture.scheduler().Place(kStart, fixture.Request("small", 42, 100));
+  REQUIRE(std::holds_alternative<Rejection>(decision));
+  const ExcludedTargets& excluded = std::get<Rejection>(decision).excluded;
+  CHECK(excluded.latency == 1);
+  CHECK(excluded.link == 1);
+  CHECK(excluded.queue + excluded.recompute + excluded.cold == 0);
+}
+
 TEST_CASE("Routers together keep to the rate limit of a cold target") {
   Fixture fixture({});
   TargetEntry cold = Fixture::Entry(0, "a");
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -52,6 +52,24 @@
 
 }  // namespace
 
+std::string_view ToString(EjectionCause cause) {
+  switch (cause) {
+    case EjectionCause::kConnectFailed:
+      return "connect_failed";
+    case EjectionCause::kPeerConnectFailed:
+      return "peer_connect_failed";
+    case EjectionCause::kCrash:
+      return "crash";
+    case EjectionCause::kStalls:
+      return "stalls";
+    case EjectionCause::kLocalFailureRate:
+      return "local_failure_rate";
+    case EjectionCause::kFleetFailureRate:
+      return "fleet_failure_rate";
+  }
+  return "unknown";
+}
+
 void TargetTable::SetRegions(std::map<std::string, std::string> region_of_zone,
                              std::string local_region) {
   region_of_zone_ = std::move(region_of_zone);
@@ -134,16 +152,21 @@
 }
 
 void TargetTable::Eject(TimePoint now, TargetState& target,
-                        Duration initial_time) {
+                        EjectionCause cause) {
   if (now < target.ejected_until) {
     return;
   }
   target.ejection_time =
       target.ejection_time == Duration(0)
-          ? initial_time
+          ? kInitialEjectionTime
           : std::min(2 * target.ejection_time, kMaxEjectionTime);
   target.ejected_until = now + target.ejection_time;
   target.is_half_open = true;
+  new_ejections_.push_back({target.entry.id, cause, target.ejection_time,
+                            target.ended_attempts.PerSecond(now),
+                            target.failed_attempts.PerSecond(now),
+                            target.peer_load.ended_attempts,
+                            target.peer_load.failed_attempts});
 }
 
 void TargetTable::RecordOutcome(TimePoint now, TargetState& target,
@@ -179,7 +202,7 @@
       target.may_be_cold = true;
       target.may_be_cold_since = now;
       record(1);
-      Eject(now, target, kInitialEjectionTime);
+      Eject(now, target, EjectionCause::kConnectFailed);
       break;
     case AttemptOutcome::kBroken:
       record(1);
@@ -190,13 +213,13 @@
       if (target.clustered_breaks >= kMinCrashBreaks) {
         target.may_be_cold = true;
         target.may_be_cold_since = now;
-        Eject(now, target, kInitialEjectionTime);
+        Eject(now, target, EjectionCause::kCrash);
       }
       break;
     case AttemptOutcome::kStalled:
       record(1);
       if (++target.consecutive_stalls >= kEjectionStallCount) {
-        Eject(now, target, kInitialEjectionTime);
+        Eject(now, target, EjectionCause::kStalls);
       }
       break;
     case AttemptOutcome::kCancelled:
@@ -204,7 +227,7 @@
   }
   if (target.outcome_count >= kMinOutcomes &&
       target.failure_rate > MaxFailureRate(target.entry.service)) {
-    Eject(now, target, kInitialEjectionTime);
+    Eject(now, target, EjectionCause::kLocalFailureRate);
   }
 }
 
@@ -212,7 +235,7 @@
   if (TargetState* target = Find(id); target != nullptr) {
     target->may_be_cold = true;
     target->may_be_cold_since = now;
-    Eject(now, *target, kInitialEjectionTime);
+    Eject(now, *target, EjectionCause::kPeerConnectFailed);
   }
 }
 
@@ -303,7 +326,7 @@
         rates.failed_attempts >= kMinFleetFailures &&
         rates.failed_attempts >
             MaxFailureRate(target.entry.service) * rates.ended_attempts) {
-      Eject(now, target, kInitialEjectionTime);
+      Eject(now, target, EjectionCause::kFleetFailureRate);
     }
   }
 }
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -8,7 +8,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "corianderpost/clock.h"
@@ -62,6 +64,36 @@
   kCancelled,
 };
 
+// Why a target was ejected.
+enum class EjectionCause {
+  kConnectFailed,
+  // A peer could not connect to the target.
+  kPeerConnectFailed,
+  // Several connections broke at once.
+  kCrash,
+  kStalls,
+  // Too many of this router's attempts failed.
+  kLocalFailureRate,
+  // Too many of all routers' attempts failed.
+  kFleetFailureRate,
+};
+
+std::string_view ToString(EjectionCause cause);
+
+// The start of an ejection, for the log.
+struct Ejection {
+  std::string target_id;
+  EjectionCause cause = EjectionCause::kConnectFailed;
+  Duration duration{0};
+  // Attempts that ended and that failed per second, at this router and at its
+  // peers.
+  double local_ended = 0;
+  double local_failed = 0;
+  double peer_ended = 0;
+  double peer_failed = 0;
+  friend bool operator==(const Ejection&, const Ejection&) = default;
+};
+
 // Time constant of the rates of ended and failed attempts.
 inline constexpr Duration kOutcomeRateTimeConstant = std::chrono::seconds(1);
 // Time constant of the rates of first events and slowness. It is longer because
@@ -172,6 +204,10 @@
   // Returns this router's load on the targets. Targets without requests in
   // flight and without recent attempts are left out.
   std::map<TargetId, TargetLoad> LocalLoad(TimePoint now) const;
+  // Returns the ejections that began since the last call.
+  std::vector<Ejection> TakeEjections() {
+    return std::exchange(new_ejections_, {});
+  }
   void SetEvacuatedZones(std::set<std::string> zones) {
     evacuated_zones_ = std::move(zones);
   }
@@ -205,9 +241,10 @@
   double MaxFailureRate(const std::string& service) const;
   // Ejects the target unless it is ejected already. Each further ejection lasts
   // twice as long, up to a bound, until a probe succeeds.
-  void Eject(TimePoint now, TargetState& target, Duration initial_time);
+  void Eject(TimePoint now, TargetState& target, EjectionCause cause);
   void UpdateRegion(TargetState& target) const;
   std::map<std::string, TargetState> targets_;
+  std::vector<Ejection> new_ejections_;
   // Index of the targets by service; cleared when it is out of date.
   std::map<std::string, std::vector<TargetState*>> by_service_;
   // Fraction of failed attempts at all targets of a service together.
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -156,6 +156,18 @@
   }
 }
 
+TEST_CASE("TargetTable names each ejection and its cause once") {
+  TargetTable table;
+  table.ApplyEntry(kStart, MakeEntry("t"));
+  table.RecordOutcome(kStart, *table.Find("t"), AttemptOutcome::kConnectFailed);
+  const std::vector<Ejection> ejections = table.TakeEjections();
+  REQUIRE(ejections.size() == 1);
+  CHECK(ejections[0].target_id == "t");
+  CHECK(ejections[0].cause == EjectionCause::kConnectFailed);
+  CHECK(ejections[0].duration > Duration(0));
+  CHECK(table.TakeEjections().empty());
+}
+
 TEST_CASE("TargetTable computes slowness from observations of all routers") {
   TargetTable table;
   table.ApplyEntry(kStart, MakeEntry("slow"));
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -58,6 +58,7 @@
 }
 
 void Listener::AcceptAvailable() {
+  std::size_t accepted = 0;
   while (true) {
     boost::system::error_code ec;
     asio::ip::tcp::socket socket(acceptor_.get_executor());
@@ -71,6 +72,7 @@
         // Frees descriptors, in case they have run out.
         CloseLongestIdle();
       }
+      max_accepts_per_turn_ = std::max(max_accepts_per_turn_, accepted);
       return;
     }
     if (connections_.size() >= max_connections_) {
@@ -80,6 +82,7 @@
         std::make_shared<CallerConnection>(std::move(socket), handler_, clock_);
     connections_.push_back(connection);
     connection->Start();
+    ++accepted;
   }
 }
 
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -33,6 +33,11 @@
   // Closes all idle connections.
   void CloseIdle();
   std::size_t size() const { return connections_.size(); }
+  // Returns the largest number of connections accepted in one turn of the event
+  // loop since the last call.
+  std::size_t TakeMaxAcceptsPerTurn() {
+    return std::exchange(max_accepts_per_turn_, 0);
+  }
   // The local port; chosen by the system if the address has port 0.
   std::uint16_t port() const;
 
@@ -45,6 +50,7 @@
   CallerHandler& handler_;
   const Clock& clock_;
   std::size_t max_connections_ = 100'000;
+  std::size_t max_accepts_per_turn_ = 0;
   std::vector<std::shared_ptr<CallerConnection>> connections_;
 };
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -34,6 +34,10 @@
 constexpr Duration kTickInterval = milliseconds(25);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 constexpr Duration kSettingsCheckInterval = seconds(1);
+// Interval of the log lines that summarise rejections and the share level.
+constexpr Duration kSummaryInterval = seconds(1);
+// Customers named in a line on rejections.
+constexpr std::size_t kMaxCustomersPerLine = 8;
 // In a fleet that uses relays, number of routers per zone that read the store;
 // the others copy from them. In a smaller fleet every router reads the store.
 constexpr int kRoutersReadingStorePerZone = 1;
@@ -214,6 +218,10 @@
   void CheckLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
   void CheckSettings();
+  // Logs what began or changed since the last call: ejected targets, rejected
+  // requests and the share level.
+  void LogEjections();
+  void LogSummaries(TimePoint now);
   void AwaitSignal();
   void BeginDrain();
 
@@ -264,6 +272,7 @@
   OverloadDetector overload_detector_;
   TimePoint next_housekeeping_at_;
   TimePoint next_settings_check_at_;
+  TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
   bool is_operator_replica_behind_ = false;
   TimePoint drain_began_at_;
@@ -467,7 +476,8 @@
     Log(LogLevel::kWarning, "router is overloaded; rejecting new requests",
         {{"late_ms", std::chrono::duration_cast<milliseconds>(lag).count()},
          {"open_requests", exchanges_.size()},
-         {"callers", caller_listener_.size()}});
+         {"callers", caller_listener_.size()},
+         {"max_accepts_per_turn", caller_listener_.TakeMaxAcceptsPerTurn()}});
   }
   if (was_overloaded && !overload_detector_.is_overloaded()) {
     Log(LogLevel::kInfo, "router is no longer overloaded");
@@ -516,6 +526,11 @@
     scheduler_.targets().Expire(now);
     messenger_.Expire(now);
   }
+  LogEjections();
+  if (now >= next_summary_at_) {
+    next_summary_at_ = now + kSummaryInterval;
+    LogSummaries(now);
+  }
   if (now >= next_settings_check_at_) {
     next_settings_check_at_ = now + kSettingsCheckInterval;
     CheckSettings();
@@ -525,6 +540,65 @@
   }
 }
 
+void Router::Impl::LogEjections() {
+  for (const Ejection& it : scheduler_.targets().TakeEjections()) {
+    metrics_.IncrementCounter(
+        "corianderpost_ejections_total",
+        "cause=\"" + std::string(ToString(it.cause)) + "\"");
+    Log(LogLevel::kWarning, "target ejected",
+        {{"target", it.target_id},
+         {"cause", ToString(it.cause)},
+         {"for_ms", it.duration.count() / 1000},
+         {"local_ended", it.local_ended},
+         {"local_failed", it.local_failed},
+         {"peer_ended", it.peer_ended},
+         {"peer_failed", it.peer_failed}});
+  }
+}
+
+void Router::Impl::LogSummaries(TimePoint now) {
+  const RejectionTally::Counts counts = plane_.rejections.Take();
+  std::uint64_t total = 0;
+  std::vector<std::pair<std::uint64_t, const RejectionTally::Key*>> ranked;
+  for (const auto& [key, count] : counts) {
+    total += count;
+    ranked.emplace_back(count, &key);
+    metrics_.IncrementCounter(
+        "corianderpost_customer_rejections_total",
+        "customer=\"" + key.customer + "\",reason=\"" + key.reason + "\"",
+        count);
+  }
+  if (total > 0) {
+    const std::size_t n = std::min(ranked.size(), kMaxCustomersPerLine);
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+        ranked.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    nlohmann::json largest = nlohmann::json::array();
+    for (std::size_t i = 0; i < n; ++i) {
+      largest.push_back({{"customer", ranked[i].second->customer},
+                         {"reason", ranked[i].second->reason},
+                         {"count", ranked[i].first}});
+    }
+    Log(LogLevel::kInfo, "requests rejected since the last line",
+        {{"total", total}, {"largest", std::move(largest)}});
+  }
+  const std::size_t accepts = caller_listener_.TakeMaxAcceptsPerTurn();
+  const ShareState share = scheduler_.CurrentShareState(now);
+  if (share.level > 0) {
+    Log(LogLevel::kInfo, "demand exceeds the capacity",
+        {{"share_level", static_cast<std::int64_t>(share.level)},
+         {"capacity", static_cast<std::int64_t>(share.capacity)},
+         {"demand", static_cast<std::int64_t>(share.demand)},
+         {"admitted", static_cast<std::int64_t>(share.admitted)},
+         {"customers", share.customers},
+         {"customers_above_level", share.customers_above_level},
+         {"usable_engines", share.usable_engines},
+         {"peak_engines", share.peak_engines},
+         {"max_accepts_per_turn", accepts}});
+  }
+}
+
 void Router::Impl::TickExchanges(TimePoint now) {
   for (auto it = exchanges_.begin(); it != exchanges_.end();) {
     const std::shared_ptr<Exchange> exchange = it->second;
