--- /dev/null
+++ b/tests/soak/router_process.cc
@@ -0,0 +1,109 @@
+#include "soak/router_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <stdexcept>
+#include <vector>
+
+extern char** environ;  // NOLINT: declared by POSIX.
+
+namespace corianderpost::soak {
+
+std::string LoopbackNetwork::Ip(int host) const {
+  return "127.0." + std::to_string(number) + "." + std::to_string(host);
+}
+
+std::string LoopbackNetwork::Address(int host, int port) const {
+  return Ip(host) + ":" + std::to_string(port);
+}
+
+RouterProcess::RouterProcess(const LoopbackNetwork& network,
+                             std::string program, const std::string& folder,
+                             int index)
+    : network_(network),
+      program_(std::move(program)),
+      settings_path_(folder + "/router-" + std::to_string(index) + ".yaml"),
+      log_path_(folder + "/router-" + std::to_string(index) + ".jsonl"),
+      host_(10 + index) {
+  std::ofstream(settings_path_)
+      << "vm: router-" << index
+      << "\nzone: a\nregion: west\nip: " << network_.Ip(host_)
+      << "\ncallers: " << address() << "\nreadiness: " << readiness_address()
+      << "\ncontrol: " << network_.Address(host_, kControlPort)
+      << "\npeer_port: " << kPeerPort << "\nseeds: [\""
+      << network_.Address(10, kControlPort) << "\", \""
+      << network_.Address(11, kControlPort)
+      << "\"]\nzones: {a: west}\nstore: " << network_.Address(1, kStorePort)
+      << "\ngrace_seconds: "
+      << std::chrono::duration_cast<std::chrono::seconds>(kGracePeriod).count()
+      << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
+         "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: 110\n"
+         "processor_share: 1\nregion_link_mbit: 30\n";
+}
+
+void RouterProcess::Start() {
+  was_paused_ = false;
+  sigterm_sent_at_.reset();
+  std::vector<std::string> arguments = {program_, "--settings", settings_path_};
+  std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
+  for (std::string& it : arguments) {
+    argv.push_back(it.data());
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path_.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  if (posix_spawn(&pid_, program_.c_str(), &actions, nullptr, argv.data(),
+                  environ) != 0) {
+    pid_ = 0;
+    throw std::runtime_error("cannot start router process " + program_);
+  }
+  posix_spawn_file_actions_destroy(&actions);
+}
+
+void RouterProcess::Signal(int signal) {
+  if (pid_ > 0) {
+    kill(pid_, signal);
+    was_paused_ = was_paused_ || signal == SIGSTOP;
+  }
+}
+
+void RouterProcess::Stop(TimePoint now) {
+  Signal(SIGTERM);
+  if (!sigterm_sent_at_) {
+    sigterm_sent_at_ = now;
+  }
+}
+
+bool RouterProcess::HasExceededGracePeriod(TimePoint now) {
+  const bool has_exceeded = pid_ > 0 && !was_paused_ && sigterm_sent_at_ &&
+                            now > *sigterm_sent_at_ + kGracePeriod;
+  if (has_exceeded) {
+    sigterm_sent_at_.reset();
+  }
+  return has_exceeded;
+}
+
+void RouterProcess::Kill() {
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = 0;
+  }
+}
+
+bool RouterProcess::HasExited() {
+  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    pid_ = 0;
+  }
+  return pid_ == 0;
+}
+
+}  // namespace corianderpost::soak
--- /dev/null
+++ b/tests/soak/router_process.h
@@ -0,0 +1,78 @@
+// Router processes on loopback addresses, for tests of a whole fleet.
+#ifndef CORIANDERPOST_TESTS_SOAK_ROUTER_PROCESS_H_
+#define CORIANDERPOST_TESTS_SOAK_ROUTER_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+
+#include "corianderpost/clock.h"
+
+namespace corianderpost::soak {
+
+inline constexpr int kCallersPort = 19100;
+inline constexpr int kReadinessPort = 19101;
+inline constexpr int kControlPort = 19102;
+inline constexpr int kPeerPort = 19103;
+inline constexpr int kStorePort = 19104;
+inline constexpr int kTargetPort = 19200;
+inline constexpr int kProxyPort = 19300;
+inline constexpr Duration kGracePeriod = std::chrono::seconds(4);
+
+// The loopback addresses of one run. Runs with different networks do not
+// collide and can run concurrently. The store, the targets and the proxies use
+// host 1, router N uses host 10 + N.
+struct LoopbackNetwork {
+  // Third octet of the addresses.
+  int number = 0;
+  // Returns the address 127.0.<number>.<host>.
+  std::string Ip(int host) const;
+  std::string Address(int host, int port) const;
+};
+
+// A router in a process of its own, signalled only by its process id. The
+// destructor kills the process. Not thread-safe.
+class RouterProcess {
+ public:
+  // Writes the settings file router-<index>.yaml to `folder`.
+  RouterProcess(const LoopbackNetwork& network, std::string program,
+                const std::string& folder, int index);
+  ~RouterProcess() { Kill(); }
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+
+  // Starts the process, which appends its log to router-<index>.jsonl. Throws
+  // std::runtime_error if it cannot be started.
+  void Start();
+  void Signal(int signal);
+  // Sends SIGTERM. The grace period counts from the first call.
+  void Stop(TimePoint now);
+  // Returns true, once per stop, if the process still runs after its grace
+  // period. Always false if the process was paused at any time since its start,
+  // as SIGSTOP delays the handling of SIGTERM.
+  bool HasExceededGracePeriod(TimePoint now);
+  void Kill();
+  // Returns whether no process is running; reaps the process if it has exited.
+  bool HasExited();
+  // Zero if no process is running.
+  pid_t pid() const { return pid_; }
+  std::string address() const { return network_.Address(host_, kCallersPort); }
+  std::string readiness_address() const {
+    return network_.Address(host_, kReadinessPort);
+  }
+
+ private:
+  const LoopbackNetwork network_;
+  const std::string program_;
+  const std::string settings_path_;
+  const std::string log_path_;
+  const int host_;
+  pid_t pid_ = 0;
+  bool was_paused_ = false;
+  std::optional<TimePoint> sigterm_sent_at_;
+};
+
+}  // namespace corianderpost::soak
+
+#endif  // CORIANDERPOST_TESTS_SOAK_ROUTER_PROCESS_H_
