Bound the connections that are accepted in one turn of the event loop

Callers saw: requests rejected for up to ten seconds at a time, or answered late, at every router that one customer's callers flooded.

Cause: the listener accepted until no connection was left, and handled the request of each in the same turn. While callers connected faster than that, no timer, peer report or response of a target was handled, for 0.15 to 5.3 s. The late tick then counted as an overload, and the router rejected everybody. At the connection limit each accept searched all connections for idle ones, and without free descriptors the accept was tried again at once.

Ruled out: the processor alone.

Change: at most 8 accepts in a turn; a failed accept is tried again after 50 ms; idle connections are searched at most every 100 ms.

Conclusion: necessary, not sufficient.

--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -12,6 +12,14 @@
 namespace asio = boost::asio;
 
 constexpr int kBacklog = 1024;
+// Connections accepted in one turn of the event loop. The request of a new
+// connection is handled in the same turn, so without a bound a burst of
+// connections delays timers, peer reports and responses of targets.
+constexpr std::size_t kMaxAcceptsPerTurn = 8;
+// Pause after a failed accept, for example without free descriptors.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+// Shortest time between two searches for idle connections to close.
+constexpr Duration kCloseIdleInterval = std::chrono::milliseconds(100);
 // Up to 1/16 of the maximum number of connections, plus one, are closed at a
 // time, since finding the longest idle ones scans all connections.
 constexpr std::size_t kCloseDivisor = 16;
@@ -20,7 +28,10 @@
 
 Listener::Listener(asio::io_context& loop, const std::string& address,
                    CallerHandler& handler, const Clock& clock)
-    : acceptor_(loop), handler_(handler), clock_(clock) {
+    : acceptor_(loop),
+      accept_retry_timer_(loop),
+      handler_(handler),
+      clock_(clock) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
     throw std::runtime_error("invalid listen address (expected IPv4:port): " +
@@ -50,30 +61,44 @@
 void Listener::AwaitAccept() {
   acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
                        [this](boost::system::error_code ec) {
-                         if (!ec) {
-                           AcceptAvailable();
+                         if (ec) {
+                           return;
+                         }
+                         if (AcceptAvailable()) {
                            AwaitAccept();
+                         } else {
+                           AwaitAcceptAfterDelay();
                          }
                        });
 }
 
-void Listener::AcceptAvailable() {
+void Listener::AwaitAcceptAfterDelay() {
+  accept_retry_timer_.expires_after(kAcceptRetryDelay);
+  accept_retry_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      AwaitAccept();
+    }
+  });
+}
+
+bool Listener::AcceptAvailable() {
   std::size_t accepted = 0;
-  while (true) {
+  bool has_failed = false;
+  while (accepted < kMaxAcceptsPerTurn) {
     boost::system::error_code ec;
     asio::ip::tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, ec);
     if (ec) {
-      if (ec != asio::error::would_block &&
-          ec != asio::error::connection_aborted) {
+      has_failed = ec != asio::error::would_block &&
+                   ec != asio::error::connection_aborted;
+      if (has_failed) {
         internal::Log(
             internal::LogLevel::kError, "accept failed",
             {{"reason", ec.message()}, {"connections", connections_.size()}});
         // Frees descriptors, in case they have run out.
         CloseLongestIdle();
       }
-      max_accepts_per_turn_ = std::max(max_accepts_per_turn_, accepted);
-      return;
+      break;
     }
     if (connections_.size() >= max_connections_) {
       CloseLongestIdle();
@@ -84,9 +109,16 @@
     connection->Start();
     ++accepted;
   }
+  max_accepts_per_turn_ = std::max(max_accepts_per_turn_, accepted);
+  return !has_failed;
 }
 
 void Listener::CloseLongestIdle() {
+  const TimePoint now = clock_.Now();
+  if (now < next_close_idle_at_) {
+    return;
+  }
+  next_close_idle_at_ = now + kCloseIdleInterval;
   std::vector<CallerConnection*> idle;
   for (const auto& it : connections_) {
     if (it->is_idle()) {
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <utility>
@@ -43,14 +44,20 @@
 
  private:
   void AwaitAccept();
-  void AcceptAvailable();
+  void AwaitAcceptAfterDelay();
+  // Accepts waiting connections, up to a bound. Returns false if an accept
+  // failed, so that the next one should wait.
+  bool AcceptAvailable();
+  // Closes the longest idle connections, unless that was done just before.
   void CloseLongestIdle();
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_retry_timer_;
   CallerHandler& handler_;
   const Clock& clock_;
   std::size_t max_connections_ = 100'000;
   std::size_t max_accepts_per_turn_ = 0;
+  TimePoint next_close_idle_at_;
   std::vector<std::shared_ptr<CallerConnection>> connections_;
 };
 
--- a/tests/fleet/fair_share_fleet_test.cc
+++ b/tests/fleet/fair_share_fleet_test.cc
@@ -426,7 +426,7 @@
 TEST_CASE("Callers of a flooded router get their customers' shares") {
   const std::uint64_t seed = 1;
   INFO("seed ", seed);
-  const std::vector<CustomerLoad> loads = {{"large", 1500, 0},
+  const std::vector<CustomerLoad> loads = {{"large", 2000, 0},
                                            {"small", 40, 0},
                                            {"elsewhere", 100, 1},
                                            {"everywhere", 100, -1}};
