Do not count the lag of the event loop against targets

Callers saw: most requests of all customers rejected in the whole fleet for up to ten seconds, with idle engines, after one router had been late.

Cause: a late tick ran before the responses and connections of that time were handled. It ended attempts as stalled and connects as timed out; the targets were ejected, and every peer ejected them too and took them to have restarted.

Change: a tick that is 40 ms late or more extends the stall timeout of attempts, the connect timeout and the deadlines of the router's own calls by the lag, and a request that runs out of time then is no evidence against its target. Deadlines of callers stay as they are.

Conclusion: routers no longer spread their own lateness as a fault of targets. A router that is frozen still takes its peers to be gone when it wakes.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -225,6 +225,7 @@
   scheduled_.tried_targets.push_back(TargetIdOf(assignment));
   ++attempts_;
   has_send_started_ = false;
+  has_loop_lagged_ = false;
   last_progress_at_ = now;
   response_kind_ = ResponseKind::kNone;
   response_body_.clear();
@@ -609,6 +610,11 @@
           (assignment_ ? assignment_->predicted : Duration(0)));
 }
 
+void Exchange::ExcuseLag(TimePoint now, Duration lag) {
+  last_progress_at_ = std::min(now, last_progress_at_ + lag);
+  has_loop_lagged_ = true;
+}
+
 void Exchange::Tick(TimePoint now) {
   if (is_done_) {
     return;
@@ -623,7 +629,7 @@
         {{"target", assignment_ ? assignment_->target_id : ""},
          {"timeout", is_timed_out},
          {"events", events_forwarded_}});
-    EndAttempt(events_forwarded_ == 0 && attempts_ > 0
+    EndAttempt(events_forwarded_ == 0 && attempts_ > 0 && !has_loop_lagged_
                    ? AttemptOutcome::kStalled
                    : AttemptOutcome::kCancelled);
     if (has_stream_begun_) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -73,6 +73,9 @@
   // Ends the request at the caller's deadline or the route's timeout, and
   // retries an attempt that has stalled.
   void Tick(TimePoint now);
+  // Call before `Tick` if the event loop ran `lag` late: the responses of that
+  // time have not been read yet, so it does not count as time without progress.
+  void ExcuseLag(TimePoint now, Duration lag);
   // Ends the request because the process is about to exit.
   void AbortForShutdown();
 
@@ -171,8 +174,11 @@
   double share_level_ = 0;
   // Targets that the limits ruled out, if the scheduler rejected the request.
   ExcludedTargets excluded_;
-  // Last time that the attempt started, began to send, or received bytes.
+  // Last time that the attempt started, began to send, or received bytes, plus
+  // the lag of the event loop since then.
   TimePoint last_progress_at_;
+  // The event loop lagged during the current attempt.
+  bool has_loop_lagged_ = false;
   ResponseKind response_kind_ = ResponseKind::kNone;
   std::optional<HttpResponseHeader> response_head_;
   std::string response_body_;
--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -36,6 +36,8 @@
     return !connection_;
   }
 
+  void ExcuseLag(Duration lag) { deadline_ += lag; }
+
   void OnSendStarted() override {}
   void OnHead(const HttpResponseHeader& head) override {
     result_.status = static_cast<int>(head.result_int());
@@ -64,7 +66,7 @@
     callback(result);
   }
   Callback callback_;
-  const TimePoint deadline_;
+  TimePoint deadline_;
   FetchResult result_;
   std::shared_ptr<UpstreamConnection> connection_;
 };
@@ -83,6 +85,12 @@
   call->Start(pool_.Acquire(address, true), path, dialect_);
 }
 
+void Fetcher::ExcuseLag(Duration lag) {
+  for (const auto& it : open_calls_) {
+    it->ExcuseLag(lag);
+  }
+}
+
 void Fetcher::Tick(TimePoint now) {
   // Iterates over a copy, since callbacks may start further calls.
   const std::vector<std::shared_ptr<Call>> open_calls = open_calls_;
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -31,6 +31,9 @@
   // `callback` once, on the event loop thread.
   void Get(const std::string& address, const std::string& path,
            Duration timeout, Callback callback);
+  // Call before `Tick` if the event loop ran `lag` late: extends the deadlines
+  // of open calls, whose responses may not have been read yet.
+  void ExcuseLag(Duration lag);
   // Ends the calls that have timed out and removes finished ones.
   void Tick(TimePoint now);
   // Number of calls made so far.
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -419,6 +419,14 @@
   }
 }
 
+void UpstreamPool::ExcuseLag(Duration lag) {
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->ExcuseLag(lag);
+    }
+  }
+}
+
 void UpstreamPool::CloseIdle() {
   for (auto& [address, idle] : idle_by_address_) {
     for (const auto& it : idle) {
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -76,6 +76,9 @@
   TimePoint idle_since() const { return idle_since_; }
   // Idle time after which the target closes the connection.
   Duration keep_alive() const { return keep_alive_; }
+  // Extends the time to connect by the lag of the event loop, which may not
+  // have seen the connection yet.
+  void ExcuseLag(Duration lag) { connect_deadline_ += lag; }
   // Fails the request if connecting takes too long.
   void CheckConnectTimeout(TimePoint now);
   void Close();
@@ -140,6 +143,8 @@
   // Closes idle connections before their keep-alive time ends, and applies the
   // connect timeout.
   void Tick();
+  // Call before `Tick` if the event loop ran `lag` late.
+  void ExcuseLag(Duration lag);
   // Closes all idle connections.
   void CloseIdle();
   // Closes all idle connections to `address`.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -32,6 +32,9 @@
 // Deadlines are checked at this interval, so they are enforced up to 25 ms
 // late, plus the few milliseconds by which timers fire late on this platform.
 constexpr Duration kTickInterval = milliseconds(25);
+// A tick that is later than this may run before responses that arrived in time
+// are read.
+constexpr Duration kMaxOnTimeLag = milliseconds(40);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 constexpr Duration kSettingsCheckInterval = seconds(1);
 // Interval of the log lines that summarise rejections and the share level.
@@ -462,6 +465,13 @@
   const bool was_busy = overload_detector_.is_busy();
   const bool was_overloaded = overload_detector_.is_overloaded();
   const Duration lag = now - tick_due_;
+  if (lag >= kMaxOnTimeLag) {
+    for (const auto& [caller, exchange] : exchanges_) {
+      exchange->ExcuseLag(now, lag);
+    }
+    pool_.ExcuseLag(lag);
+    fetcher_.ExcuseLag(lag);
+  }
   overload_detector_.RecordTick(now, lag);
   plane_.is_busy = overload_detector_.is_busy();
   plane_.is_overloaded = overload_detector_.is_overloaded();
