Divide a saturated router's service between customers instead of stopping it

Cause: an overloaded router replied 503 before it decoded a request, so the share had no effect, and it left rotation with all its connections closed, so that the same callers overloaded the next small router.

Change: ProcessorAdmission limits the handled requests while ticks are late or connections wait to be accepted, and divides the limit max-min between customers. While it limits, the router is not ready but keeps its connections, so further connections of the same callers reach other routers and each serves what it can. Responses close connections only while the router drains.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -32,8 +32,9 @@
 constexpr Duration kMinGapTimeout = milliseconds(1200);
 // No retry is started with less time than this left.
 constexpr Duration kMinAttemptTime = milliseconds(60);
-// Gives the load balancer time to route the caller to another router.
-constexpr Duration kOverloadRetryAfter = milliseconds(300);
+// Callers retry at other routers, which have headroom unless the load is high
+// everywhere.
+constexpr Duration kSaturatedRetryAfter = milliseconds(100);
 // Reading from the target pauses while more output than this is buffered for a
 // slow caller. Also the maximum size of one event.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
@@ -117,20 +118,21 @@
 }
 
 bool Exchange::ShouldCloseConnection() const {
-  return plane_.is_draining || plane_.is_busy || plane_.is_overloaded ||
-         caller_->wants_close();
+  return plane_.is_draining || caller_->wants_close();
 }
 
 void Exchange::Start() {
-  if (plane_.is_overloaded) {
-    // Rejects the request with as little work as possible. It is not logged,
-    // since the router logs the overload itself.
+  if (configuration_) {
+    scheduled_.customer = configuration_->FindCustomerByKey(
+        plane_.dialect.DecodeApiKey(request_));
+  }
+  const CustomerId customer_id =
+      scheduled_.customer == nullptr ? CustomerId() : scheduled_.customer->id;
+  if (!plane_.processor_admission.TryAdmit(plane_.clock.Now(), customer_id)) {
+    // Rejects the request with as little work as possible. It has no line in
+    // the log, and its demand is recorded by the router that gets its retry.
     is_log_suppressed_ = true;
-    if (configuration_) {
-      scheduled_.customer = configuration_->FindCustomerByKey(
-          plane_.dialect.DecodeApiKey(request_));
-    }
-    SendLocalReply(503, "this router is overloaded", kOverloadRetryAfter);
+    SendLocalReply(503, "this router is saturated", kSaturatedRetryAfter);
     return;
   }
   meta_ = plane_.dialect.DecodeRequest(request_);
@@ -147,12 +149,10 @@
   }
   scheduled_.route = route;
   route_timeout_ = route->timeout;
-  if (configuration_->requires_api_key()) {
-    scheduled_.customer = configuration_->FindCustomerByKey(meta_.api_key);
-    if (scheduled_.customer == nullptr && !route->is_public) {
-      SendLocalReply(401, "unknown API key", Duration(0));
-      return;
-    }
+  if (configuration_->requires_api_key() && scheduled_.customer == nullptr &&
+      !route->is_public) {
+    SendLocalReply(401, "unknown API key", Duration(0));
+    return;
   }
   if (caller_timeout_ <= Duration(0)) {
     SendLocalReply(503, "the deadline has passed", Duration(0));
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -12,6 +12,7 @@
 #include "dataplane/event_splitter.h"
 #include "dataplane/rejection_tally.h"
 #include "dataplane/upstream.h"
+#include "decisions/processor_admission.h"
 #include "decisions/scheduler.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
@@ -41,12 +42,8 @@
   bool rejects_streaming = false;
   // All new requests are rejected.
   bool rejects_all = false;
-  // The CPU is nearly saturated: responses close their connections, so that
-  // callers reconnect to other routers.
-  bool is_busy = false;
-  // The CPU is saturated: new requests are rejected without being decoded or
-  // routed.
-  bool is_overloaded = false;
+  // Divides the requests that the processor can handle between the customers.
+  ProcessorAdmission processor_admission = {};
   RejectionTally rejections = {};
   // Called when a request was running at a target that crashed, so that peers
   // learn of the crash suspect. May be empty.
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -100,6 +100,7 @@
       }
       break;
     }
+    ++accepted;
     if (connections_.size() >= max_connections_) {
       CloseLongestIdle();
     }
@@ -107,9 +108,13 @@
         std::make_shared<CallerConnection>(std::move(socket), handler_, clock_);
     connections_.push_back(connection);
     connection->Start();
-    ++accepted;
   }
   max_accepts_per_turn_ = std::max(max_accepts_per_turn_, accepted);
+  const bool is_backlogged = has_failed || accepted == kMaxAcceptsPerTurn;
+  if (is_backlogged && !is_backlogged_) {
+    backlogged_since_ = clock_.Now();
+  }
+  is_backlogged_ = is_backlogged;
   return !has_failed;
 }
 
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -34,6 +34,11 @@
   // Closes all idle connections.
   void CloseIdle();
   std::size_t size() const { return connections_.size(); }
+  // Returns for how long connections have been waiting to be accepted; zero if
+  // none is waiting.
+  Duration AcceptDelay(TimePoint now) const {
+    return is_backlogged_ ? now - backlogged_since_ : Duration(0);
+  }
   // Returns the largest number of connections accepted in one turn of the event
   // loop since the last call.
   std::size_t TakeMaxAcceptsPerTurn() {
@@ -58,6 +63,9 @@
   std::size_t max_connections_ = 100'000;
   std::size_t max_accepts_per_turn_ = 0;
   TimePoint next_close_idle_at_;
+  // The last turn ended before all waiting connections were accepted.
+  bool is_backlogged_ = false;
+  TimePoint backlogged_since_;
   std::vector<std::shared_ptr<CallerConnection>> connections_;
 };
 
--- a/src/router/overload_detector.h
+++ b/src/router/overload_detector.h
@@ -13,11 +13,11 @@
   // every 25 ms.
   void RecordTick(TimePoint now, Duration lag);
 
-  // The processor is almost saturated: callers should reconnect to other
-  // routers.
+  // The processor is almost saturated.
   bool is_busy() const { return is_busy_; }
-  // The processor is saturated: new requests should be rejected immediately,
-  // and the load balancer should send no new connections. Remains true for a
+  // The processor is saturated although requests are limited (see
+  // `ProcessorAdmission`): the load balancer should send no new connections.
+  // Remains true for a
   // recovery time after the last late tick. The recovery time grows each time
   // the router is overloaded again soon after it recovered, so that callers
   // whose load is too high for this router move to a larger one.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -352,7 +352,8 @@
 bool Router::Impl::IsReady() const {
   return plane_.configuration != nullptr &&
          target_list_reader_.replica().is_loaded() && !plane_.is_draining &&
-         !overload_detector_.is_overloaded();
+         !overload_detector_.is_overloaded() &&
+         !plane_.processor_admission.is_limiting();
 }
 
 TextReply Router::Impl::HandleReadiness() {
@@ -473,17 +474,27 @@
     fetcher_.ExcuseLag(lag);
   }
   overload_detector_.RecordTick(now, lag);
-  plane_.is_busy = overload_detector_.is_busy();
-  plane_.is_overloaded = overload_detector_.is_overloaded();
+  const bool was_limiting = plane_.processor_admission.is_limiting();
+  plane_.processor_admission.RecordTick(
+      now, std::max(lag, caller_listener_.AcceptDelay(now)));
+  if (was_limiting != plane_.processor_admission.is_limiting()) {
+    Log(LogLevel::kInfo,
+        was_limiting ? "processor has headroom; no longer limiting requests"
+                     : "processor is saturated; limiting requests",
+        {{"late_ms", overload_detector_.mean_lag_ms()},
+         {"limit_per_second", plane_.processor_admission.limit_per_second()},
+         {"open_requests", exchanges_.size()},
+         {"callers", caller_listener_.size()}});
+  }
   scheduler_.SetEventLoopLagging(overload_detector_.mean_lag_ms() >=
                                  kUnreliableTimingLagMs);
   if (!was_busy && overload_detector_.is_busy()) {
-    Log(LogLevel::kInfo, "router is busy; asking callers to reconnect",
+    Log(LogLevel::kInfo, "router is busy",
         {{"late_ms", overload_detector_.mean_lag_ms()},
          {"open_requests", exchanges_.size()}});
   }
   if (!was_overloaded && overload_detector_.is_overloaded()) {
-    Log(LogLevel::kWarning, "router is overloaded; rejecting new requests",
+    Log(LogLevel::kWarning, "router is overloaded; leaving rotation",
         {{"late_ms", std::chrono::duration_cast<milliseconds>(lag).count()},
          {"open_requests", exchanges_.size()},
          {"callers", caller_listener_.size()},
--- a/tests/fleet/fair_share_fleet_test.cc
+++ b/tests/fleet/fair_share_fleet_test.cc
@@ -434,5 +434,14 @@
   CheckFairness(loads, fleet.Run(12));
 }
 
+TEST_CASE("A flood at all routers leaves the other customers their shares") {
+  const std::uint64_t seed = 2;
+  INFO("seed ", seed);
+  const std::vector<CustomerLoad> loads = {
+      {"large", 3000, -1}, {"small", 40, -1}, {"other", 100, 0}};
+  Fleet fleet(202, 2, loads, 4e6, seed);
+  CheckFairness(loads, fleet.Run(12));
+}
+
 }  // namespace
 }  // namespace corianderpost::soak
