Add a failing test of a customer whose callers move between routers

After a move most of the share stays at the router that the callers have left.

Change: moving-callers-share plays two customers at eight routers that exchange rates every 100 ms; the callers of one change the router each second.

Conclusion: open.

--- a/src/decisions/fair_share_test.cc
+++ b/src/decisions/fair_share_test.cc
@@ -3,7 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <map>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace corianderpost {
 namespace {
@@ -123,5 +126,90 @@
   CHECK(share.AdmittedFraction(kStart, CustomerId::FromName("nobody")) == 1.0);
 }
 
+// Routers that exchange their rates every 100 ms, as of 200 ms ago.
+class FairShareFleet {
+ public:
+  FairShareFleet(std::size_t routers, double capacity)
+      : shares_(routers), reports_(routers) {
+    for (FairShare& it : shares_) {
+      it.SetCapacity(capacity);
+    }
+  }
+  // Plays `rate` units per second of `customer` at `router` for 10 ms, in
+  // requests of 1000 units. Returns the admitted units.
+  double Play(TimePoint now, std::size_t router, CustomerId customer,
+              double rate) {
+    constexpr double kUnits = 1000;
+    double& pending = pending_[{router, customer}];
+    pending += rate * 0.01;
+    double admitted = 0;
+    for (; pending >= kUnits; pending -= kUnits) {
+      shares_[router].RecordDemand(now, customer, kUnits);
+      if (shares_[router].HasCredit(now, customer)) {
+        shares_[router].Charge(now, customer, kUnits);
+        admitted += kUnits;
+      }
+    }
+    return admitted;
+  }
+  void Report(TimePoint now) {
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      reports_[i].push_back(shares_[i].LocalRates(now));
+    }
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      RatesByCustomer peers;
+      for (std::size_t j = 0; j < shares_.size(); ++j) {
+        if (j != i && reports_[j].size() >= 3) {
+          for (const auto& [id, rates] : reports_[j][reports_[j].size() - 3]) {
+            peers[id].demand += rates.demand;
+            peers[id].admitted += rates.admitted;
+          }
+        }
+      }
+      shares_[i].SetPeerRates(peers);
+    }
+  }
+
+ private:
+  std::vector<FairShare> shares_;
+  std::vector<std::vector<RatesByCustomer>> reports_;
+  std::map<std::pair<std::size_t, CustomerId>, double> pending_;
+};
+
+// The callers of a flooded router move on when it leaves rotation (issue 18).
+TEST_CASE("A customer whose callers move between routers keeps its share") {
+  constexpr std::size_t kRouters = 8;
+  constexpr int kSeconds = 16;
+  constexpr int kFairnessWindow = 6;
+  FairShareFleet fleet(kRouters, 1e6);
+  std::vector<double> moving(kSeconds, 0.0);
+  std::vector<double> spread(kSeconds, 0.0);
+  for (int step = 0; step < 100 * kSeconds; ++step) {
+    const TimePoint now = kStart + milliseconds(10 * step);
+    const auto second = static_cast<std::size_t>(step / 100);
+    // One second at each router, as seen at the flooded routers of the
+    // incident.
+    moving[second] += fleet.Play(now, second % kRouters, kCustomer, 2e6);
+    for (std::size_t router = 0; router < kRouters; ++router) {
+      spread[second] += fleet.Play(now, router, kOther, 2e6 / kRouters);
+    }
+    if (step % 10 == 0) {
+      fleet.Report(now);
+    }
+  }
+  // Required: in any six seconds at least half of what the best served customer
+  // got. The first seconds are those in which the meters start.
+  for (std::size_t first = 3; first + kFairnessWindow <= kSeconds; ++first) {
+    double served = 0;
+    double best = 0;
+    for (std::size_t i = first; i < first + kFairnessWindow; ++i) {
+      served += moving[i];
+      best += std::max(moving[i], spread[i]);
+    }
+    INFO("six seconds from second ", first);
+    CHECK(served >= 0.5 * best);
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost
