--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -44,6 +44,7 @@
   bool rejects_all = false;
   // Divides the requests that the processor can handle between the customers.
   ProcessorAdmission processor_admission = {};
+  // Requests that this router rejected since the last line on them.
   RejectionTally rejections = {};
   // Called when a request was running at a target that crashed, so that peers
   // learn of the crash suspect. May be empty.
--- a/src/router/listener_test.cc
+++ b/src/router/listener_test.cc
@@ -48,8 +48,7 @@
   CallerLimits limits_;
 };
 
-// In the incident of issue 18, a burst of connections kept timers and peer
-// reports waiting for up to five seconds.
+// Issue 18: a burst of connections kept timers waiting for up to 5 s.
 TEST_CASE("Timers run while many callers connect") {
   constexpr int kCallers = 300;
   constexpr auto kInterval = milliseconds(25);
