Log the shared prompt parts of broken attempts and count crash reports

The hypotheses could not be told apart: no line named the prompt parts of a suspect, and reports that were refused or left out were not counted. 'attempt failed' now has the field shared_parts; the counter corianderpost_crash_reports_total{result} and the line 'crash reports since the last line' count reports that were recorded, refused because the request was cleared, dropped because the table was full, and left out of a peer report. No decision changes.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_format.h"
+
 namespace corianderpost {
 namespace {
 
@@ -83,6 +85,16 @@
   return route.split.back().service;
 }
 
+// Returns the hexadecimal ids of the prompt's shared parts, which are all but
+// the last, as callers send them.
+std::vector<std::string> SharedPartIds(const std::vector<PromptPart>& prompt) {
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    ids.push_back(absl::StrFormat("%08x", prompt[i].id));
+  }
+  return ids;
+}
+
 std::string TargetIdOf(const Assignment& assignment) {
   return assignment.target_id;
 }
@@ -469,7 +481,8 @@
        {"after_ms",
         assignment_ ? ToMilliseconds(plane_.clock.Now() - assignment_->sent_at)
                     : 0},
-       {"events", events_forwarded_}});
+       {"events", events_forwarded_},
+       {"shared_parts", SharedPartIds(scheduled_.prompt)}});
   EndAttempt(outcome);
   RetryOrFail(may_have_executed, cause);
 }
--- a/src/decisions/crash_suspects.cc
+++ b/src/decisions/crash_suspects.cc
@@ -21,6 +21,7 @@
 bool CrashSuspects::RecordCrash(TimePoint now, const CrashReport& report) {
   if (const auto it = cleared_.find(report.fingerprint); it != cleared_.end()) {
     if (now - it->second <= kSuspectRetention) {
+      ++counts_.cleared;
       return false;
     }
     cleared_.erase(it);
@@ -31,11 +32,14 @@
     });
     if (suspects_.size() >= kMaxSuspects) {
       suspects_.erase(suspects_.begin());
+      ++counts_.dropped;
     }
   }
   Suspect& suspect = suspects_[report.fingerprint];
   suspect.last_crash_at = now;
-  return suspect.crashes.emplace(report.crash_id, now).second;
+  const bool is_new = suspect.crashes.emplace(report.crash_id, now).second;
+  counts_.recorded += is_new ? 1 : 0;
+  return is_new;
 }
 
 void CrashSuspects::Clear(TimePoint now, RequestFingerprint fingerprint) {
@@ -64,12 +68,17 @@
                                : static_cast<int>(it->second.crashes.size());
 }
 
-std::vector<CrashReport> CrashSuspects::RecentReports(TimePoint now) const {
+std::vector<CrashReport> CrashSuspects::RecentReports(TimePoint now) {
   std::vector<CrashReport> reports;
   for (const auto& [fingerprint, suspect] : suspects_) {
     for (const auto& [crash_id, reported_at] : suspect.crashes) {
-      if (reported_at >= now - kReportWindow && reports.size() < kMaxReports) {
+      if (reported_at < now - kReportWindow) {
+        continue;
+      }
+      if (reports.size() < kMaxReports) {
         reports.push_back({fingerprint, crash_id});
+      } else {
+        ++counts_.left_out;
       }
     }
   }
--- a/src/decisions/crash_suspects.h
+++ b/src/decisions/crash_suspects.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "corianderpost/clock.h"
@@ -29,6 +30,19 @@
   friend auto operator<=>(const CrashReport&, const CrashReport&) = default;
 };
 
+// What became of the reports that `CrashSuspects` was given.
+struct CrashReportCounts {
+  std::uint64_t recorded = 0;
+  // Ignored because the request had been cleared.
+  std::uint64_t cleared = 0;
+  // Suspects dropped because the table was full.
+  std::uint64_t dropped = 0;
+  // Reports left out of a peer report because of its size limit.
+  std::uint64_t left_out = 0;
+  friend bool operator==(const CrashReportCounts&,
+                         const CrashReportCounts&) = default;
+};
+
 // Crash suspects known to this router. Not thread-safe.
 class CrashSuspects {
  public:
@@ -44,7 +58,9 @@
   // Returns the number of different crashes attributed to the request.
   int CrashCount(RequestFingerprint fingerprint) const;
   // Returns the reports recorded recently, to be sent to peers.
-  std::vector<CrashReport> RecentReports(TimePoint now) const;
+  std::vector<CrashReport> RecentReports(TimePoint now);
+  // Returns the counts since the last call.
+  CrashReportCounts TakeCounts() { return std::exchange(counts_, {}); }
 
  private:
   struct Suspect {
@@ -55,6 +71,7 @@
   std::map<RequestFingerprint, Suspect> suspects_;
   // Former suspects, with the time of their last completion.
   std::map<RequestFingerprint, TimePoint> cleared_;
+  CrashReportCounts counts_;
 };
 
 }  // namespace corianderpost
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -225,6 +225,7 @@
   // requests and the share level.
   void LogEjections();
   void LogSummaries(TimePoint now);
+  void LogCrashReports();
   void AwaitSignal();
   void BeginDrain();
 
@@ -604,6 +605,7 @@
     Log(LogLevel::kInfo, "requests rejected since the last line",
         {{"total", total}, {"largest", std::move(largest)}});
   }
+  LogCrashReports();
   const std::size_t accepts = caller_listener_.TakeMaxAcceptsPerTurn();
   const ShareState share = scheduler_.CurrentShareState(now);
   if (share.level > 0) {
@@ -620,6 +622,26 @@
   }
 }
 
+void Router::Impl::LogCrashReports() {
+  const CrashReportCounts counts = scheduler_.suspects().TakeCounts();
+  if (counts == CrashReportCounts{}) {
+    return;
+  }
+  const auto count = [this](const char* result, std::uint64_t n) {
+    metrics_.IncrementCounter("corianderpost_crash_reports_total",
+                              "result=\"" + std::string(result) + "\"", n);
+  };
+  count("recorded", counts.recorded);
+  count("cleared", counts.cleared);
+  count("dropped", counts.dropped);
+  count("left_out", counts.left_out);
+  Log(LogLevel::kInfo, "crash reports since the last line",
+      {{"recorded", counts.recorded},
+       {"cleared", counts.cleared},
+       {"dropped", counts.dropped},
+       {"left_out", counts.left_out}});
+}
+
 void Router::Impl::TickExchanges(TimePoint now) {
   for (auto it = exchanges_.begin(); it != exchanges_.end();) {
     const std::shared_ptr<Exchange> exchange = it->second;
