Add a failing test of a prompt part that crashes engines

Six router processes of two regions before twelve engines; 6 of 100 requests have a part that crashes the engine that begins to answer them, and one router is killed and started again meanwhile.

A router process no longer inherits the test's descriptors: it kept the listening sockets of engines open, so that a crashed engine still accepted.

--- /dev/null
+++ b/tests/fleet/engine_fleet.h
@@ -0,0 +1,135 @@
+// Router processes of two regions before engines that crash or limit their
+// load, with callers at all routers. The engines and callers run in the test's
+// event loop.
+#ifndef CORIANDERPOST_TESTS_FLEET_ENGINE_FLEET_H_
+#define CORIANDERPOST_TESTS_FLEET_ENGINE_FLEET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/platform_deployment.h"
+#include "soak/router_process.h"
+#include "soak/standins.h"
+
+namespace corianderpost::soak {
+
+// One request that reached an engine.
+struct Arrival {
+  TimePoint at;
+  std::string request_id;
+  // Id of the first part of the prompt that crashes engines; zero if none does.
+  std::uint64_t crashing_part = 0;
+};
+
+// An engine that answers with a stream of events. It crashes when it begins to
+// answer a prompt with a certain part, and starts again as a new incarnation.
+// Not thread-safe.
+class Engine final : public StandinHandler {
+ public:
+  Engine(boost::asio::io_context& loop, std::string address,
+         const Deployment& deployment, const Clock& clock);
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 ReceivedRequest request) override;
+  // Closes all connections and stops listening until `Restart`.
+  void Crash();
+  void Restart();
+  // Restarts the engine and releases closed connections when it is time.
+  void Tick(TimePoint now);
+
+  bool is_running() const { return listener_.has_value(); }
+  std::int64_t incarnation() const { return incarnation_; }
+  const std::vector<Arrival>& arrivals() const { return arrivals_; }
+  const std::vector<TimePoint>& crashes() const { return crashes_; }
+
+  // Prompt parts that crash the engine.
+  std::set<std::uint64_t> crashing_parts;
+  // Header lines added to each response.
+  std::string extra_headers;
+
+ private:
+  void Begin(const std::shared_ptr<CallerConnection>& caller,
+             const RequestMeta& meta, std::uint64_t crashing_part);
+  void SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
+                      int number);
+  boost::asio::io_context& loop_;
+  const std::string address_;
+  const Deployment& deployment_;
+  const Clock& clock_;
+  std::optional<Listener> listener_;
+  std::vector<std::weak_ptr<CallerConnection>> open_;
+  std::int64_t incarnation_ = 1;
+  TimePoint restart_at_;
+  std::vector<Arrival> arrivals_;
+  std::vector<TimePoint> crashes_;
+};
+
+// A caller's request and its result; there is no retry.
+struct EngineCall {
+  TimePoint began_at;
+  std::size_t router = 0;
+  std::string customer;
+  std::vector<PromptPart> prompt;
+  std::string response = {};
+
+  bool is_served() const {
+    return response.starts_with("HTTP/1.1 200") &&
+           response.find("\r\n0\r\n") != std::string::npos;
+  }
+  bool is_rejected() const { return response.starts_with("HTTP/1.1 503"); }
+};
+
+// Not thread-safe.
+class EngineFleet {
+ public:
+  // Half of the routers and engines are in each region.
+  EngineFleet(int network, int routers, int engines,
+              const std::vector<std::string>& customers);
+
+  // Starts the routers, and waits until they have found each other.
+  void Start();
+  // Plays until `duration` from now. `on_step` is called every few milliseconds
+  // and may call `Send`.
+  void PlayFor(Duration duration,
+               const std::function<void(TimePoint)>& on_step = {});
+  // Sends a request to a router.
+  void Send(std::size_t router, const std::string& customer,
+            std::vector<PromptPart> prompt);
+
+  TimePoint Now() const { return clock_.Now(); }
+  std::vector<std::unique_ptr<Engine>>& engines() { return engines_; }
+  std::vector<std::unique_ptr<RouterProcess>>& routers() { return routers_; }
+  const std::vector<std::shared_ptr<EngineCall>>& calls() const {
+    return calls_;
+  }
+  // Times of all crashes, in order.
+  std::vector<TimePoint> Crashes() const;
+
+ private:
+  struct OpenCall;
+  void PublishEngine(std::size_t index);
+  void Read(const std::shared_ptr<OpenCall>& open);
+
+  const LoopbackNetwork network_;
+  const std::vector<std::string> customers_;
+  boost::asio::io_context loop_;
+  SystemClock clock_;
+  platform::PlatformDeployment deployment_;
+  Store store_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+  // By engine; the incarnation that the store lists.
+  std::vector<std::int64_t> listed_incarnations_;
+  std::vector<std::unique_ptr<RouterProcess>> routers_;
+  std::vector<std::shared_ptr<EngineCall>> calls_;
+};
+
+}  // namespace corianderpost::soak
+
+#endif  // CORIANDERPOST_TESTS_FLEET_ENGINE_FLEET_H_
--- a/tests/soak/router_process.cc
+++ b/tests/soak/router_process.cc
@@ -24,22 +24,23 @@
 
 RouterProcess::RouterProcess(const LoopbackNetwork& network,
                              std::string program, const std::string& folder,
-                             int index)
+                             int index, const std::string& zone)
     : network_(network),
       program_(std::move(program)),
       settings_path_(folder + "/router-" + std::to_string(index) + ".yaml"),
       log_path_(folder + "/router-" + std::to_string(index) + ".jsonl"),
       host_(10 + index) {
   std::ofstream(settings_path_)
-      << "vm: router-" << index
-      << "\nzone: a\nregion: west\nip: " << network_.Ip(host_)
-      << "\ncallers: " << address() << "\nreadiness: " << readiness_address()
+      << "vm: router-" << index << "\nzone: " << zone
+      << "\nregion: " << (zone == "a" ? "west" : "east")
+      << "\nip: " << network_.Ip(host_) << "\ncallers: " << address()
+      << "\nreadiness: " << readiness_address()
       << "\ncontrol: " << network_.Address(host_, kControlPort)
       << "\npeer_port: " << kPeerPort << "\nseeds: [\""
       << network_.Address(10, kControlPort) << "\", \""
       << network_.Address(11, kControlPort)
-      << "\"]\nzones: {a: west}\nstore: " << network_.Address(1, kStorePort)
-      << "\ngrace_seconds: "
+      << "\"]\nzones: {a: west, b: east}\nstore: "
+      << network_.Address(1, kStorePort) << "\ngrace_seconds: "
       << std::chrono::duration_cast<std::chrono::seconds>(kGracePeriod).count()
       << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
          "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: 110\n"
@@ -60,6 +61,9 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path_.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  // A router that inherited a stand-in's listening socket would keep the port
+  // open after the stand-in has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   if (posix_spawn(&pid_, program_.c_str(), &actions, nullptr, argv.data(),
                   environ) != 0) {
     pid_ = 0;
--- a/tests/soak/router_process.h
+++ b/tests/soak/router_process.h
@@ -35,9 +35,11 @@
 // destructor kills the process. Not thread-safe.
 class RouterProcess {
  public:
-  // Writes the settings file router-<index>.yaml to `folder`.
+  // Writes the settings file router-<index>.yaml to `folder`. `zone` is "a", in
+  // the region "west", or "b", in the region "east".
   RouterProcess(const LoopbackNetwork& network, std::string program,
-                const std::string& folder, int index);
+                const std::string& folder, int index,
+                const std::string& zone = "a");
   ~RouterProcess() { Kill(); }
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
