Blame the prompt part that crashing requests share, on evidence of all routers

Cause: a suspect was the fingerprint of customer, path and body. Requests that share a part differ in all else, so no suspect got three crashes (52 of 55 crashes had an attempt without events with the same three parts; no fingerprint was in more than four). Three more faults of the evidence: attempts on reused connections were no suspects, reports were cut at 64 entries and 2 s, and a router that started later never learned of them. Ruled out: completions that clear the culprit (no fingerprint returns).

Change: CrashSuspects collects crashes per trait (fingerprint or shared part), refutes them by answers, explains them by the trait that was in most of them, and rejects only requests with all traits that the evidence can't tell apart. Routers merge facts, not counts. Attempts without an answer are cancelled when their trait is blamed. The peer report stays readable for earlier versions: the evidence is an element that they ignore. A peer that restarts within the liveness timeout counts as new, so that it gets the complete report; before, crashing-part saw five requests pass through a router that was killed and started again.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -176,9 +176,11 @@
   scheduled_.prompt_tokens = meta_.prompt_tokens;
   scheduled_.max_output_tokens = meta_.max_output_tokens;
   scheduled_.body_bytes = request_.body().size();
-  scheduled_.fingerprint = FingerprintOf(
-      request_,
-      scheduled_.customer == nullptr ? "" : scheduled_.customer->name);
+  scheduled_.traits =
+      TraitsOf(FingerprintOf(request_, scheduled_.customer == nullptr
+                                           ? ""
+                                           : scheduled_.customer->name),
+               scheduled_.prompt);
   body_ = std::make_shared<const std::string>(std::move(request_.body()));
   last_event_id_ = meta_.last_event_id;
   if (plane_.max_caller_timeout_by_route.size() > kMaxCallerTimeoutRoutes) {
@@ -215,6 +217,7 @@
   predicted_latency_ = rejection.predicted;
   share_level_ = rejection.share_level;
   excluded_ = rejection.excluded;
+  blamed_ = rejection.blamed;
   if (has_stream_begun_) {
     caller_->Abort();
     Finish("cut");
@@ -306,7 +309,8 @@
   }
   response_kind_ =
       has_stream_begun_ ? ResponseKind::kUnusable : ResponseKind::kBuffered;
-  plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_);
+  plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_,
+                                    scheduled_);
 }
 
 void Exchange::OnBody(std::string_view data) {
@@ -353,7 +357,8 @@
       return;
     }
   }
-  plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_);
+  plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_,
+                                    scheduled_);
   std::string out;
   if (!has_stream_begun_) {
     has_stream_begun_ = true;
@@ -399,8 +404,6 @@
             "stream ended by connection close without last chunk", {});
       }
       EndAttempt(AttemptOutcome::kCompleted);
-      plane_.scheduler.suspects().Clear(last_progress_at_,
-                                        scheduled_.fingerprint);
       caller_->Write(std::string(kLastChunk));
       FinishResponse();
       Finish("served");
@@ -426,7 +429,6 @@
       }
     }
   }
-  plane_.scheduler.suspects().Clear(last_progress_at_, scheduled_.fingerprint);
   status_ = static_cast<int>(status);
   const bool is_head = request_.method() == http::verb::head;
   caller_->Write(FormatResponseHead(
@@ -441,21 +443,6 @@
   Finish(is_error ? "failed_by_target" : "served");
 }
 
-void Exchange::ReportCrash() {
-  if (!assignment_) {
-    return;
-  }
-  const std::string& id = assignment_->target_id;
-  const std::uint64_t crash_id =
-      XXH64(id.data(), id.size(),
-            static_cast<std::uint64_t>(assignment_->incarnation));
-  const CrashReport report{scheduled_.fingerprint, crash_id};
-  if (plane_.scheduler.suspects().RecordCrash(plane_.clock.Now(), report) &&
-      plane_.on_crash) {
-    plane_.on_crash(report);
-  }
-}
-
 void Exchange::OnFailed(UpstreamFailure failure) {
   upstream_.reset();
   AttemptOutcome outcome = AttemptOutcome::kBroken;
@@ -472,9 +459,16 @@
       cause = "a kept connection broke";
       break;
     case UpstreamFailure::kBroken:
-      ReportCrash();
       break;
   }
+  std::uint64_t crash_id = 0;
+  if (assignment_ && failure != UpstreamFailure::kNotSent) {
+    crash_id = plane_.scheduler.RecordBreak(plane_.clock.Now(), *assignment_,
+                                            scheduled_);
+    if (crash_id != 0 && plane_.on_crash) {
+      plane_.on_crash();
+    }
+  }
   Log(LogLevel::kWarning, "attempt failed",
       {{"target", assignment_ ? assignment_->target_id : ""},
        {"cause", cause},
@@ -482,6 +476,7 @@
         assignment_ ? ToMilliseconds(plane_.clock.Now() - assignment_->sent_at)
                     : 0},
        {"events", events_forwarded_},
+       {"crash", crash_id},
        {"shared_parts", SharedPartIds(scheduled_.prompt)}});
   EndAttempt(outcome);
   RetryOrFail(may_have_executed, cause);
@@ -552,34 +547,59 @@
   if (is_log_suppressed_ || !internal::ShouldLog(level)) {
     return;
   }
-  Log(level, "request ended",
-      {{"outcome", outcome},
-       {"status", status_},
-       {"route", scheduled_.route == nullptr ? "" : scheduled_.route->name},
-       {"customer",
-        scheduled_.customer == nullptr ? "" : scheduled_.customer->name},
-       {"targets", scheduled_.tried_targets},
-       {"events", events_forwarded_},
-       {"took_ms", ToMilliseconds(elapsed)},
-       {"deadline_ms", ToMilliseconds(caller_timeout_)},
-       {"predicted_ms", ToMilliseconds(predicted_latency_)},
-       {"first_event_ms", ToMilliseconds(first_event_latency_)},
-       {"read_tokens", static_cast<std::int64_t>(prefill_tokens_)},
-       {"waiting_tokens", static_cast<std::int64_t>(waiting_tokens_)},
-       {"at_home", was_home_},
-       {"retry_after_ms", ToMilliseconds(retry_after_)},
-       {"share_level", static_cast<std::int64_t>(share_level_)},
-       {"excluded",
-        {{"latency", excluded_.latency},
-         {"queue", excluded_.queue},
-         {"recompute", excluded_.recompute},
-         {"link", excluded_.link},
-         {"remote", excluded_.remote},
-         {"cold", excluded_.cold}}},
-       {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
-       {"list_age_ms",
-        ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
-       {"configuration", configuration_ ? configuration_->version() : 0}});
+  std::vector<LogField> fields = {
+      {"outcome", outcome},
+      {"status", status_},
+      {"route", scheduled_.route == nullptr ? "" : scheduled_.route->name},
+      {"customer",
+       scheduled_.customer == nullptr ? "" : scheduled_.customer->name},
+      {"targets", scheduled_.tried_targets},
+      {"events", events_forwarded_},
+      {"took_ms", ToMilliseconds(elapsed)},
+      {"deadline_ms", ToMilliseconds(caller_timeout_)},
+      {"predicted_ms", ToMilliseconds(predicted_latency_)},
+      {"first_event_ms", ToMilliseconds(first_event_latency_)},
+      {"read_tokens", static_cast<std::int64_t>(prefill_tokens_)},
+      {"waiting_tokens", static_cast<std::int64_t>(waiting_tokens_)},
+      {"at_home", was_home_},
+      {"retry_after_ms", ToMilliseconds(retry_after_)},
+      {"share_level", static_cast<std::int64_t>(share_level_)},
+      {"excluded",
+       {{"latency", excluded_.latency},
+        {"queue", excluded_.queue},
+        {"recompute", excluded_.recompute},
+        {"link", excluded_.link},
+        {"remote", excluded_.remote},
+        {"cold", excluded_.cold}}},
+      {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
+      {"list_age_ms",
+       ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
+      {"configuration", configuration_ ? configuration_->version() : 0}};
+  if (blamed_) {
+    fields.push_back({"blamed", ToString(blamed_->trait)});
+    fields.push_back({"crashes", blamed_->crash_ids});
+  }
+  Log(level, "request ended", std::move(fields));
+}
+
+void Exchange::CancelIfBlamed(TimePoint now) {
+  if (is_done_ || !assignment_ || assignment_->has_first_event ||
+      assignment_->is_crash_probe) {
+    return;
+  }
+  const BlamedTrait* blamed = plane_.scheduler.FindCrashCause(now, scheduled_);
+  if (blamed == nullptr) {
+    return;
+  }
+  Log(LogLevel::kWarning,
+      "attempt cancelled: such requests crash targets when they are answered",
+      {{"target", assignment_->target_id}, {"sent", has_send_started_}});
+  Rejection rejection;
+  rejection.reason = RejectionReason::kCrashesTargets;
+  rejection.blamed = *blamed;
+  may_have_executed_ = may_have_executed_ || has_send_started_;
+  EndAttempt(AttemptOutcome::kCancelled);
+  Reject(rejection);
 }
 
 void Exchange::HandleCallerDisconnected() {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -46,9 +46,9 @@
   ProcessorAdmission processor_admission = {};
   // Requests that this router rejected since the last line on them.
   RejectionTally rejections = {};
-  // Called when a request was running at a target that crashed, so that peers
-  // learn of the crash suspect. May be empty.
-  std::function<void(const CrashReport&)> on_crash = {};
+  // Called when a request became a suspect for a crash of its target, so that
+  // peers learn of it. May be empty.
+  std::function<void()> on_crash = {};
   // Called with the id of a target to which no connection could be made, so
   // that peers learn of it. May be empty.
   std::function<void(const std::string&)> on_unreachable = {};
@@ -74,6 +74,9 @@
   // Call before `Tick` if the event loop ran `lag` late: the responses of that
   // time have not been read yet, so it does not count as time without progress.
   void ExcuseLag(TimePoint now, Duration lag);
+  // Ends an attempt that has no answer yet if its request has a trait that is
+  // blamed for crashes of targets.
+  void CancelIfBlamed(TimePoint now);
   // Ends the request because the process is about to exit.
   void AbortForShutdown();
 
@@ -119,8 +122,6 @@
   // Checks the event's id and forwards the event. Ends the attempt if the id
   // doesn't follow the last one.
   void ForwardEvent(const StreamEvent& event);
-  // Records the request as a suspect for the crash of its target.
-  void ReportCrash();
   // Records metrics and logs the request. Does nothing if already done.
   void Finish(std::string_view outcome);
   // Time left until the caller's deadline or the route's timeout, whichever is
@@ -172,6 +173,8 @@
   double share_level_ = 0;
   // Targets that the limits ruled out, if the scheduler rejected the request.
   ExcludedTargets excluded_;
+  // Set if the request was rejected because such requests crash targets.
+  std::optional<BlamedTrait> blamed_;
   // Last time that the attempt started, began to send, or received bytes, plus
   // the lag of the event loop since then.
   TimePoint last_progress_at_;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -85,6 +85,9 @@
 // Bounds of `Rejection::retry_after`.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
+// Requests with a blamed trait are rejected at all routers and at least until
+// the next probe, so an earlier retry is useless.
+constexpr Duration kCrashesTargetsRetryAfter = std::chrono::seconds(30);
 // Gives the routers time to learn of usable targets.
 constexpr Duration kNoTargetRetryAfter = milliseconds(500);
 // Fraction of the link budget that large bodies may use. The rest is reserved
@@ -125,6 +128,10 @@
   return count == 0 ? 0.0 : sum / count;
 }
 
+CustomerId CustomerOf(const ScheduledRequest& request) {
+  return request.customer == nullptr ? CustomerId() : request.customer->id;
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
@@ -401,9 +408,19 @@
 }
 
 Decision Scheduler::Place(TimePoint now, const ScheduledRequest& request) {
-  if (suspects_.IsQuarantined(now, request.fingerprint)) {
-    return Rejection{RejectionReason::kCrashesTargets, kMaxRetryAfter,
-                     Duration(0), 0};
+  bool is_crash_probe = false;
+  if (const BlamedTrait* blamed = FindCrashCause(now, request);
+      blamed != nullptr) {
+    is_crash_probe =
+        IsProberOf(blamed->trait) && suspects_.TryProbe(now, blamed->trait);
+    if (!is_crash_probe) {
+      return Rejection{RejectionReason::kCrashesTargets,
+                       kCrashesTargetsRetryAfter,
+                       Duration(0),
+                       0,
+                       {},
+                       *blamed};
+    }
   }
   const ServiceProfile* service = configuration_->FindService(request.service);
   const bool is_engine = service != nullptr && service->engine.has_value();
@@ -522,7 +539,9 @@
       return Rejection{RejectionReason::kRetryBudget, kMinRetryAfter,
                        Duration(0), 0};
     }
-    return Reserve(now, request, it);
+    Assignment assignment = Reserve(now, request, it);
+    assignment.is_crash_probe = is_crash_probe;
+    return assignment;
   }
   if (candidates.empty()) {
     return Rejection{RejectionReason::kNoTarget, kNoTargetRetryAfter,
@@ -617,11 +636,48 @@
   return assignment;
 }
 
-void Scheduler::RecordFirstEvent(TimePoint now, Assignment& assignment) {
+std::uint64_t Scheduler::RecordBreak(TimePoint now,
+                                     const Assignment& assignment,
+                                     const ScheduledRequest& request) {
+  if (assignment.has_first_event) {
+    return 0;
+  }
+  const std::uint64_t crash_id =
+      CrashIdOf(assignment.target_id, assignment.incarnation);
+  suspects_.RecordCrash(now, crash_id, CustomerOf(request), request.traits);
+  return crash_id;
+}
+
+void Scheduler::ConfirmCrash(TimePoint now, const std::string& target_id) {
+  if (const TargetState* target = targets_.Find(target_id); target != nullptr) {
+    suspects_.ConfirmCrash(now,
+                           CrashIdOf(target_id, target->entry.incarnation));
+  }
+}
+
+void Scheduler::ConfirmCrashes(TimePoint now) {
+  for (const EndedIncarnation& it : targets_.TakeEndedIncarnations()) {
+    suspects_.ConfirmCrash(now, CrashIdOf(it.target_id, it.incarnation));
+  }
+}
+
+const BlamedTrait* Scheduler::FindCrashCause(TimePoint now,
+                                             const ScheduledRequest& request) {
+  return suspects_.FindCause(now, request.traits, CustomerOf(request));
+}
+
+bool Scheduler::IsProberOf(const RequestTrait& trait) const {
+  return static_cast<int>(trait.value % static_cast<std::uint64_t>(
+                                            fleet_size_)) == fleet_position_;
+}
+
+void Scheduler::RecordFirstEvent(TimePoint now, Assignment& assignment,
+                                 const ScheduledRequest& request) {
   if (assignment.has_first_event) {
     return;
   }
   assignment.has_first_event = true;
+  suspects_.RecordAnswer(now, request.traits);
   TargetState* target = targets_.Find(assignment.target_id);
   if (target == nullptr) {
     return;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -56,7 +57,8 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
   std::size_t body_bytes = 0;
-  RequestFingerprint fingerprint = 0;
+  // What the request has in common with others that may crash targets.
+  std::vector<RequestTrait> traits;
   // Time until the caller's or the route's timeout, whichever is earlier.
   Duration remaining{0};
   // Estimate of the time that the caller spent on earlier tries, before this
@@ -106,6 +108,8 @@
   // zero if all demand fits.
   double share_level = 0;
   ExcludedTargets excluded = {};
+  // Set if the reason is `kCrashesTargets`.
+  std::optional<BlamedTrait> blamed = std::nullopt;
   friend bool operator==(const Rejection&, const Rejection&) = default;
 };
 
@@ -129,6 +133,9 @@
   Duration predicted{0};
   // Whether the target is half-open and this request probes it.
   bool is_probe = false;
+  // Whether the request has a trait that is blamed for crashes, and shows
+  // whether such requests still crash targets.
+  bool is_crash_probe = false;
   bool has_first_event = false;
   TimePoint sent_at;
 };
@@ -200,7 +207,21 @@
   Decision Place(TimePoint now, const ScheduledRequest& request);
   // Records that the first event of a stream, or the header of another
   // response, arrived. Only the first call for an assignment has an effect.
-  void RecordFirstEvent(TimePoint now, Assignment& assignment);
+  void RecordFirstEvent(TimePoint now, Assignment& assignment,
+                        const ScheduledRequest& request);
+  // Records that the connection broke. If the target had not begun to answer,
+  // the request is a suspect for a crash of the target, and the id of that
+  // crash is returned; otherwise zero.
+  std::uint64_t RecordBreak(TimePoint now, const Assignment& assignment,
+                            const ScheduledRequest& request);
+  // Records that a peer could not connect to a target.
+  void ConfirmCrash(TimePoint now, const std::string& target_id);
+  // Confirms crashes of targets that were seen to end. Call regularly.
+  void ConfirmCrashes(TimePoint now);
+  // Returns the blamed trait because of which the request must be rejected, or
+  // null.
+  const BlamedTrait* FindCrashCause(TimePoint now,
+                                    const ScheduledRequest& request);
   // Releases the reservation and records the outcome as evidence of the
   // target's health. Call once for each assignment that `Place` returned.
   void Finish(TimePoint now, const Assignment& assignment,
@@ -257,6 +278,8 @@
   // if the credit does not suffice, or if this router is not one of those that
   // may send to the cold target.
   bool TrySpendColdCredit(TimePoint now, TargetState& target);
+  // Returns whether this router is the one that probes a blamed trait.
+  bool IsProberOf(const RequestTrait& trait) const;
   // Returns a rejection. `best_seconds` is the lowest predicted time to the
   // first event, and `limit_seconds` the latency limit; both are zero if no
   // target was evaluated.
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -97,7 +97,7 @@
     request.prompt_tokens = 6000 + unshared_tokens;
     request.max_output_tokens = 50;
     request.body_bytes = 2000;
-    request.fingerprint = prefix_id;
+    request.traits = TraitsOf(prefix_id, request.prompt);
     request.remaining = seconds(4);
     return request;
   }
@@ -210,7 +210,7 @@
   CHECK(scheduler.targets().LocalLoad(later).at(id).pending_prefill_tokens ==
         0);
   for (Assignment& it : sent) {
-    scheduler.RecordFirstEvent(later, it);
+    scheduler.RecordFirstEvent(later, it, fixture.Request("small", 42, 1000));
   }
   CHECK(scheduler.targets().LocalLoad(later).at(id).first_events == 0);
   CHECK(scheduler.targets().LocalLoad(later).at(id).pending_prefill_tokens ==
@@ -441,11 +441,14 @@
 TEST_CASE("Scheduler rejects a request that crashed three targets") {
   Fixture fixture({"a", "b"});
   const ScheduledRequest request = fixture.Request("small", 42, 10);
+  TimePoint now = kStart;
   for (std::uint64_t crash = 1; crash <= 3; ++crash) {
-    fixture.scheduler().suspects().RecordCrash(kStart,
-                                               {request.fingerprint, crash});
+    now += milliseconds(200);
+    fixture.scheduler().suspects().RecordCrash(now, crash, request.customer->id,
+                                               request.traits);
+    fixture.scheduler().suspects().ConfirmCrash(now, crash);
   }
-  const Decision decision = fixture.scheduler().Place(kStart, request);
+  const Decision decision = fixture.scheduler().Place(now, request);
   REQUIRE(std::holds_alternative<Rejection>(decision));
   CHECK(std::get<Rejection>(decision).reason ==
         RejectionReason::kCrashesTargets);
@@ -501,7 +504,7 @@
     const TimePoint now =
         kStart + Duration(static_cast<std::int64_t>(event.at_seconds * 1e6));
     if (event.source < 0) {
-      scheduler.RecordFirstEvent(now, event.assignment);
+      scheduler.RecordFirstEvent(now, event.assignment, ScheduledRequest());
       scheduler.Finish(now, event.assignment, AttemptOutcome::kCompleted);
       continue;
     }
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -86,6 +86,10 @@
       !target.region.empty() && target.region == local_region_;
 }
 
+void TargetTable::RecordEnd(const TargetState& target) {
+  ended_incarnations_.push_back({target.entry.id, target.entry.incarnation});
+}
+
 bool TargetTable::ApplyEntry(TimePoint now, const TargetEntry& entry) {
   const auto [it, is_new] = targets_.try_emplace(entry.id);
   TargetState& target = it->second;
@@ -97,6 +101,9 @@
                           target.entry.zone != entry.zone ||
                           target.entry.is_draining != entry.is_draining ||
                           target.entry.service != entry.service;
+  if (is_restarted) {
+    RecordEnd(target);
+  }
   target.id = TargetId::FromName(entry.id);
   target.entry = entry;
   if (is_changed) {
@@ -202,6 +209,7 @@
       target.may_be_cold = true;
       target.may_be_cold_since = now;
       record(1);
+      RecordEnd(target);
       Eject(now, target, EjectionCause::kConnectFailed);
       break;
     case AttemptOutcome::kBroken:
@@ -213,6 +221,7 @@
       if (target.clustered_breaks >= kMinCrashBreaks) {
         target.may_be_cold = true;
         target.may_be_cold_since = now;
+        RecordEnd(target);
         Eject(now, target, EjectionCause::kCrash);
       }
       break;
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -94,6 +94,14 @@
   friend bool operator==(const Ejection&, const Ejection&) = default;
 };
 
+// A run of a target that has ended or can't be reached.
+struct EndedIncarnation {
+  std::string target_id;
+  std::int64_t incarnation = 0;
+  friend bool operator==(const EndedIncarnation&,
+                         const EndedIncarnation&) = default;
+};
+
 // Time constant of the rates of ended and failed attempts.
 inline constexpr Duration kOutcomeRateTimeConstant = std::chrono::seconds(1);
 // Time constant of the rates of first events and slowness. It is longer because
@@ -208,6 +216,11 @@
   std::vector<Ejection> TakeEjections() {
     return std::exchange(new_ejections_, {});
   }
+  // Returns the incarnations that were seen to end since the last call: by
+  // failed connects, connections that broke together, or the target list.
+  std::vector<EndedIncarnation> TakeEndedIncarnations() {
+    return std::exchange(ended_incarnations_, {});
+  }
   void SetEvacuatedZones(std::set<std::string> zones) {
     evacuated_zones_ = std::move(zones);
   }
@@ -243,8 +256,10 @@
   // twice as long, up to a bound, until a probe succeeds.
   void Eject(TimePoint now, TargetState& target, EjectionCause cause);
   void UpdateRegion(TargetState& target) const;
+  void RecordEnd(const TargetState& target);
   std::map<std::string, TargetState> targets_;
   std::vector<Ejection> new_ejections_;
+  std::vector<EndedIncarnation> ended_incarnations_;
   // Index of the targets by service; cleared when it is out of date.
   std::map<std::string, std::vector<TargetState*>> by_service_;
   // Fraction of failed attempts at all targets of a service together.
--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -101,10 +101,11 @@
 }
 
 void PeerMessenger::HandleReport(TimePoint now, PeerReport report) {
-  for (const CrashReport& it : report.crashes) {
-    scheduler_.suspects().RecordCrash(now, it);
+  for (const SuspectReport& it : report.suspects) {
+    scheduler_.suspects().Merge(now, it);
   }
   for (const std::string& it : report.unreachable_targets) {
+    scheduler_.ConfirmCrash(now, it);
     TargetState* target = scheduler_.targets().Find(it);
     if (target != nullptr && now >= target->ejected_until &&
         !unreachable_recorded_at_.contains(it)) {
@@ -137,14 +138,14 @@
     Log(LogLevel::kInfo, "peer became live",
         {{"peer", report.sender.vm}, {"zone", report.sender.zone}});
     // A new peer learns the addresses of the others from this reply.
-    PeerReport reply = BuildReport(now);
+    PeerReport reply = BuildReport(now, true);
     reply.load.clear();
     reply.live_routers = peers_.LivePeers(now);
     SendTo(reply, report.sender.vm);
   }
 }
 
-PeerReport PeerMessenger::BuildReport(TimePoint now) {
+PeerReport PeerMessenger::BuildReport(TimePoint now, bool is_complete) {
   PeerReport report;
   report.sender = peers_.self();
   report.incarnation = incarnation_;
@@ -153,7 +154,7 @@
   report.load = scheduler_.targets().LocalLoad(now);
   report.customer_rates = scheduler_.fair_share().LocalRates(now);
   report.link_use = scheduler_.LocalLinkUse(now);
-  report.crashes = scheduler_.suspects().RecentReports(now);
+  report.suspects = scheduler_.suspects().ReportsFor(now, is_complete);
   std::erase_if(unreachable_recorded_at_, [now](const auto& it) {
     return now - it.second > kUnreachableReportTime;
   });
@@ -189,7 +190,7 @@
 
 void PeerMessenger::SendToMesh(TimePoint now) {
   const bool sends_remote = now >= next_remote_report_at_;
-  PeerReport report = BuildReport(now);
+  PeerReport report = BuildReport(now, false);
   if (sends_remote) {
     next_remote_report_at_ = now + kRemoteReportInterval;
     report.live_routers = peers_.LivePeers(now);
@@ -209,13 +210,13 @@
     relay_heard_at_ = now;
   }
   if (const auto relay = peers_.RelayOf(now, peers_.self().zone)) {
-    SendTo(BuildReport(now), *relay);
+    SendTo(BuildReport(now, false), *relay);
   }
 }
 
 void PeerMessenger::SendAsRelay(TimePoint now) {
   const bool sends_remote = now >= next_remote_report_at_;
-  const PeerReport local_report = BuildReport(now);
+  const PeerReport local_report = BuildReport(now, false);
   const std::string& local_zone = peers_.self().zone;
   std::vector<RouterInfo> live_peers;
   if (sends_remote) {
@@ -281,7 +282,7 @@
   }
   if (now >= next_hello_at_) {
     next_hello_at_ = now + kHelloInterval;
-    PeerReport report = BuildReport(now);
+    PeerReport report = BuildReport(now, false);
     report.load.clear();
     for (const std::string& it : peers_.SilentPeers(now)) {
       SendTo(report, it);
--- a/src/peers/peer_messenger.h
+++ b/src/peers/peer_messenger.h
@@ -65,7 +65,8 @@
   void WaitForReports();
   void ReceiveReports();
   void HandleReport(TimePoint now, PeerReport report);
-  PeerReport BuildReport(TimePoint now);
+  // `is_complete` reports are for routers that may know nothing yet.
+  PeerReport BuildReport(TimePoint now, bool is_complete);
   void SendTo(const PeerReport& report, const std::string& vm);
   // Sends to a router in another region, with the times that measure the round
   // trip.
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -41,6 +41,94 @@
           milliseconds(list.at(offset + 4).get<std::int64_t>())};
 }
 
+// Flags of one crash in a report.
+constexpr unsigned kConfirmedFlag = 1;
+constexpr unsigned kRefutedFlag = 2;
+constexpr unsigned kSeveralCustomersFlag = 4;
+constexpr std::size_t kFieldsPerCrash = 4;
+// Time for which evidence of a router without extensions is kept.
+constexpr Duration kBasicSuspectRetention = std::chrono::seconds(30);
+
+Json EncodeSuspects(const std::vector<SuspectReport>& suspects) {
+  Json list = Json::array();
+  for (const SuspectReport& it : suspects) {
+    Json crashes = Json::array();
+    for (const CrashEvidence& crash : it.crashes) {
+      crashes.push_back(crash.crash_id);
+      crashes.push_back(ToMillis(crash.age));
+      crashes.push_back(crash.customer ? crash.customer->value() : 0);
+      crashes.push_back((crash.is_confirmed ? kConfirmedFlag : 0) |
+                        (crash.is_refuted ? kRefutedFlag : 0) |
+                        (crash.customer ? 0 : kSeveralCustomersFlag));
+    }
+    list.push_back(static_cast<int>(it.trait.kind));
+    list.push_back(it.trait.value);
+    list.push_back(ToMillis(it.time_to_live));
+    list.push_back(it.was_answered);
+    list.push_back(std::move(crashes));
+  }
+  return list;
+}
+
+// Encodes pairs of fingerprint and crash id, which routers without extensions
+// understand. They ignore an element after the last pair, so the extensions
+// follow there as a map by name.
+Json EncodeCrashes(const PeerReport& report) {
+  Json crashes = Json::array();
+  for (const SuspectReport& it : report.suspects) {
+    for (const CrashEvidence& crash : it.crashes) {
+      if (it.trait.kind == RequestTrait::Kind::kRequest && !crash.is_refuted) {
+        crashes.push_back(it.trait.value);
+        crashes.push_back(crash.crash_id);
+      }
+    }
+  }
+  crashes.push_back({{"suspects", EncodeSuspects(report.suspects)}});
+  return crashes;
+}
+
+std::vector<SuspectReport> DecodeSuspects(const Json& crashes) {
+  constexpr std::size_t kFieldsPerSuspect = 5;
+  std::vector<SuspectReport> suspects;
+  if (crashes.size() % 2 == 0) {
+    for (std::size_t i = 0; i + 2 <= crashes.size(); i += 2) {
+      suspects.push_back(
+          {{RequestTrait::Kind::kRequest, crashes[i].get<std::uint64_t>()},
+           kBasicSuspectRetention,
+           false,
+           {{crashes[i + 1].get<std::uint64_t>(), Duration(0), CustomerId(),
+             false, false}}});
+    }
+    return suspects;
+  }
+  const Json& list = crashes.back().at("suspects");
+  for (std::size_t i = 0; i + kFieldsPerSuspect <= list.size();
+       i += kFieldsPerSuspect) {
+    SuspectReport suspect;
+    suspect.trait = {list[i].get<int>() == 0 ? RequestTrait::Kind::kRequest
+                                             : RequestTrait::Kind::kPromptPart,
+                     list[i + 1].get<std::uint64_t>()};
+    suspect.time_to_live = milliseconds(list[i + 2].get<std::int64_t>());
+    suspect.was_answered = list[i + 3].get<bool>();
+    const Json& fields = list[i + 4];
+    for (std::size_t j = 0; j + kFieldsPerCrash <= fields.size();
+         j += kFieldsPerCrash) {
+      const auto flags = fields[j + 3].get<unsigned>();
+      CrashEvidence crash;
+      crash.crash_id = fields[j].get<std::uint64_t>();
+      crash.age = milliseconds(fields[j + 1].get<std::int64_t>());
+      if ((flags & kSeveralCustomersFlag) == 0) {
+        crash.customer = CustomerId(fields[j + 2].get<std::uint32_t>());
+      }
+      crash.is_confirmed = (flags & kConfirmedFlag) != 0;
+      crash.is_refuted = (flags & kRefutedFlag) != 0;
+      suspect.crashes.push_back(crash);
+    }
+    suspects.push_back(std::move(suspect));
+  }
+  return suspects;
+}
+
 }  // namespace
 
 std::string EncodeReport(const PeerReport& report) {
@@ -62,11 +150,7 @@
     customer_rates.push_back(static_cast<std::int64_t>(rates.demand));
     customer_rates.push_back(static_cast<std::int64_t>(rates.admitted));
   }
-  Json crashes = Json::array();
-  for (const CrashReport& it : report.crashes) {
-    crashes.push_back(it.fingerprint);
-    crashes.push_back(it.crash_id);
-  }
+  Json crashes = EncodeCrashes(report);
   Json sender = Json::array();
   AppendRouterInfo(report.sender, sender);
   Json live_routers = Json::array();
@@ -134,10 +218,7 @@
       report.customer_rates[CustomerId(json[9][i].get<std::uint32_t>())] = {
           json[9][i + 1].get<double>(), json[9][i + 2].get<double>()};
     }
-    for (std::size_t i = 0; i + 2 <= json[10].size(); i += 2) {
-      report.crashes.push_back({json[10][i].get<std::uint64_t>(),
-                                json[10][i + 1].get<std::uint64_t>()});
-    }
+    report.suspects = DecodeSuspects(json[10]);
     report.unreachable_targets = json[11].get<std::vector<std::string>>();
     for (std::size_t i = 0; i + kFieldsPerRouter <= json[12].size();
          i += kFieldsPerRouter) {
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -79,7 +79,7 @@
   // receipt and this report. Zero if none came since the last echo.
   std::int64_t echoed_sent_at = 0;
   Duration echo_delay{0};
-  std::vector<CrashReport> crashes;
+  std::vector<SuspectReport> suspects;
   // Ids of targets to which connections failed recently.
   std::vector<std::string> unreachable_targets;
   // Live routers known to the sender; omitted from some reports.
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -85,6 +85,8 @@
   }
   const auto known = peers_.find(vm);
   const bool was_alive = known != peers_.end() && IsAlive(now, known->second);
+  const bool is_restarted = was_alive && known->second.incarnation != 0 &&
+                            report.incarnation != known->second.incarnation;
   if (was_alive && (report.incarnation < known->second.incarnation ||
                     (report.incarnation == known->second.incarnation &&
                      report.sequence <= known->second.sequence))) {
@@ -116,7 +118,7 @@
       fleet_report_at_ = now;
       break;
   }
-  return !was_alive;
+  return !was_alive || is_restarted;
 }
 
 void PeerTable::AddSeed(const std::string& vm) {
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -25,7 +25,7 @@
 
   // Stores the report and the routers listed in it. Ignores duplicates, and
   // reports that are older than the last one of a live sender. Returns true if
-  // the sender was not known to be alive before.
+  // the sender was not known to be alive before, or has restarted.
   bool ApplyReport(TimePoint now, const PeerReport& report);
   // Adds a seed address: an IPv4 address, without port, at which a router may
   // run.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -36,7 +36,15 @@
   report.operator_revision = 12;
   report.target_list_revision = 13;
   report.operator_replica_age = milliseconds(140);
-  report.crashes = {{1, 2}};
+  report.suspects = {{{RequestTrait::Kind::kPromptPart, 1},
+                      seconds(20),
+                      true,
+                      {{2, milliseconds(150), CustomerId(3), true, false},
+                       {4, milliseconds(10), std::nullopt, false, true}}},
+                     {{RequestTrait::Kind::kRequest, 5},
+                      seconds(9),
+                      false,
+                      {{2, Duration(0), CustomerId(0), true, false}}}};
   report.unreachable_targets = {"i-1"};
   report.link_use = 12'000;
   report.link_budget = 34'000;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -226,6 +226,11 @@
   void LogEjections();
   void LogSummaries(TimePoint now);
   void LogCrashReports();
+  // Logs which traits are blamed for crashes since the last call or no longer,
+  // and cancels requests with them that targets have not begun to answer.
+  void ApplyBlame(TimePoint now);
+  // Returns the customer's name, or its id if it has none.
+  std::string CustomerName(CustomerId id) const;
   void AwaitSignal();
   void BeginDrain();
 
@@ -283,6 +288,7 @@
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
   std::set<std::string> evacuated_zones_;
+  std::vector<BlamedTrait> blamed_traits_;
 };
 
 Router::Impl::Impl(const RouterSettings& settings, std::string settings_path,
@@ -330,13 +336,7 @@
                         clock_),
       tick_timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
-  plane_.on_crash = [this](const CrashReport& report) {
-    Log(LogLevel::kWarning,
-        "connection broke; request recorded as a suspect for a crash of its "
-        "target",
-        {{"fingerprint", report.fingerprint}, {"crash", report.crash_id}});
-    messenger_.ReportAtNextTick();
-  };
+  plane_.on_crash = [this] { messenger_.ReportAtNextTick(); };
   plane_.on_unreachable = [this](const std::string& id) {
     messenger_.ReportUnreachable(clock_.Now(), id);
   };
@@ -535,6 +535,7 @@
 void Router::Impl::Tick() {
   const TimePoint now = clock_.Now();
   CheckSuspension(now);
+  ApplyBlame(now);
   TickExchanges(now);
   fetcher_.Tick(now);
   TickReaders(now);
@@ -546,6 +547,7 @@
     readiness_listener_.Tick(now);
     control_listener_.Tick(now);
     scheduler_.targets().Expire(now);
+    scheduler_.suspects().Expire(now);
     messenger_.Expire(now);
   }
   LogEjections();
@@ -622,6 +624,60 @@
   }
 }
 
+void Router::Impl::ApplyBlame(TimePoint now) {
+  scheduler_.ConfirmCrashes(now);
+  const std::vector<BlamedTrait>& blamed = scheduler_.suspects().Blamed();
+  if (blamed == blamed_traits_) {
+    return;
+  }
+  const auto contains = [](const std::vector<BlamedTrait>& list,
+                           const BlamedTrait& blamed_trait) {
+    return std::any_of(list.begin(), list.end(), [&](const BlamedTrait& it) {
+      return it.trait == blamed_trait.trait &&
+             it.companions == blamed_trait.companions &&
+             it.customer == blamed_trait.customer;
+    });
+  };
+  for (const BlamedTrait& it : blamed) {
+    if (contains(blamed_traits_, it)) {
+      continue;
+    }
+    nlohmann::json companions = nlohmann::json::array();
+    for (const RequestTrait& companion : it.companions) {
+      companions.push_back(ToString(companion));
+    }
+    Log(LogLevel::kWarning, "trait is blamed for crashes; rejecting requests",
+        {{"trait", ToString(it.trait)},
+         {"companions", std::move(companions)},
+         {"customer", it.customer ? CustomerName(*it.customer) : ""},
+         {"crashes", it.crash_ids}});
+  }
+  for (const BlamedTrait& it : blamed_traits_) {
+    if (!contains(blamed, it)) {
+      Log(LogLevel::kInfo, "trait is no longer blamed for crashes",
+          {{"trait", ToString(it.trait)}});
+    }
+  }
+  blamed_traits_ = blamed;
+  metrics_.SetGauge("corianderpost_blamed_traits",
+                    static_cast<double>(blamed_traits_.size()));
+  for (const auto& [caller, exchange] : exchanges_) {
+    exchange->CancelIfBlamed(now);
+  }
+  messenger_.ReportAtNextTick();
+}
+
+std::string Router::Impl::CustomerName(CustomerId id) const {
+  if (plane_.configuration) {
+    for (const CustomerProfile& it : plane_.configuration->customers()) {
+      if (it.id == id) {
+        return it.name;
+      }
+    }
+  }
+  return std::to_string(id.value());
+}
+
 void Router::Impl::LogCrashReports() {
   const CrashReportCounts counts = scheduler_.suspects().TakeCounts();
   if (counts == CrashReportCounts{}) {
@@ -632,12 +688,12 @@
                               "result=\"" + std::string(result) + "\"", n);
   };
   count("recorded", counts.recorded);
-  count("cleared", counts.cleared);
+  count("refuted", counts.refuted);
   count("dropped", counts.dropped);
   count("left_out", counts.left_out);
   Log(LogLevel::kInfo, "crash reports since the last line",
       {{"recorded", counts.recorded},
-       {"cleared", counts.cleared},
+       {"refuted", counts.refuted},
        {"dropped", counts.dropped},
        {"left_out", counts.left_out}});
 }
