--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -286,6 +286,7 @@
   const ResponseMeta meta = plane_.dialect.DecodeResponse(head);
   const unsigned status = head.result_int();
   response_head_ = head;
+  RecordRateLimit(meta);
   // 421: the address now belongs to another target, which did not execute the
   // request.
   if (meta.is_not_executed || status == 421) {
@@ -313,6 +314,23 @@
                                     scheduled_);
 }
 
+void Exchange::RecordRateLimit(const ResponseMeta& meta) {
+  if (meta.has_malformed_rate_limit) {
+    plane_.metrics.IncrementCounter("corianderpost_malformed_rate_limits_total",
+                                    "");
+  }
+  TargetState* target = plane_.scheduler.targets().Find(assignment_->target_id);
+  if (target == nullptr || target->named_rate_limit == meta.rate_limit) {
+    return;
+  }
+  target->named_rate_limit = meta.rate_limit;
+  Log(LogLevel::kInfo,
+      meta.rate_limit ? "target named a rate limit"
+                      : "target no longer names a rate limit",
+      {{"target", assignment_->target_id},
+       {"per_second", meta.rate_limit.value_or(0.0)}});
+}
+
 void Exchange::OnBody(std::string_view data) {
   last_progress_at_ = plane_.clock.Now();
   if (response_kind_ == ResponseKind::kBuffered) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -122,6 +122,9 @@
   // Checks the event's id and forwards the event. Ends the attempt if the id
   // doesn't follow the last one.
   void ForwardEvent(const StreamEvent& event);
+  // Records the rate limit that the target's response names, or that it names
+  // none.
+  void RecordRateLimit(const ResponseMeta& meta);
   // Records metrics and logs the request. Does nothing if already done.
   void Finish(std::string_view outcome);
   // Time left until the caller's deadline or the route's timeout, whichever is
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -173,6 +174,10 @@
   // with the time of their last use.
   std::unordered_map<std::uint64_t, TimePoint> cached_chains;
 
+  // Requests per second that the target's last answer to this router named;
+  // absent if it named none.
+  std::optional<double> named_rate_limit;
+
   // Mean time to the response head of plain (non-model) requests, in seconds.
   double mean_response_seconds = 0.02;
 };
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -55,6 +55,11 @@
   // Idle time after which the target closes the connection; absent if not
   // stated.
   std::optional<Duration> keep_alive;
+  // Requests per second that the target takes from all routers together; absent
+  // if it names no limit.
+  std::optional<double> rate_limit;
+  // The response names a limit that is not a plausible number.
+  bool has_malformed_rate_limit = false;
 };
 
 }  // namespace corianderpost
