Divide the rate limit that a target names between all routers by demand

A target that named the requests a second that it takes got twice as many: the header was not read, and no bound on a warm target is shared by the routers.

Change: reports carry the last answer that any router knows of each target (limit or none, with its age; the newest wins), and the sums of requests that wanted to use the limit and that did. Each router gets the part of the limit that its demand is of all demand, as peers know it; parts below one request a second are drawn second by second; the measured sum corrects the rest. The next candidate gets what is beyond; if none is left, the rejection 'rate_limited' names the mean time until the next credit. The share level counts such engines with the throughput that their limit allows.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -286,9 +286,11 @@
   const ResponseMeta meta = plane_.dialect.DecodeResponse(head);
   const unsigned status = head.result_int();
   response_head_ = head;
-  RecordRateLimit(meta);
   // 421: the address now belongs to another target, which did not execute the
   // request.
+  if (status != 421) {
+    RecordRateLimit(meta);
+  }
   if (meta.is_not_executed || status == 421) {
     response_kind_ = ResponseKind::kNotExecuted;
     return;
@@ -320,10 +322,10 @@
                                     "");
   }
   TargetState* target = plane_.scheduler.targets().Find(assignment_->target_id);
-  if (target == nullptr || target->named_rate_limit == meta.rate_limit) {
+  if (target == nullptr || !TargetTable::RecordRateLimit(
+                               last_progress_at_, *target, meta.rate_limit)) {
     return;
   }
-  target->named_rate_limit = meta.rate_limit;
   Log(LogLevel::kInfo,
       meta.rate_limit ? "target named a rate limit"
                       : "target no longer names a rate limit",
@@ -588,7 +590,8 @@
         {"recompute", excluded_.recompute},
         {"link", excluded_.link},
         {"remote", excluded_.remote},
-        {"cold", excluded_.cold}}},
+        {"cold", excluded_.cold},
+        {"rate_limit", excluded_.rate_limit}}},
       {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
       {"list_age_ms",
        ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -150,6 +150,8 @@
       return "crashes_targets";
     case RejectionReason::kRetryBudget:
       return "retry_budget";
+    case RejectionReason::kRateLimited:
+      return "rate_limited";
   }
   return "unknown";
 }
@@ -209,6 +211,8 @@
         configuration_->FindService(request.service);
     if (service != nullptr && service->engine) {
       fair_share_.RecordDemand(now, request.customer->id, UnitsOf(request));
+      requested_units_.Add(now, UnitsOf(request));
+      requests_.Add(now, 1);
     }
   }
 }
@@ -377,6 +381,28 @@
   return true;
 }
 
+bool Scheduler::HasRateLimitCredit(TimePoint now, TargetState& target) {
+  return !target.named_rate_limit ||
+         target.rate_limit.HasCredit(now, *target.named_rate_limit,
+                                     target.peer_load.limit_use, fleet_size_,
+                                     random_);
+}
+
+double Scheduler::CapacityFraction(TimePoint now,
+                                   const TargetState& target) const {
+  const double fraction =
+      targets_.IsCold(now, target) ? kColdCapacityFraction : 1.0;
+  const auto it = seconds_per_token_.find(target.entry.service);
+  const double requests = requests_.PerSecond(now);
+  if (!target.named_rate_limit || it == seconds_per_token_.end() ||
+      requests <= 0) {
+    return fraction;
+  }
+  const double units_per_request = requested_units_.PerSecond(now) / requests;
+  return std::min(fraction,
+                  *target.named_rate_limit * units_per_request * it->second);
+}
+
 void Scheduler::UpdateCapacity(TimePoint now, const std::string& service) {
   EngineCapacity& capacity = capacities_[service];
   if (capacity.updated_at != TimePoint() &&
@@ -387,7 +413,7 @@
   double usable_engines = 0;
   for (const TargetState* it : targets_.OfService(service)) {
     if (targets_.IsInRotation(now, *it) && now >= it->ejected_until) {
-      usable_engines += targets_.IsCold(now, *it) ? kColdCapacityFraction : 1.0;
+      usable_engines += CapacityFraction(now, *it);
     }
   }
   capacity.usable_engines = usable_engines;
@@ -499,6 +525,8 @@
       local_queueing_seconds > spill_fraction * queueing_limit_seconds;
   const bool fits_link_budget = FitsLinkBudget(now, request.body_bytes);
   ExcludedTargets excluded;
+  // This router's part of the limits that are used up, in requests per second.
+  double limited_rate = 0;
   for (const Candidate& it : candidates) {
     if (best_seconds == 0 || it.predicted_seconds < best_seconds) {
       best_seconds = it.predicted_seconds;
@@ -529,6 +557,13 @@
       ++excluded.remote;
       continue;
     }
+    if (!HasRateLimitCredit(now, *it.target)) {
+      ++excluded.rate_limit;
+      limited_rate += it.target->rate_limit.LocalRate(
+          now, *it.target->named_rate_limit, it.target->peer_load.limit_use,
+          fleet_size_);
+      continue;
+    }
     if (!TrySpendColdCredit(now, *it.target)) {
       ++excluded.cold;
       continue;
@@ -547,6 +582,15 @@
     return Rejection{RejectionReason::kNoTarget, kNoTargetRetryAfter,
                      Duration(0), 0};
   }
+  if (has_share_credit && limited_rate > 0) {
+    Decision decision = Reject(now, request, RejectionReason::kRateLimited,
+                               best_seconds, limit_seconds, excluded);
+    Rejection& rejection = std::get<Rejection>(decision);
+    rejection.retry_after = std::clamp(
+        std::max(rejection.retry_after, FromSeconds(1.0 / limited_rate)),
+        kMinRetryAfter, kMaxRetryAfter);
+    return decision;
+  }
   return Reject(now, request,
                 has_share_credit ? RejectionReason::kOverloaded
                                  : RejectionReason::kOverShare,
@@ -622,6 +666,9 @@
   assignment.is_home = candidate.is_home;
   assignment.is_probe = candidate.is_probe;
   assignment.sent_at = now;
+  if (target.named_rate_limit) {
+    target.rate_limit.Spend(now);
+  }
   if (!candidate.is_local) {
     local_link_use_.Add(now, static_cast<double>(request.body_bytes));
   }
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -74,6 +74,8 @@
   kOverloaded,
   kCrashesTargets,
   kRetryBudget,
+  // All targets with headroom name a rate limit that is used up.
+  kRateLimited,
 };
 
 std::string_view ToString(RejectionReason reason);
@@ -94,6 +96,8 @@
   int remote = 0;
   // The target is cold, and its rate limit is used up.
   int cold = 0;
+  // The target names a rate limit, and this router's part of it is used up.
+  int rate_limit = 0;
   friend bool operator==(const ExcludedTargets&,
                          const ExcludedTargets&) = default;
 };
@@ -274,6 +278,9 @@
   bool FitsLinkBudget(TimePoint now, std::size_t bytes) const;
   // Returns the shortest latency goal, in seconds, of the routes to a service.
   double ShortestLatencyGoal(const std::string& service) const;
+  // Returns whether the rate limit that the target names, if any, leaves room
+  // for a request of this router. Counts the request as wanted there.
+  bool HasRateLimitCredit(TimePoint now, TargetState& target);
   // Spends one send of the target's credit if the target is cold. Returns false
   // if the credit does not suffice, or if this router is not one of those that
   // may send to the cold target.
@@ -291,6 +298,9 @@
   double SecondsPerToken(const std::string& service) const;
   // Scales the configured throughput to the engines that can serve now.
   void UpdateCapacity(TimePoint now, const std::string& service);
+  // Returns the throughput of an engine as a fraction of that of a warm one
+  // without a rate limit.
+  double CapacityFraction(TimePoint now, const TargetState& target) const;
   // Returns a uniformly distributed number from 0 to 1.
   double UniformRandom();
   // Records that the target is about to cache the prompt's shared parts.
@@ -324,6 +334,10 @@
   // service.
   std::map<std::string, double> seconds_per_token_;
   std::minstd_rand random_;
+  // Units and number of model requests per second at this router, for the
+  // throughput that a limit on requests allows.
+  RateMeter requested_units_{std::chrono::seconds(5)};
+  RateMeter requests_{std::chrono::seconds(5)};
 };
 
 }  // namespace corianderpost
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -403,6 +403,68 @@
   CHECK(scheduler.fair_share().ShareLevel(later) == doctest::Approx(100'000));
 }
 
+TEST_CASE("The share level counts the throughput that a rate limit allows") {
+  Fixture fixture({"a", "a", "a", "a"}, 200'000);
+  Scheduler& scheduler = fixture.scheduler();
+  // 1,100 units, so an engine has the throughput for 45 a second.
+  const ScheduledRequest request = fixture.Request("large", 1, 1000);
+  for (int i = 0; i < 1000; ++i) {
+    scheduler.RecordRequest(kStart, request);
+  }
+  scheduler.Place(kStart, request);
+  for (const char* id : {"t0", "t1"}) {
+    TargetTable::RecordRateLimit(kStart, *scheduler.targets().Find(id), 5.0);
+  }
+  const TimePoint later = kStart + milliseconds(200);
+  scheduler.Place(later, request);
+  CHECK(scheduler.fair_share().ShareLevel(later) ==
+        doctest::Approx(100'000 + 2 * 5.0 * 1100));
+}
+
+TEST_CASE("Requests beyond a target's rate limit go to other targets") {
+  Fixture fixture({"a", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  TargetTable::RecordRateLimit(kStart, *scheduler.targets().Find("t0"), 2.0);
+  int limited = 0;
+  int others = 0;
+  for (int i = 0; i < 400; ++i) {
+    const TimePoint now = kStart + milliseconds(10 * i);
+    const ScheduledRequest request =
+        fixture.Request("small", static_cast<std::uint64_t>(i), 10);
+    scheduler.RecordRequest(now, request);
+    const Decision decision = scheduler.Place(now, request);
+    if (const auto* it = std::get_if<Assignment>(&decision)) {
+      (it->target_id == "t0" ? limited : others) += 1;
+      Assignment assignment = *it;
+      scheduler.RecordFirstEvent(now, assignment, request);
+      scheduler.Finish(now, assignment, AttemptOutcome::kCompleted);
+    }
+  }
+  // At most one and a half times the limit in 4 s, plus five.
+  CHECK(limited <= 1.5 * 4 * 2.0 + 5);
+  CHECK(limited >= 0.5 * 4 * 2.0);
+  CHECK(limited + others == 400);
+}
+
+TEST_CASE("A request that only rate limits rule out is told when to return") {
+  Fixture fixture({"a"});
+  Scheduler& scheduler = fixture.scheduler();
+  TargetTable::RecordRateLimit(kStart, *scheduler.targets().Find("t0"), 1.0);
+  int rejected = 0;
+  for (int i = 0; i < 100; ++i) {
+    const TimePoint now = kStart + milliseconds(10 * i);
+    const Decision decision =
+        scheduler.Place(now, fixture.Request("small", 42, 10));
+    if (const auto* it = std::get_if<Rejection>(&decision)) {
+      ++rejected;
+      CHECK(it->reason == RejectionReason::kRateLimited);
+      CHECK(it->retry_after >= milliseconds(500));
+      CHECK(it->excluded.rate_limit == 1);
+    }
+  }
+  CHECK(rejected >= 95);
+}
+
 // In a load test (grown scale-1), requests with a long latency goal filled the
 // engines' queues beyond what requests with the shortest goal tolerate.
 TEST_CASE("A long latency goal does not allow a longer queue") {
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -45,6 +45,10 @@
 // Number of stalls without a completed request in between after which a target
 // is ejected.
 constexpr int kEjectionStallCount = 2;
+// Bounds the age of a rate limit in a peer's report.
+constexpr Duration kMaxRateLimitAge = std::chrono::hours(1);
+// How long reports say that a target's rate limit has ended.
+constexpr Duration kEndedRateLimitReportTime = seconds(5);
 // Maximum time between broken connections that are attributed to one crash.
 constexpr Duration kMaxCrashBreakGap = milliseconds(60);
 // Number of such connections that indicates a crash.
@@ -115,6 +119,8 @@
   target.cold_until = now + entry.cold_remaining;
   if (is_restarted) {
     target.cached_chains.clear();
+    target.named_rate_limit.reset();
+    target.rate_limit_named_at = now;
     target.slowness = 1.0;
     target.failure_rate = 0;
     target.outcome_count = 0;
@@ -252,7 +258,10 @@
   std::map<TargetId, TargetLoad> load;
   for (const auto& [id, target] : targets_) {
     const double ended = target.ended_attempts.PerSecond(now);
-    if (target.local_load.in_flight == 0 && ended < kMinReportedRate) {
+    const LimitUse limit_use =
+        target.named_rate_limit ? target.rate_limit.LocalUse(now) : LimitUse{};
+    if (target.local_load.in_flight == 0 && ended < kMinReportedRate &&
+        limit_use.wanted < kMinReportedRate) {
       continue;
     }
     TargetLoad& local = load[target.id];
@@ -262,6 +271,7 @@
     local.failed_attempts = target.failed_attempts.PerSecond(now);
     local.first_events = target.first_events.PerSecond(now);
     local.log_slowness = target.log_slowness.PerSecond(now);
+    local.limit_use = limit_use;
   }
   return load;
 }
@@ -275,6 +285,42 @@
   EvaluateTargets(now);
 }
 
+bool TargetTable::RecordRateLimit(TimePoint now, TargetState& target,
+                                  std::optional<double> per_second) {
+  target.rate_limit_named_at = now;
+  target.had_rate_limit = target.had_rate_limit || per_second.has_value();
+  return std::exchange(target.named_rate_limit, per_second) != per_second;
+}
+
+TargetState* TargetTable::MergeRateLimit(TimePoint now,
+                                         const NamedRateLimit& named) {
+  const TimePoint named_at =
+      now - std::clamp(named.age, Duration(0), kMaxRateLimitAge);
+  for (auto& [id, target] : targets_) {
+    if (target.id != named.target) {
+      continue;
+    }
+    if (named_at <= target.rate_limit_named_at) {
+      return nullptr;
+    }
+    return RecordRateLimit(named_at, target, named.per_second) ? &target
+                                                               : nullptr;
+  }
+  return nullptr;
+}
+
+std::vector<NamedRateLimit> TargetTable::RateLimits(TimePoint now) const {
+  std::vector<NamedRateLimit> limits;
+  for (const auto& [id, target] : targets_) {
+    const Duration age = now - target.rate_limit_named_at;
+    if (target.named_rate_limit ||
+        (target.had_rate_limit && age < kEndedRateLimitReportTime)) {
+      limits.push_back({target.id, target.named_rate_limit, age});
+    }
+  }
+  return limits;
+}
+
 void TargetTable::RecordFirstEvent(TimePoint now, TargetState& target,
                                    double measured_seconds,
                                    double expected_seconds) {
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -17,6 +17,7 @@
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
 #include "decisions/pending_work.h"
+#include "decisions/rate_limit.h"
 #include "decisions/rate_meter.h"
 #include "model/configuration.h"
 #include "model/target.h"
@@ -41,9 +42,23 @@
   // expected from the load alone.
   double first_events = 0;
   double log_slowness = 0;
+  // Use of the rate limit that the target names.
+  LimitUse limit_use = {};
   friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
 };
 
+// The rate limit that a target named in its last answer to some router.
+struct NamedRateLimit {
+  TargetId target;
+  // Requests per second for all routers together; absent if the answer named no
+  // limit.
+  std::optional<double> per_second;
+  // Time since the answer.
+  Duration age{0};
+  friend bool operator==(const NamedRateLimit&,
+                         const NamedRateLimit&) = default;
+};
+
 // How an attempt ended, as evidence of the target's health.
 enum class AttemptOutcome {
   // A complete response with a status below 500.
@@ -174,9 +189,13 @@
   // with the time of their last use.
   std::unordered_map<std::uint64_t, TimePoint> cached_chains;
 
-  // Requests per second that the target's last answer to this router named;
-  // absent if it named none.
+  // Requests per second that the target's last answer to any router named, as
+  // far as known, and the time of that answer.
   std::optional<double> named_rate_limit;
+  TimePoint rate_limit_named_at;
+  // Whether the target ever named a limit.
+  bool had_rate_limit = false;
+  RateLimit rate_limit;
 
   // Mean time to the response head of plain (non-model) requests, in seconds.
   double mean_response_seconds = 0.02;
@@ -210,6 +229,15 @@
   // Replaces the joint load of all peers, then evaluates the health of each
   // target from the observations of all routers.
   void SetPeerLoad(TimePoint now, const std::map<TargetId, TargetLoad>& load);
+  // Records the rate limit that an answer of the target to this router names,
+  // or that it names none. Returns true if that is new.
+  static bool RecordRateLimit(TimePoint now, TargetState& target,
+                              std::optional<double> per_second);
+  // Applies what a peer knows, unless this router knows of a later answer.
+  // Returns the target if its limit has changed, otherwise null.
+  TargetState* MergeRateLimit(TimePoint now, const NamedRateLimit& named);
+  // Returns the limits to be sent to peers, and those that ended recently.
+  std::vector<NamedRateLimit> RateLimits(TimePoint now) const;
   // Records a measured time to first event and the time expected from the load
   // alone, both in seconds.
   void RecordFirstEvent(TimePoint now, TargetState& target,
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -42,6 +42,45 @@
   CHECK(table.IsInRotation(kStart, *table.Find("t")));
 }
 
+TEST_CASE("TargetTable applies the latest rate limit that any router saw") {
+  TargetTable table;
+  table.ApplyEntry(kStart, MakeEntry("t"));
+  TargetState& target = *table.Find("t");
+  const TargetId id = TargetId::FromName("t");
+  CHECK(TargetTable::RecordRateLimit(kStart, target, 10.0));
+  // A peer saw an older answer, then a newer one.
+  CHECK(table.MergeRateLimit(kStart + seconds(1),
+                             {id, 20.0, milliseconds(1500)}) == nullptr);
+  CHECK(target.named_rate_limit == 10.0);
+  CHECK(table.MergeRateLimit(kStart + seconds(1),
+                             {id, 5.0, milliseconds(500)}) == &target);
+  CHECK(target.named_rate_limit == 5.0);
+  CHECK(table.RateLimits(kStart + seconds(2)).size() == 1);
+  // An answer without a limit ends it, also at peers.
+  CHECK(
+      TargetTable::RecordRateLimit(kStart + seconds(3), target, std::nullopt));
+  const std::vector<NamedRateLimit> limits =
+      table.RateLimits(kStart + seconds(4));
+  REQUIRE(limits.size() == 1);
+  CHECK(limits.front() ==
+        NamedRateLimit{id, std::nullopt, Duration(seconds(1))});
+  CHECK(table.RateLimits(kStart + seconds(30)).empty());
+}
+
+TEST_CASE("TargetTable forgets the rate limit of a target that restarts") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  table.ApplyEntry(kStart, entry);
+  TargetTable::RecordRateLimit(kStart, *table.Find("t"), 10.0);
+  entry.incarnation = 2;
+  table.ApplyEntry(kStart + seconds(5), entry);
+  CHECK_FALSE(table.Find("t")->named_rate_limit.has_value());
+  // A report of a peer that does not know of the restart yet.
+  table.MergeRateLimit(kStart + seconds(6),
+                       {TargetId::FromName("t"), 10.0, seconds(6)});
+  CHECK_FALSE(table.Find("t")->named_rate_limit.has_value());
+}
+
 // During an outage of the store, entries of running targets can expire.
 TEST_CASE("TargetTable keeps a target relisted within the grace period") {
   TargetTable table;
--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -104,6 +104,18 @@
   for (const SuspectReport& it : report.suspects) {
     scheduler_.suspects().Merge(now, it);
   }
+  for (const NamedRateLimit& it : report.rate_limits) {
+    if (const TargetState* target =
+            scheduler_.targets().MergeRateLimit(now, it);
+        target != nullptr) {
+      Log(LogLevel::kInfo,
+          it.per_second ? "target named a rate limit"
+                        : "target no longer names a rate limit",
+          {{"target", target->entry.id},
+           {"per_second", it.per_second.value_or(0.0)},
+           {"peer", report.sender.vm}});
+    }
+  }
   for (const std::string& it : report.unreachable_targets) {
     scheduler_.ConfirmCrash(now, it);
     TargetState* target = scheduler_.targets().Find(it);
@@ -154,6 +166,7 @@
   report.load = scheduler_.targets().LocalLoad(now);
   report.customer_rates = scheduler_.fair_share().LocalRates(now);
   report.link_use = scheduler_.LocalLinkUse(now);
+  report.rate_limits = scheduler_.targets().RateLimits(now);
   report.suspects = scheduler_.suspects().ReportsFor(now, is_complete);
   std::erase_if(unreachable_recorded_at_, [now](const auto& it) {
     return now - it.second > kUnreachableReportTime;
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -70,6 +70,36 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerRateLimit = 3;
+constexpr std::size_t kFieldsPerLimitUse = 3;
+
+std::int64_t ToFixedPoint(double value) {
+  return static_cast<std::int64_t>(kFixedPointScale * value);
+}
+
+// A negative limit means that the target names none.
+Json EncodeRateLimits(const std::vector<NamedRateLimit>& limits) {
+  Json list = Json::array();
+  for (const NamedRateLimit& it : limits) {
+    list.push_back(it.target.value());
+    list.push_back(ToFixedPoint(it.per_second.value_or(-1.0)));
+    list.push_back(ToMillis(it.age));
+  }
+  return list;
+}
+
+Json EncodeLimitUse(const LoadByTarget& load) {
+  Json list = Json::array();
+  for (const auto& [id, it] : load) {
+    if (it.limit_use != LimitUse{}) {
+      list.push_back(id.value());
+      list.push_back(ToFixedPoint(it.limit_use.wanted));
+      list.push_back(ToFixedPoint(it.limit_use.sent));
+    }
+  }
+  return list;
+}
+
 // Encodes pairs of fingerprint and crash id, which routers without extensions
 // understand. They ignore an element after the last pair, so the extensions
 // follow there as a map by name.
@@ -83,10 +113,34 @@
       }
     }
   }
-  crashes.push_back({{"suspects", EncodeSuspects(report.suspects)}});
+  crashes.push_back({{"suspects", EncodeSuspects(report.suspects)},
+                     {"rate_limits", EncodeRateLimits(report.rate_limits)},
+                     {"limit_use", EncodeLimitUse(report.load)}});
   return crashes;
 }
 
+void DecodeLimits(const Json& crashes, PeerReport& report) {
+  if (crashes.size() % 2 == 0) {
+    return;
+  }
+  const Json& limits = crashes.back().at("rate_limits");
+  for (std::size_t i = 0; i + kFieldsPerRateLimit <= limits.size();
+       i += kFieldsPerRateLimit) {
+    const double per_second = limits[i + 1].get<double>() / kFixedPointScale;
+    report.rate_limits.push_back(
+        {TargetId(limits[i].get<std::uint32_t>()),
+         per_second < 0 ? std::nullopt : std::optional<double>(per_second),
+         milliseconds(limits[i + 2].get<std::int64_t>())});
+  }
+  const Json& use = crashes.back().at("limit_use");
+  for (std::size_t i = 0; i + kFieldsPerLimitUse <= use.size();
+       i += kFieldsPerLimitUse) {
+    report.load[TargetId(use[i].get<std::uint32_t>())].limit_use = {
+        use[i + 1].get<double>() / kFixedPointScale,
+        use[i + 2].get<double>() / kFixedPointScale};
+  }
+}
+
 std::vector<SuspectReport> DecodeSuspects(const Json& crashes) {
   constexpr std::size_t kFieldsPerSuspect = 5;
   std::vector<SuspectReport> suspects;
@@ -219,6 +273,7 @@
           json[9][i + 1].get<double>(), json[9][i + 2].get<double>()};
     }
     report.suspects = DecodeSuspects(json[10]);
+    DecodeLimits(json[10], report);
     report.unreachable_targets = json[11].get<std::vector<std::string>>();
     for (std::size_t i = 0; i + kFieldsPerRouter <= json[12].size();
          i += kFieldsPerRouter) {
@@ -245,6 +300,8 @@
     total.failed_attempts += load.failed_attempts;
     total.first_events += load.first_events;
     total.log_slowness += load.log_slowness;
+    total.limit_use.wanted += load.limit_use.wanted;
+    total.limit_use.sent += load.limit_use.sent;
   }
 }
 
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -80,6 +80,7 @@
   std::int64_t echoed_sent_at = 0;
   Duration echo_delay{0};
   std::vector<SuspectReport> suspects;
+  std::vector<NamedRateLimit> rate_limits;
   // Ids of targets to which connections failed recently.
   std::vector<std::string> unreachable_targets;
   // Live routers known to the sender; omitted from some reports.
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -40,6 +40,8 @@
     subtract(load.failed_attempts, total.failed_attempts);
     subtract(load.first_events, total.first_events);
     total.log_slowness -= load.log_slowness;
+    subtract(load.limit_use.wanted, total.limit_use.wanted);
+    subtract(load.limit_use.sent, total.limit_use.sent);
     if (total == TargetLoad{}) {
       sum.erase(it);
     }
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -45,13 +45,17 @@
                       seconds(9),
                       false,
                       {{2, Duration(0), CustomerId(0), true, false}}}};
+  report.rate_limits = {
+      {TargetId::FromName("t"), 12.5, milliseconds(70)},
+      {TargetId::FromName("u"), std::nullopt, milliseconds(80)}};
   report.unreachable_targets = {"i-1"};
   report.link_use = 12'000;
   report.link_budget = 34'000;
   report.sent_at = 99;
   report.echoed_sent_at = 98;
   report.echo_delay = milliseconds(3);
-  report.load[TargetId::FromName("t")] = {3, 1000, 2000, 4.5, 0.5, 1.25, 1.5};
+  report.load[TargetId::FromName("t")] = {3,   1000, 2000, 4.5,
+                                          0.5, 1.25, 1.5,  {7.5, 2.25}};
   report.live_routers = {MakeRouterInfo("10.0.0.2", "b", 500)};
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
