Reply 429 to requests of a customer above its share

Cause: not the blame (267 rejections with crashes_targets, all with the part) but the share.

Both promise that the request was not executed, and carry the same Retry-After. The rejection of a router whose processor is saturated stays a 503, since it knows no shares.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -227,7 +227,10 @@
     SendLocalReply(502, "the target failed", Duration(0));
     return;
   }
-  SendLocalReply(503, ToString(rejection.reason), rejection.retry_after);
+  // 429 tells the caller that its own customer asks for more than its share;
+  // 503 that the fleet lacks capacity.
+  SendLocalReply(rejection.reason == RejectionReason::kOverShare ? 429 : 503,
+                 ToString(rejection.reason), rejection.retry_after);
 }
 
 void Exchange::SendTo(const Assignment& assignment) {
@@ -534,7 +537,7 @@
                               Duration retry_after) {
   status_ = status;
   retry_after_ = retry_after;
-  if (status == 503) {
+  if (status == 429 || status == 503) {
     plane_.rejections.Add(reason, scheduled_.customer == nullptr
                                       ? std::string_view()
                                       : scheduled_.customer->name);
