--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace corianderpost {
@@ -62,6 +63,50 @@
   CHECK(*decoded == report);
 }
 
+// Routers of two versions run side by side while a fleet is replaced.
+TEST_CASE("A version without extensions can read a report and be read") {
+  constexpr std::size_t kFields = 18;
+  constexpr std::size_t kCrashesField = 10;
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
+  report.suspects = {{{RequestTrait::Kind::kRequest, 5},
+                      seconds(9),
+                      false,
+                      {{2, Duration(0), CustomerId(0), true, false}}},
+                     {{RequestTrait::Kind::kPromptPart, 6},
+                      seconds(9),
+                      false,
+                      {{2, Duration(0), CustomerId(0), true, false}}}};
+  const std::string bytes = EncodeReport(report);
+  nlohmann::json json = nlohmann::json::from_msgpack(bytes);
+  REQUIRE(json.size() == kFields);
+  CHECK(json[0] == 6);
+  // The former version reads pairs of numbers and ignores an element after the
+  // last pair.
+  nlohmann::json& crashes = json[kCrashesField];
+  REQUIRE(crashes.size() == 3);
+  CHECK(crashes[0].get<std::uint64_t>() == 5);
+  CHECK(crashes[1].get<std::uint64_t>() == 2);
+
+  crashes.erase(2);
+  const std::vector<std::uint8_t> former = nlohmann::json::to_msgpack(json);
+  const auto decoded = DecodeReport(std::string(former.begin(), former.end()));
+  REQUIRE(decoded.ok());
+  REQUIRE(decoded->suspects.size() == 1);
+  CHECK(decoded->suspects.front().trait ==
+        RequestTrait{RequestTrait::Kind::kRequest, 5});
+}
+
+TEST_CASE("A peer that restarts at once counts as new") {
+  PeerTable table(MakeRouterInfo("10.0.0.9", "a"));
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
+  CHECK(table.ApplyReport(kStart, report));
+  ++report.sequence;
+  CHECK_FALSE(table.ApplyReport(kStart + milliseconds(100), report));
+  report.incarnation = 2;
+  report.sequence = 1;
+  CHECK(table.ApplyReport(kStart + milliseconds(200), report));
+}
+
 TEST_CASE("DecodeReport rejects truncated and corrupted reports") {
   const std::string encoded =
       EncodeReport(MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3));
