--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -94,6 +94,7 @@
   REQUIRE(decoded->suspects.size() == 1);
   CHECK(decoded->suspects.front().trait ==
         RequestTrait{RequestTrait::Kind::kRequest, 5});
+  CHECK(decoded->rate_limits.empty());
 }
 
 TEST_CASE("A peer that restarts at once counts as new") {
