--- a/src/decisions/rate_limit_test.cc
+++ b/src/decisions/rate_limit_test.cc
@@ -47,6 +47,7 @@
     const double time = 0.005 * step;
     if (step % 20 == 0) {
       std::vector<LimitUse> report;
+      report.reserve(n);
       for (const RateLimit& it : limits) {
         report.push_back(it.LocalUse(now));
       }
