--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -10,8 +10,11 @@
 
 class Fetcher::Call final : public UpstreamListener {
  public:
-  Call(Callback callback, TimePoint deadline)
-      : callback_(std::move(callback)), deadline_(deadline) {}
+  Call(Callback callback, const Clock& clock, Duration timeout)
+      : callback_(std::move(callback)), clock_(clock) {
+    result_.called_at = clock_.Now();
+    deadline_ = result_.called_at + timeout;
+  }
   ~Call() override {
     if (connection_) {
       connection_->Cancel();
@@ -31,7 +34,7 @@
     if (connection_ && now >= deadline_) {
       connection_->Cancel();
       connection_.reset();
-      Complete({});
+      CompleteWithoutResponse();
     }
     return !connection_;
   }
@@ -40,6 +43,7 @@
 
   void OnSendStarted() override {}
   void OnHead(const HttpResponseHeader& head) override {
+    result_.head_at = clock_.Now();
     result_.status = static_cast<int>(head.result_int());
   }
   void OnBody(std::string_view data) override {
@@ -52,20 +56,27 @@
   void OnDone(bool is_framed) override {
     static_cast<void>(is_framed);
     connection_.reset();
-    Complete(result_);
+    Complete();
   }
   void OnFailed(UpstreamFailure failure) override {
     static_cast<void>(failure);
     connection_.reset();
-    Complete({});
+    CompleteWithoutResponse();
   }
 
  private:
-  void Complete(const FetchResult& result) {
+  void CompleteWithoutResponse() {
+    result_.status = 0;
+    result_.body.clear();
+    Complete();
+  }
+  void Complete() {
+    result_.ended_at = clock_.Now();
     const Callback callback = std::move(callback_);
-    callback(result);
+    callback(result_);
   }
   Callback callback_;
+  const Clock& clock_;
   TimePoint deadline_;
   FetchResult result_;
   std::shared_ptr<UpstreamConnection> connection_;
@@ -79,8 +90,8 @@
 void Fetcher::Get(const std::string& address, const std::string& path,
                   Duration timeout, Callback callback) {
   ++call_count_;
-  auto call = std::make_shared<Call>(std::move(callback),
-                                     pool_.clock().Now() + timeout);
+  auto call =
+      std::make_shared<Call>(std::move(callback), pool_.clock(), timeout);
   open_calls_.push_back(call);
   call->Start(pool_.Acquire(address, true), path, dialect_);
 }
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -16,6 +16,11 @@
 struct FetchResult {
   int status = 0;
   std::string body;
+  // Times of the call, of the response's head and of its end. Without a
+  // complete response, `head_at` may be unset.
+  TimePoint called_at;
+  TimePoint head_at;
+  TimePoint ended_at;
 };
 
 // Makes calls and applies their timeouts. Not thread-safe: use on the event
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -26,6 +26,10 @@
 constexpr Duration kPeerRequestInterval = milliseconds(400);
 constexpr Duration kPeerRequestTimeout = milliseconds(800);
 
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
 }  // namespace
 
 StoreReader::StoreReader(StoreReaderOptions options,
@@ -56,8 +60,7 @@
     Log(LogLevel::kInfo,
         "store replica updated again after a long time without updates",
         {{"prefix", options_.prefix},
-         {"away_ms", std::chrono::duration_cast<milliseconds>(now - updated_at_)
-                         .count()}});
+         {"away_ms", ToMilliseconds(now - updated_at_)}});
   }
   updated_at_ = now;
 }
@@ -87,6 +90,24 @@
   next_request_at_ = clock_.Now() + delay;
 }
 
+void StoreReader::LogReceived(const FetchResult& result,
+                              const std::string& source,
+                              const StoreBatch& batch,
+                              TimePoint decoded_at) const {
+  if (!options_.logs_changes || batch.items.empty()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "store changes received",
+      {{"prefix", options_.prefix},
+       {"source", source},
+       {"revision", batch.store_revision},
+       {"items", batch.items.size()},
+       {"bytes", result.body.size()},
+       {"head_after_ms", ToMilliseconds(result.head_at - result.called_at)},
+       {"transfer_ms", ToMilliseconds(result.ended_at - result.head_at)},
+       {"decode_ms", ToMilliseconds(decoded_at - result.ended_at)}});
+}
+
 void StoreReader::FetchPage(const std::string& after) {
   fetcher_.Get(options_.address, protocol_.RangePath(options_.prefix, after),
                kPageTimeout,
@@ -102,6 +123,7 @@
                    HandleFailure(std::string(batch.status().message()));
                    return;
                  }
+                 LogReceived(result, "store", *batch, clock_.Now());
                  HandlePage(*std::move(batch));
                });
 }
@@ -160,6 +182,7 @@
           HandleFailure(std::string(batch.status().message()));
           return;
         }
+        LogReceived(result, "store", *batch, clock_.Now());
         RecordStoreResponse();
         is_store_request_pending_ = false;
         next_request_at_ = clock_.Now() + options_.watch_pause;
@@ -180,6 +203,15 @@
       kPeerRequestTimeout, [this, peer](const FetchResult& result) {
         is_peer_request_pending_ = false;
         if (result.status != 200) {
+          if (options_.logs_changes) {
+            Log(LogLevel::kWarning, "request to a peer failed",
+                {{"prefix", options_.prefix},
+                 {"peer", peer},
+                 {"status", result.status},
+                 {"had_head", result.head_at != TimePoint()},
+                 {"after_ms",
+                  ToMilliseconds(result.ended_at - result.called_at)}});
+          }
           return;
         }
         const auto batch = protocol_.DecodeBatch(result.body);
@@ -189,6 +221,7 @@
                {"reason", std::string(batch.status().message())}});
           return;
         }
+        LogReceived(result, peer, *batch, clock_.Now());
         if (batch->store_revision <= replica_.revision() ||
             (!batch->is_snapshot && !replica_.is_loaded())) {
           return;
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -43,6 +43,9 @@
   Duration watch_pause{0};
   // Longest time that the store holds a watch open.
   Duration watch_timeout = std::chrono::milliseconds(1500);
+  // Whether each response with changes has a line in the log. Unsuitable for
+  // prefixes that change often.
+  bool logs_changes = false;
 };
 
 // Used from the event loop only.
@@ -87,6 +90,9 @@
   void RecordStoreResponse();
   void HandleFailure(const std::string& reason);
   void FetchFromPeer(const std::string& peer);
+  // Logs the size and the times of a response with changes.
+  void LogReceived(const FetchResult& result, const std::string& source,
+                   const StoreBatch& batch, TimePoint decoded_at) const;
   bool IsAfterOutage(TimePoint now) const;
 
   StoreReaderOptions options_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -310,7 +310,7 @@
                  }),
       operator_reader_(
           {deployment.operator_prefix(), settings.store_address,
-           kOperatorWatchPause, kOperatorWatchTimeout},
+           kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true},
           deployment.store_protocol(), fetcher_, clock_,
           [this](const std::vector<StoreItem>& items, bool after_outage) {
             ApplyChanges(items, after_outage);
@@ -799,9 +799,19 @@
 void Router::Impl::ApplyChanges(const std::vector<StoreItem>& items,
                                 bool after_outage) {
   for (const StoreItem& it : items) {
+    const TimePoint received_at = clock_.Now();
+    const FleetChange decoded = deployment_.DecodeChange(it);
+    if (std::holds_alternative<ConfigurationChanged>(decoded)) {
+      Log(LogLevel::kInfo, "configuration decoded",
+          {{"revision", it.revision},
+           {"bytes", it.value.size()},
+           {"decode_ms",
+            std::chrono::duration_cast<milliseconds>(clock_.Now() - received_at)
+                .count()}});
+    }
     std::visit([this, after_outage](
                    const auto& change) { Apply(change, after_outage); },
-               deployment_.DecodeChange(it));
+               decoded);
   }
 }
 
