--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -1,5 +1,7 @@
 #include "fleet/engine_fleet.h"
 
+#include <signal.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <filesystem>
@@ -24,6 +26,11 @@
 constexpr auto kStartDelay = milliseconds(60);
 constexpr Duration kDownTime = milliseconds(1500);
 constexpr Duration kCallerTimeout = seconds(4);
+// Interval of the loop that plays a fleet.
+constexpr auto kStepInterval = milliseconds(2);
+// Throttled routers run once in each slice. A slice is shorter than the lag of
+// the event loop that a router takes for overload.
+constexpr Duration kSlice = milliseconds(32);
 constexpr Duration kHousekeepingInterval = milliseconds(200);
 
 template <typename Callback>
@@ -173,10 +180,34 @@
                  entry, static_cast<std::uint64_t>(entry.incarnation)));
 }
 
+void EngineFleet::PublishConfiguration(std::uint64_t version,
+                                       int added_routes) {
+  store_.Put(
+      platform::StandinConfigurationKey(),
+      platform::FormatStandinConfiguration(version, kHost, kService, customers_,
+                                           kTokensPerSecond, added_routes));
+}
+
+void EngineFleet::ApplyThrottle(TimePoint now) {
+  is_stopped_.resize(routers_.size());
+  for (std::size_t i = 0; i < routers_.size(); ++i) {
+    // The routers' slices begin at different times.
+    const Duration offset =
+        kSlice * static_cast<int>(i) / static_cast<int>(routers_.size());
+    const Duration position = (now.time_since_epoch() + offset) % kSlice;
+    const bool is_stopped =
+        run_fraction_ < 1 &&
+        static_cast<double>(position.count()) >=
+            run_fraction_ * static_cast<double>(kSlice.count());
+    if (is_stopped != is_stopped_[i]) {
+      routers_[i]->Signal(is_stopped ? SIGSTOP : SIGCONT);
+      is_stopped_[i] = is_stopped;
+    }
+  }
+}
+
 void EngineFleet::Start() {
-  store_.Put(platform::StandinConfigurationKey(),
-             platform::FormatStandinConfiguration(
-                 1, kHost, kService, customers_, kTokensPerSecond));
+  PublishConfiguration(1, 0);
   for (const auto& it : routers_) {
     it->Start();
   }
@@ -202,26 +233,44 @@
         }
       }
     }
-    loop_.run_for(milliseconds(4));
+    ApplyThrottle(now);
+    loop_.run_for(kStepInterval);
     loop_.restart();
   }
 }
 
-void EngineFleet::Send(std::size_t router, const std::string& customer,
-                       std::vector<PromptPart> prompt) {
-  auto call = std::make_shared<EngineCall>(
-      EngineCall{clock_.Now(), router, customer, std::move(prompt)});
-  calls_.push_back(call);
+std::shared_ptr<const EngineCall> EngineFleet::Send(
+    std::size_t router, const std::string& customer,
+    std::vector<PromptPart> prompt, const std::string& path) {
   auto open = std::make_shared<OpenCall>(loop_);
-  open->call = call;
+  open->call = std::make_shared<EngineCall>(
+      EngineCall{clock_.Now(), {}, router, customer, std::move(prompt)});
+  calls_.push_back(open->call);
   std::int64_t prompt_tokens = 0;
-  for (const PromptPart& it : call->prompt) {
+  for (const PromptPart& it : open->call->prompt) {
     prompt_tokens += it.tokens;
   }
   open->request = platform::FormatStandinRequest(
-      {"GET", "/stream/x" + std::to_string(calls_.size()), kHost,
+      {"GET", path + "x" + std::to_string(calls_.size()), kHost,
        "c" + std::to_string(calls_.size()), customer, kCallerTimeout,
-       prompt_tokens, 20, call->prompt});
+       prompt_tokens, 20, open->call->prompt});
+  Start(open, routers_[router]->address());
+  return open->call;
+}
+
+std::shared_ptr<const EngineCall> EngineFleet::SendReadinessCheck(
+    std::size_t router) {
+  auto open = std::make_shared<OpenCall>(loop_);
+  open->call =
+      std::make_shared<EngineCall>(EngineCall{clock_.Now(), {}, router});
+  open->request =
+      "GET /ready HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n";
+  Start(open, routers_[router]->readiness_address());
+  return open->call;
+}
+
+void EngineFleet::Start(const std::shared_ptr<OpenCall>& open,
+                        const std::string& address) {
   open->timer.expires_after(kCallerTimeout);
   open->timer.async_wait([open](boost::system::error_code ec) {
     if (!ec) {
@@ -230,8 +279,7 @@
     }
   });
   open->socket.async_connect(
-      *ParseEndpoint(routers_[router]->address()),
-      [this, open](boost::system::error_code ec) {
+      *ParseEndpoint(address), [this, open](boost::system::error_code ec) {
         if (ec) {
           open->timer.cancel();
           return;
@@ -247,6 +295,9 @@
       asio::buffer(open->buffer),
       [this, open](boost::system::error_code ec, std::size_t n) {
         open->call->response.append(open->buffer.data(), n);
+        if (n > 0) {
+          open->call->answered_at = clock_.Now();
+        }
         if (ec) {
           open->timer.cancel();
         } else {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -74,9 +74,11 @@
 // A caller's request and its result; there is no retry.
 struct EngineCall {
   TimePoint began_at;
+  // When the last part of the response arrived.
+  TimePoint answered_at = {};
   std::size_t router = 0;
-  std::string customer;
-  std::vector<PromptPart> prompt;
+  std::string customer = {};
+  std::vector<PromptPart> prompt = {};
   std::string response = {};
 
   bool is_served() const {
@@ -99,13 +101,25 @@
   // and may call `Send`.
   void PlayFor(Duration duration,
                const std::function<void(TimePoint)>& on_step = {});
-  // Sends a request to a router.
-  void Send(std::size_t router, const std::string& customer,
-            std::vector<PromptPart> prompt);
+  // Sends a request to a router. `path` selects the route; by default, that of
+  // the first configuration.
+  std::shared_ptr<const EngineCall> Send(std::size_t router,
+                                         const std::string& customer,
+                                         std::vector<PromptPart> prompt,
+                                         const std::string& path = "/stream/");
+  // Asks a router whether it is ready.
+  std::shared_ptr<const EngineCall> SendReadinessCheck(std::size_t router);
+  // Writes a version of the configuration with this many added routes.
+  void PublishConfiguration(std::uint64_t version, int added_routes);
+  // Lets each router run for this fraction of the time only; 1 removes the
+  // limit.
+  void Throttle(double fraction) { run_fraction_ = fraction; }
 
   TimePoint Now() const { return clock_.Now(); }
   std::vector<std::unique_ptr<Engine>>& engines() { return engines_; }
   std::vector<std::unique_ptr<RouterProcess>>& routers() { return routers_; }
+  Store& store() { return store_; }
+  const Deployment& deployment() const { return deployment_; }
   const std::vector<std::shared_ptr<EngineCall>>& calls() const {
     return calls_;
   }
@@ -115,7 +129,9 @@
  private:
   struct OpenCall;
   void PublishEngine(std::size_t index);
+  void Start(const std::shared_ptr<OpenCall>& open, const std::string& address);
   void Read(const std::shared_ptr<OpenCall>& open);
+  void ApplyThrottle(TimePoint now);
 
   const LoopbackNetwork network_;
   const std::vector<std::string> customers_;
@@ -128,6 +144,8 @@
   std::vector<std::int64_t> listed_incarnations_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::shared_ptr<EngineCall>> calls_;
+  double run_fraction_ = 1;
+  std::vector<bool> is_stopped_;
 };
 
 }  // namespace corianderpost::soak
--- /dev/null
+++ b/tests/fleet/large_configuration_fleet_test.cc
@@ -0,0 +1,181 @@
+// Plays changes of a large configuration on a fleet that uses relays, under
+// load.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "fleet/engine_fleet.h"
+
+namespace corianderpost::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The requirement: every router serves with a version this long after the store
+// has acknowledged it.
+constexpr Duration kApplyBound = seconds(4);
+// Enough routers for relays, half of them in each region.
+constexpr int kRouters = 14;
+constexpr int kEngines = 8;
+constexpr int kLargeRouteCount = 2850;
+// A response with all routes takes 2.7 s.
+constexpr int kSlowBytesPerSecond = 300'000;
+constexpr double kRequestsPerSecond = 150;
+const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
+
+// Sends requests to random routers.
+class Load {
+ public:
+  Load(EngineFleet& fleet, std::uint64_t seed)
+      : fleet_(fleet), random_(seed), next_(fleet.Now()) {}
+  void operator()(TimePoint now) {
+    std::exponential_distribution<double> gap(kRequestsPerSecond);
+    for (; next_ <= now;
+         next_ += Duration(static_cast<std::int64_t>(1e6 * gap(random_)))) {
+      fleet_.Send(random_() % fleet_.routers().size(),
+                  kCustomers[random_() % kCustomers.size()],
+                  {{1 + random_() % 3, 300}, {random_(), 200}});
+    }
+  }
+
+ private:
+  EngineFleet& fleet_;
+  std::mt19937_64 random_;
+  TimePoint next_;
+};
+
+// Asks each router at intervals for the last of `added_routes`, until
+// `duration` is over. Returns for each router the time from now until the first
+// request that it did not answer with 404; `duration` if there is none.
+std::vector<Duration> MeasureDelays(EngineFleet& fleet, Load& load,
+                                    int added_routes, Duration duration) {
+  const TimePoint start = fleet.Now();
+  const std::string path = "/added-" + std::to_string(added_routes - 1) + "/";
+  std::vector<std::shared_ptr<const EngineCall>> probes;
+  TimePoint next = start;
+  fleet.PlayFor(duration, [&](TimePoint now) {
+    load(now);
+    for (; next <= now; next += milliseconds(200)) {
+      for (std::size_t i = 0; i < fleet.routers().size(); ++i) {
+        probes.push_back(fleet.Send(i, "c0", {{7, 50}}, path));
+      }
+    }
+  });
+  std::vector<Duration> delays(fleet.routers().size(), duration);
+  for (const auto& it : probes) {
+    if (!it->response.empty() && !it->response.starts_with("HTTP/1.1 404")) {
+      delays[it->router] = std::min(delays[it->router], it->began_at - start);
+    }
+  }
+  return delays;
+}
+
+std::string ToText(const std::vector<Duration>& delays) {
+  std::string text;
+  for (const Duration it : delays) {
+    text +=
+        std::to_string(std::chrono::duration_cast<milliseconds>(it).count()) +
+        " ms ";
+  }
+  return text;
+}
+
+// Waits until the store's watches have been open for a while, so that a value
+// is sent in the second half of their time.
+void AwaitOldWatches(EngineFleet& fleet, Load& load) {
+  constexpr Duration kMinAge = milliseconds(1700);
+  const std::string prefix = fleet.deployment().operator_prefix();
+  for (int i = 0; i < 120 && fleet.store().YoungestWatchAge(prefix) < kMinAge;
+       ++i) {
+    fleet.PlayFor(milliseconds(50), std::ref(load));
+  }
+}
+
+TEST_CASE(
+    "A change of a large configuration is in force in time while the store "
+    "sends slowly") {
+  const std::uint64_t seed = 1;
+  INFO("seed ", seed);
+  EngineFleet fleet(205, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  Load load(fleet, seed);
+  fleet.PublishConfiguration(2, kLargeRouteCount);
+  fleet.PlayFor(seconds(4), std::ref(load));
+  fleet.store().SetBytesPerSecond(kSlowBytesPerSecond);
+  for (int change = 1; change <= 3; ++change) {
+    AwaitOldWatches(fleet, load);
+    fleet.PublishConfiguration(2 + static_cast<std::uint64_t>(change),
+                               kLargeRouteCount + change);
+    const std::vector<Duration> delays =
+        MeasureDelays(fleet, load, kLargeRouteCount + change, seconds(7));
+    INFO("change ", change, ": ", ToText(delays));
+    CHECK(*std::max_element(delays.begin(), delays.end()) <= kApplyBound);
+  }
+}
+
+TEST_CASE(
+    "Routers that start together load a large configuration that the store "
+    "sends slowly") {
+  constexpr Duration kRecoveryBound = seconds(8);
+  EngineFleet fleet(206, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  fleet.PublishConfiguration(2, kLargeRouteCount);
+  Load load(fleet, 1);
+  fleet.PlayFor(seconds(3), std::ref(load));
+  fleet.store().SetBytesPerSecond(kSlowBytesPerSecond);
+  for (const auto& it : fleet.routers()) {
+    it->Kill();
+  }
+  for (const auto& it : fleet.routers()) {
+    it->Start();
+  }
+  std::vector<std::shared_ptr<const EngineCall>> checks;
+  fleet.PlayFor(kRecoveryBound);
+  for (std::size_t i = 0; i < fleet.routers().size(); ++i) {
+    checks.push_back(fleet.SendReadinessCheck(i));
+  }
+  fleet.PlayFor(seconds(1));
+  for (const auto& it : checks) {
+    INFO("router ", it->router);
+    CHECK(it->response.starts_with("HTTP/1.1 200"));
+  }
+}
+
+// Returns the number of readiness checks that are answered with 503.
+std::size_t CountFailedChecks(EngineFleet& fleet, Load& load,
+                              Duration duration) {
+  std::vector<std::shared_ptr<const EngineCall>> checks;
+  TimePoint next = fleet.Now();
+  fleet.PlayFor(duration, [&](TimePoint now) {
+    load(now);
+    for (; next <= now; next += milliseconds(500)) {
+      for (std::size_t i = 0; i < fleet.routers().size(); ++i) {
+        checks.push_back(fleet.SendReadinessCheck(i));
+      }
+    }
+  });
+  fleet.PlayFor(milliseconds(500), std::ref(load));
+  return static_cast<std::size_t>(std::count_if(
+      checks.begin(), checks.end(),
+      [](const auto& it) { return it->response.starts_with("HTTP/1.1 503"); }));
+}
+
+TEST_CASE("A large configuration takes no slow router out of rotation") {
+  const std::uint64_t seed = 2;
+  INFO("seed ", seed);
+  EngineFleet fleet(207, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  Load load(fleet, seed);
+  fleet.Throttle(0.25);
+  fleet.PlayFor(seconds(8), std::ref(load));
+  const std::size_t failed_before = CountFailedChecks(fleet, load, seconds(2));
+  fleet.PublishConfiguration(2, kLargeRouteCount);
+  const std::size_t failed_after = CountFailedChecks(fleet, load, seconds(5));
+  fleet.Throttle(1);
+  CHECK(failed_before == 0);
+  CHECK(failed_after == 0);
+}
+
+}  // namespace
+}  // namespace corianderpost::soak
--- a/tests/soak/standins.cc
+++ b/tests/soak/standins.cc
@@ -1,7 +1,7 @@
 #include "soak/standins.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
-#include <charconv>
 
 #include "dataplane/event_splitter.h"
 #include "dataplane/upstream.h"
@@ -14,9 +14,10 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-// A watch request waits kMaxWatchPolls * kWatchPollInterval for a change.
+// A watch looks for changes at this interval.
 constexpr auto kWatchPollInterval = milliseconds(50);
-constexpr int kMaxWatchPolls = 20;
+// Interval of the writes of a response with a limited rate.
+constexpr auto kTrickleInterval = milliseconds(20);
 constexpr auto kEventInterval = milliseconds(15);
 constexpr auto kExecutionTime = milliseconds(5);
 constexpr auto kProxyDelay = milliseconds(120);
@@ -38,6 +39,7 @@
              const Deployment& deployment, const Clock& clock)
     : loop_(loop),
       deployment_(deployment),
+      clock_(clock),
       listener_(loop, address, *this, clock) {
   items_.ApplySnapshot({{}, revision_, false, true});
 }
@@ -53,43 +55,88 @@
   items_.ApplyChanges({{{key, "", revision_, true}}, revision_, false, false});
 }
 
-void Store::Respond(const std::shared_ptr<CallerConnection>& caller,
-                    const std::string& prefix, std::uint64_t after,
-                    bool is_watch, int remaining_polls) {
-  StoreBatch batch = items_.ChangesSince(is_watch ? after : 0);
+struct Store::OpenRequest {
+  std::shared_ptr<CallerConnection> caller;
+  platform::StandinStoreRequest decoded;
+  TimePoint began_at;
+};
+
+std::size_t Store::WatchCount(const std::string& prefix) const {
+  return static_cast<std::size_t>(std::count_if(
+      watches_.begin(), watches_.end(), [&prefix](const auto& it) {
+        const auto watch = it.lock();
+        return watch && watch->caller->is_open() &&
+               watch->decoded.prefix == prefix;
+      }));
+}
+
+Duration Store::YoungestWatchAge(const std::string& prefix) const {
+  Duration youngest = Duration::max();
+  for (const auto& it : watches_) {
+    if (const auto watch = it.lock();
+        watch && watch->caller->is_open() && watch->decoded.prefix == prefix) {
+      youngest = std::min(youngest, clock_.Now() - watch->began_at);
+    }
+  }
+  return youngest;
+}
+
+void Store::Respond(const std::shared_ptr<OpenRequest>& request) {
+  const bool is_watch = request->decoded.is_watch;
+  StoreBatch batch =
+      items_.ChangesSince(is_watch ? request->decoded.after_revision : 0);
   batch.is_snapshot = !is_watch;
-  std::erase_if(batch.items, [&prefix](const StoreItem& it) {
-    return !it.key.starts_with(prefix);
+  std::erase_if(batch.items, [&request](const StoreItem& it) {
+    return !it.key.starts_with(request->decoded.prefix);
   });
-  if (is_watch && batch.items.empty() && remaining_polls > 0 && !is_down_) {
-    RunAfter(loop_, kWatchPollInterval,
-             [this, caller, prefix, after, remaining_polls] {
-               Respond(caller, prefix, after, true, remaining_polls - 1);
-             });
+  if (is_watch && batch.items.empty() && !is_down_ &&
+      clock_.Now() - request->began_at < request->decoded.wait &&
+      request->caller->is_open()) {
+    RunAfter(loop_, kWatchPollInterval, [this, request] { Respond(request); });
+    return;
+  }
+  Send(request, is_down_ ? 503 : 200,
+       deployment_.store_protocol().EncodeBatch(batch));
+}
+
+void Store::Send(const std::shared_ptr<OpenRequest>& request, int status,
+                 const std::string& body) {
+  std::string response =
+      FormatTextReply({status, "application/json", body}, false);
+  if (bytes_per_second_ > 0) {
+    Trickle(request->caller, std::move(response));
+    return;
+  }
+  request->caller->Write(std::move(response));
+  request->caller->FinishResponse(false);
+}
+
+void Store::Trickle(const std::shared_ptr<CallerConnection>& caller,
+                    std::string rest) {
+  const auto n = static_cast<std::size_t>(bytes_per_second_ * kTrickleInterval /
+                                          std::chrono::seconds(1));
+  caller->Write(rest.substr(0, n));
+  if (rest.size() <= n || !caller->is_open()) {
+    caller->FinishResponse(false);
     return;
   }
-  const TextReply response{is_down_ ? 503 : 200, "application/json",
-                           deployment_.store_protocol().EncodeBatch(batch)};
-  caller->Write(FormatTextReply(response, false));
-  caller->FinishResponse(false);
+  rest.erase(0, n);
+  RunAfter(loop_, kTrickleInterval,
+           [this, caller, rest = std::move(rest)] { Trickle(caller, rest); });
 }
 
 void Store::OnRequest(const std::shared_ptr<CallerConnection>& caller,
                       ReceivedRequest request) {
-  const std::string_view request_target = ToView(request.message.target());
-  std::uint64_t after = 0;
-  const bool is_watch = request_target.find("watch") != std::string_view::npos;
-  if (const std::size_t offset = request_target.find("after=");
-      is_watch && offset != std::string_view::npos) {
-    std::from_chars(request_target.data() + offset + 6,
-                    request_target.data() + request_target.size(), after);
+  auto open = std::make_shared<OpenRequest>();
+  open->caller = caller;
+  open->decoded =
+      platform::ParseStandinStoreRequest(ToView(request.message.target()));
+  open->began_at = clock_.Now();
+  if (open->decoded.is_watch) {
+    std::erase_if(watches_, [](const auto& it) { return it.expired(); });
+    watches_.push_back(open);
   }
-  const std::string prefix =
-      request_target.find("prefix=" + deployment_.operator_prefix()) !=
-              std::string_view::npos
-          ? deployment_.operator_prefix()
-          : deployment_.target_prefix();
-  Respond(caller, prefix, after, is_watch, kMaxWatchPolls);
+  Respond(open);
 }
 
 Target::Target(asio::io_context& loop, const std::string& address,
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -52,8 +52,7 @@
   int bad_requests_ = 0;
 };
 
-// The platform's store. Supports list requests, and watch requests that wait up
-// to a second for a change.
+// The platform's store. Supports list requests and watch requests.
 class Store final : public StandinHandler {
  public:
   Store(boost::asio::io_context& loop, const std::string& address,
@@ -63,23 +62,34 @@
   void Remove(const std::string& key);
   // While the store is down, requests get 503.
   void SetDown(bool is_down) { is_down_ = is_down; }
+  // Limits the rate of each response; zero means no limit.
+  void SetBytesPerSecond(int bytes) { bytes_per_second_ = bytes; }
+  // Returns the number of watches of a prefix that wait for a change, and the
+  // time since the last one of them began.
+  std::size_t WatchCount(const std::string& prefix) const;
+  Duration YoungestWatchAge(const std::string& prefix) const;
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  ReceivedRequest request) override;
   void Tick(TimePoint now) { listener_.Tick(now); }
 
  private:
-  // Responds with the items under `prefix`: all of them for a list request,
-  // those changed since revision `after` for a watch request. For a watch
-  // request without changes, looks for changes again, at most
-  // `remaining_polls` times, before it responds.
-  void Respond(const std::shared_ptr<CallerConnection>& caller,
-               const std::string& prefix, std::uint64_t after, bool is_watch,
-               int remaining_polls);
+  struct OpenRequest;
+  // Responds to a list request with all items under its prefix, and to a watch
+  // with those changed, as soon as there are any or its time is over.
+  void Respond(const std::shared_ptr<OpenRequest>& request);
+  void Send(const std::shared_ptr<OpenRequest>& request, int status,
+            const std::string& body);
+  // Writes the rest of a response at the limited rate.
+  void Trickle(const std::shared_ptr<CallerConnection>& caller,
+               std::string rest);
   boost::asio::io_context& loop_;
   const Deployment& deployment_;
+  const Clock& clock_;
   StoreReplica items_;
   std::uint64_t revision_ = 1;
   bool is_down_ = false;
+  int bytes_per_second_ = 0;
+  std::vector<std::weak_ptr<OpenRequest>> watches_;
   Listener listener_;
 };
 
