--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -1,5 +1,7 @@
 #include "dataplane/fetch.h"
 
+#include <algorithm>
+
 namespace corianderpost {
 namespace {
 
@@ -10,10 +12,14 @@
 
 class Fetcher::Call final : public UpstreamListener {
  public:
-  Call(Callback callback, const Clock& clock, Duration timeout)
-      : callback_(std::move(callback)), clock_(clock) {
+  Call(FetchId id, Callback callback, const Clock& clock,
+       const FetchTimeouts& timeouts)
+      : id_(id),
+        callback_(std::move(callback)),
+        clock_(clock),
+        timeouts_(timeouts) {
     result_.called_at = clock_.Now();
-    deadline_ = result_.called_at + timeout;
+    deadline_ = result_.called_at + timeouts_.head;
   }
   ~Call() override {
     if (connection_) {
@@ -39,14 +45,24 @@
     return !connection_;
   }
 
+  FetchId id() const { return id_; }
   void ExcuseLag(Duration lag) { deadline_ += lag; }
+  // Ends the call without running the callback.
+  void Cancel() {
+    if (connection_) {
+      connection_->Cancel();
+      connection_.reset();
+    }
+  }
 
   void OnSendStarted() override {}
   void OnHead(const HttpResponseHeader& head) override {
     result_.head_at = clock_.Now();
+    RecordProgress(result_.head_at);
     result_.status = static_cast<int>(head.result_int());
   }
   void OnBody(std::string_view data) override {
+    RecordProgress(clock_.Now());
     if (result_.body.size() + data.size() <= kMaxBodyBytes) {
       result_.body.append(data);
     } else {
@@ -65,6 +81,10 @@
   }
 
  private:
+  void RecordProgress(TimePoint now) {
+    deadline_ = std::min(now + timeouts_.progress,
+                         result_.head_at + timeouts_.transfer);
+  }
   void CompleteWithoutResponse() {
     result_.status = 0;
     result_.body.clear();
@@ -75,8 +95,10 @@
     const Callback callback = std::move(callback_);
     callback(result_);
   }
+  const FetchId id_;
   Callback callback_;
   const Clock& clock_;
+  const FetchTimeouts timeouts_;
   TimePoint deadline_;
   FetchResult result_;
   std::shared_ptr<UpstreamConnection> connection_;
@@ -87,13 +109,22 @@
 
 Fetcher::~Fetcher() = default;
 
-void Fetcher::Get(const std::string& address, const std::string& path,
-                  Duration timeout, Callback callback) {
-  ++call_count_;
+FetchId Fetcher::Get(const std::string& address, const std::string& path,
+                     const FetchTimeouts& timeouts, Callback callback) {
+  const FetchId id = ++call_count_;
   auto call =
-      std::make_shared<Call>(std::move(callback), pool_.clock(), timeout);
+      std::make_shared<Call>(id, std::move(callback), pool_.clock(), timeouts);
   open_calls_.push_back(call);
   call->Start(pool_.Acquire(address, true), path, dialect_);
+  return id;
+}
+
+void Fetcher::Cancel(FetchId id) {
+  for (const auto& it : open_calls_) {
+    if (it->id() == id) {
+      it->Cancel();
+    }
+  }
 }
 
 void Fetcher::ExcuseLag(Duration lag) {
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -3,6 +3,7 @@
 #ifndef CORIANDERPOST_DATAPLANE_FETCH_H_
 #define CORIANDERPOST_DATAPLANE_FETCH_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,21 @@
   TimePoint ended_at;
 };
 
+// Limits on the time of a call. A response that makes progress is not cut off
+// because its head came late.
+struct FetchTimeouts {
+  // Time for the response's head to arrive, counted from the call.
+  Duration head;
+  // Longest pause within the response.
+  Duration progress;
+  // Longest time from the head to the end, against a response that trickles.
+  Duration transfer;
+  friend bool operator==(const FetchTimeouts&, const FetchTimeouts&) = default;
+};
+
+// Identifies a call of one fetcher; never reused.
+using FetchId = std::uint64_t;
+
 // Makes calls and applies their timeouts. Not thread-safe: use on the event
 // loop thread only. The destructor cancels all calls without running callbacks.
 class Fetcher {
@@ -33,9 +49,12 @@
   ~Fetcher();
 
   // Requests `path`, with its query, from `address` ("IP:port"). Runs
-  // `callback` once, on the event loop thread.
-  void Get(const std::string& address, const std::string& path,
-           Duration timeout, Callback callback);
+  // `callback` once, on the event loop thread, unless the call is cancelled.
+  FetchId Get(const std::string& address, const std::string& path,
+              const FetchTimeouts& timeouts, Callback callback);
+  // Ends a call without running its callback. Does nothing if the call has
+  // ended. Must not be called from the call's own callback.
+  void Cancel(FetchId id);
   // Call before `Tick` if the event loop ran `lag` late: extends the deadlines
   // of open calls, whose responses may not have been read yet.
   void ExcuseLag(Duration lag);
@@ -49,6 +68,7 @@
   UpstreamPool& pool_;
   const Dialect& dialect_;
   std::vector<std::shared_ptr<Call>> open_calls_;
+  // Also the id of the last call.
   std::uint64_t call_count_ = 0;
 };
 
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -174,14 +174,14 @@
   configuration_ = std::move(configuration);
   fair_share_.SetCapacity(configuration_->engine_tokens_per_second());
   shortest_goal_seconds_.clear();
-  for (const Route& route : configuration_->routes()) {
-    if (route.latency_goal <= Duration(0)) {
+  for (const auto& route : configuration_->routes()) {
+    if (route->latency_goal <= Duration(0)) {
       continue;
     }
-    for (const TrafficShare& share : route.split) {
+    for (const TrafficShare& share : route->split) {
       const auto [it, is_new] = shortest_goal_seconds_.emplace(
-          share.service, Seconds(route.latency_goal));
-      it->second = std::min(it->second, Seconds(route.latency_goal));
+          share.service, Seconds(route->latency_goal));
+      it->second = std::min(it->second, Seconds(route->latency_goal));
     }
   }
 }
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -27,7 +27,7 @@
   route.latency_goal = milliseconds(600);
   route.timeout = seconds(4);
   route.split = {{"assistant", 1.0}};
-  parts.routes = {route};
+  parts.AddRoute(route);
   ServiceProfile service;
   service.name = "assistant";
   service.cold_start = seconds(3);
@@ -85,7 +85,7 @@
   ScheduledRequest Request(const std::string& customer, std::uint64_t prefix_id,
                            std::int64_t unshared_tokens) const {
     ScheduledRequest request;
-    request.route = &configuration_->routes().front();
+    request.route = configuration_->routes().front().get();
     for (const CustomerProfile& it : configuration_->customers()) {
       if (it.name == customer) {
         request.customer = &it;
--- a/src/model/configuration.cc
+++ b/src/model/configuration.cc
@@ -20,14 +20,16 @@
 
 Configuration::Configuration(ConfigurationParts parts)
     : parts_(std::move(parts)) {
-  for (const Route& it : parts_.routes) {
-    routes_by_host_[NormalizeHost(it.host)].push_back(&it);
-  }
-  for (auto& [host, routes] : routes_by_host_) {
-    std::stable_sort(routes.begin(), routes.end(),
-                     [](const Route* a, const Route* b) {
-                       return a->prefix.size() > b->prefix.size();
-                     });
+  RoutesByPrefix* routes = nullptr;
+  std::string_view host;
+  for (const auto& it : parts_.routes) {
+    // Most routes have the same host as the one before.
+    if (routes == nullptr || it->host != host) {
+      host = it->host;
+      routes = &routes_by_host_[NormalizeHost(host)];
+    }
+    // Of routes with the same prefix, the first one is used.
+    routes->emplace(it->prefix, it.get());
   }
   for (const CustomerProfile& it : parts_.customers) {
     for (const std::string& key : it.api_keys) {
@@ -45,9 +47,12 @@
   if (routes == routes_by_host_.end()) {
     return nullptr;
   }
-  for (const Route* it : routes->second) {
-    if (path.starts_with(it->prefix)) {
-      return it;
+  // Prefixes end with a slash, so that few lengths are possible.
+  for (std::size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto it = routes->second.find(path.substr(0, end + 1));
+    if (it != routes->second.end()) {
+      return it->second;
     }
   }
   return nullptr;
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "corianderpost/clock.h"
@@ -116,7 +117,11 @@
 // Contents of one version of the configuration.
 struct ConfigurationParts {
   std::uint64_t version = 0;
-  std::vector<Route> routes;
+  // Shared with other versions that have the same route.
+  std::vector<std::shared_ptr<const Route>> routes;
+  // For each route, a hash of the text that it was decoded from, so that the
+  // next version decodes only routes whose text has changed. May be empty.
+  std::vector<std::uint64_t> route_text_hashes = {};
   std::vector<ServiceProfile> services;
   std::vector<CustomerProfile> customers;
   // True if requests need an API key, except on public routes.
@@ -125,6 +130,10 @@
   // Throughput of all engines together, in weighted tokens per second (see
   // decisions/fair_share.h); zero if unknown.
   double engine_tokens_per_second = 0;
+
+  void AddRoute(Route route) {
+    routes.push_back(std::make_shared<const Route>(std::move(route)));
+  }
 };
 
 // Indexed configuration. Immutable; safe to read from any thread. Returned
@@ -135,7 +144,12 @@
   static std::shared_ptr<const Configuration> Create(ConfigurationParts parts);
 
   std::uint64_t version() const { return parts_.version; }
-  const std::vector<Route>& routes() const { return parts_.routes; }
+  const std::vector<std::shared_ptr<const Route>>& routes() const {
+    return parts_.routes;
+  }
+  const std::vector<std::uint64_t>& route_text_hashes() const {
+    return parts_.route_text_hashes;
+  }
   const std::vector<ServiceProfile>& services() const {
     return parts_.services;
   }
@@ -159,9 +173,11 @@
 
  private:
   explicit Configuration(ConfigurationParts parts);
+  // Keys are the routes' prefixes.
+  using RoutesByPrefix = std::unordered_map<std::string_view, const Route*>;
+
   ConfigurationParts parts_;
-  // Routes of a host, longest prefix first.
-  std::map<std::string, std::vector<const Route*>, std::less<>> routes_by_host_;
+  std::map<std::string, RoutesByPrefix, std::less<>> routes_by_host_;
   std::map<std::string, const CustomerProfile*, std::less<>> customers_by_key_;
   std::map<std::string, const ServiceProfile*, std::less<>> services_by_name_;
 };
--- a/src/model/configuration_test.cc
+++ b/src/model/configuration_test.cc
@@ -22,15 +22,16 @@
 
 TEST_CASE("Configuration finds the route with the longest prefix") {
   ConfigurationParts parts;
-  parts.routes = {MakeRoute("short", "a.example", "/x/"),
-                  MakeRoute("long", "a.example", "/x/y/"),
-                  MakeRoute("elsewhere", "b.example", "/x/y/z/")};
+  parts.AddRoute(MakeRoute("short", "a.example", "/x/"));
+  parts.AddRoute(MakeRoute("elsewhere", "b.example", "/x/y/z/"));
+  parts.AddRoute(MakeRoute("long", "a.example", "/x/y/"));
   const auto configuration = Configuration::Create(parts);
   CHECK(FindRouteName(*configuration, "a.example", "/x/y/z/1") == "long");
   CHECK(FindRouteName(*configuration, "a.example", "/x/1") == "short");
   CHECK(FindRouteName(*configuration, "A.Example:8080", "/x/1") == "short");
   CHECK(FindRouteName(*configuration, "a.example", "/x") == "");
   CHECK(FindRouteName(*configuration, "c.example", "/x/") == "");
+  CHECK(FindRouteName(*configuration, "a.example", "") == "");
 }
 
 TEST_CASE("Configuration finds a customer by any of its API keys") {
--- a/src/peers/peer_messenger.h
+++ b/src/peers/peer_messenger.h
@@ -48,6 +48,10 @@
   }
 
   const PeerTable& peers() const { return peers_; }
+  // Records that this router has the operators' change of this revision.
+  void RecordOperatorChange(TimePoint now, std::uint64_t revision) {
+    peers_.RecordOperatorChange(revision, now);
+  }
   // Adds a seed address: an IPv4 address, without port, at which a router may
   // run.
   void AddSeed(const std::string& vm) { peers_.AddSeed(vm); }
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -113,12 +113,29 @@
       }
     }
   }
-  crashes.push_back({{"suspects", EncodeSuspects(report.suspects)},
+  Json extensions = {{"suspects", EncodeSuspects(report.suspects)},
                      {"rate_limits", EncodeRateLimits(report.rate_limits)},
-                     {"limit_use", EncodeLimitUse(report.load)}});
+                     {"limit_use", EncodeLimitUse(report.load)}};
+  if (report.operator_keys) {
+    const OperatorKeysState& keys = *report.operator_keys;
+    extensions["operator_keys"] = {keys.content_revision, keys.newest_revision,
+                                   ToMillis(keys.newest_age)};
+  }
+  crashes.push_back(std::move(extensions));
   return crashes;
 }
 
+// Returns absent if the sender is of an earlier version.
+std::optional<OperatorKeysState> DecodeOperatorKeys(const Json& crashes) {
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("operator_keys")) {
+    return std::nullopt;
+  }
+  const Json& keys = crashes.back().at("operator_keys");
+  return OperatorKeysState{keys.at(0).get<std::uint64_t>(),
+                           keys.at(1).get<std::uint64_t>(),
+                           milliseconds(keys.at(2).get<std::int64_t>())};
+}
+
 void DecodeLimits(const Json& crashes, PeerReport& report) {
   if (crashes.size() % 2 == 0) {
     return;
@@ -274,6 +291,7 @@
     }
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
+    report.operator_keys = DecodeOperatorKeys(json[10]);
     report.unreachable_targets = json[11].get<std::vector<std::string>>();
     for (std::size_t i = 0; i + kFieldsPerRouter <= json[12].size();
          i += kFieldsPerRouter) {
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,18 @@
   friend bool operator==(const RouterInfo&, const RouterInfo&) = default;
 };
 
+// What a router knows of the operators' keys.
+struct OperatorKeysState {
+  // Revision of the last change that the router has.
+  std::uint64_t content_revision = 0;
+  // Revision of the last change that the router knows any router to have, and
+  // the time since a router first had it.
+  std::uint64_t newest_revision = 0;
+  Duration newest_age{0};
+  friend bool operator==(const OperatorKeysState&,
+                         const OperatorKeysState&) = default;
+};
+
 using LoadByTarget = std::map<TargetId, TargetLoad>;
 
 // The state of one router or, if sent by a relay, of several (see `scope`).
@@ -62,6 +75,9 @@
   // Time since the sender last knew its replica of the operators' keys to be
   // current.
   Duration operator_replica_age{0};
+  // State of the sender's replica of the operators' keys; absent in reports of
+  // earlier versions of the router.
+  std::optional<OperatorKeysState> operator_keys;
   // Totals over the routers that `scope` covers.
   LoadByTarget load;
   RatesByCustomer customer_rates;
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -60,6 +60,15 @@
   }
 }
 
+bool HasNewerOperatorKeys(const PeerReport& report,
+                          const OperatorKeysState& local,
+                          std::uint64_t local_revision) {
+  // Revisions of earlier versions also grow with changes of other keys.
+  return report.operator_keys
+             ? report.operator_keys->content_revision > local.content_revision
+             : report.operator_revision > local_revision;
+}
+
 }  // namespace
 
 bool PeerTable::IsAlive(TimePoint now, const Peer& peer) const {
@@ -102,6 +111,11 @@
   if (it == peers_.end()) {
     return false;
   }
+  if (report.operator_keys) {
+    RecordOperatorChange(
+        report.operator_keys->newest_revision,
+        now - std::max(Duration(0), report.operator_keys->newest_age));
+  }
   Peer& peer = it->second;
   peer.incarnation = report.incarnation;
   peer.sequence = report.sequence;
@@ -365,13 +379,84 @@
                            : std::optional<std::string>(newest->sender.vm);
 }
 
+void PeerTable::RecordOperatorChange(std::uint64_t revision,
+                                     TimePoint known_at) {
+  if (revision > newest_operator_revision_) {
+    newest_operator_revision_ = revision;
+    newest_operator_change_at_ = known_at;
+  } else if (revision == newest_operator_revision_) {
+    newest_operator_change_at_ = std::min(newest_operator_change_at_, known_at);
+  }
+}
+
+OperatorKeysState PeerTable::OperatorKeysStateAt(
+    TimePoint now, std::uint64_t content_revision) const {
+  return {content_revision,
+          std::max(content_revision, newest_operator_revision_),
+          newest_operator_revision_ == 0 ? Duration(0)
+                                         : now - newest_operator_change_at_};
+}
+
+std::vector<std::string> PeerTable::OperatorKeySources(
+    TimePoint now, const OperatorKeysState& local,
+    std::uint64_t local_revision) const {
+  struct Source {
+    std::string vm;
+    bool is_in_local_zone = false;
+    std::uint64_t revision = 0;
+  };
+  std::vector<Source> sources;
+  const auto consider = [&](const std::optional<PeerReport>& report,
+                            TimePoint received_at) {
+    if (report && now - received_at <= kLivenessTimeout &&
+        HasNewerOperatorKeys(*report, local, local_revision)) {
+      sources.push_back({report->sender.vm, report->sender.zone == self_.zone,
+                         report->operator_keys
+                             ? report->operator_keys->content_revision
+                             : report->operator_revision});
+    }
+  };
+  for (const auto& [vm, peer] : peers_) {
+    consider(peer.router_report, peer.router_report_at);
+    consider(peer.zone_report, peer.zone_report_at);
+  }
+  consider(fleet_report_, fleet_report_at_);
+  // Copying within the zone causes no traffic between zones.
+  std::stable_sort(sources.begin(), sources.end(),
+                   [](const Source& a, const Source& b) {
+                     return a.is_in_local_zone != b.is_in_local_zone
+                                ? a.is_in_local_zone
+                                : a.revision > b.revision;
+                   });
+  std::vector<std::string> vms;
+  const auto add = [&vms](const std::string& vm) {
+    if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
+      vms.push_back(vm);
+    }
+  };
+  for (const Source& it : sources) {
+    add(it.vm);
+  }
+  if (local.newest_revision > local.content_revision && UsesRelays(now)) {
+    std::vector<RouterInfo> relays = OtherZoneRelays(now);
+    std::stable_partition(
+        relays.begin(), relays.end(),
+        [this](const RouterInfo& it) { return it.region == self_.region; });
+    for (const RouterInfo& it : relays) {
+      add(it.vm);
+    }
+  }
+  return vms;
+}
+
 TimePoint PeerTable::OperatorReplicaVerifiedAt(
-    TimePoint now, std::uint64_t local_revision) const {
+    TimePoint now, const OperatorKeysState& local,
+    std::uint64_t local_revision) const {
   TimePoint verified_at;
   const auto consider = [&](const std::optional<PeerReport>& report,
                             TimePoint received_at) {
     if (report && now - received_at <= kLivenessTimeout &&
-        report->operator_revision <= local_revision) {
+        !HasNewerOperatorKeys(*report, local, local_revision)) {
       verified_at =
           std::max(verified_at, received_at - report->operator_replica_age);
     }
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -80,9 +80,23 @@
   std::optional<std::string> PeerWithNewerReplica(
       TimePoint now, std::uint64_t PeerReport::*revision,
       std::uint64_t local_revision) const;
+  // Records that some router has the operators' change of this revision.
+  void RecordOperatorChange(std::uint64_t revision, TimePoint known_at);
+  // Returns what this router reports of the operators' keys if the last change
+  // that it has is that of `content_revision`.
+  OperatorKeysState OperatorKeysStateAt(TimePoint now,
+                                        std::uint64_t content_revision) const;
+  // Returns peers from which to copy the operators' keys, the preferred one
+  // first: those that have a change which `local` lacks, then the relays of
+  // other zones, which may have it; empty if no change is known to be missing.
+  // `local_revision` is compared for peers of earlier versions.
+  std::vector<std::string> OperatorKeySources(
+      TimePoint now, const OperatorKeysState& local,
+      std::uint64_t local_revision) const;
   // Latest time at which a peer verified that the operators' keys had no
-  // revision newer than `local_revision`; TimePoint() if none did.
+  // change that this router lacks; TimePoint() if none did.
   TimePoint OperatorReplicaVerifiedAt(TimePoint now,
+                                      const OperatorKeysState& local,
                                       std::uint64_t local_revision) const;
 
  private:
@@ -112,6 +126,10 @@
   // Last fleet report from this zone's relay.
   std::optional<PeerReport> fleet_report_;
   TimePoint fleet_report_at_;
+  // The last change of the operators' keys that any router is known to have,
+  // and when a router first had it.
+  std::uint64_t newest_operator_revision_ = 0;
+  TimePoint newest_operator_change_at_;
 };
 
 }  // namespace corianderpost
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -177,6 +177,81 @@
   CHECK(table.RelayOf(kStart, "a") == "10.0.0.11");
 }
 
+PeerReport MakeKeysReport(const RouterInfo& sender, std::uint64_t revision,
+                          Duration replica_age) {
+  PeerReport report = MakeReport(sender, 1, 1);
+  report.operator_revision = 1000;
+  report.operator_replica_age = replica_age;
+  report.operator_keys = OperatorKeysState{revision, revision, Duration(0)};
+  return report;
+}
+
+// The store's revision also grows with other keys, so a peer with a larger one
+// may have the same operators' keys.
+TEST_CASE("A copy is verified by a peer with the same operators' keys") {
+  PeerTable table(MakeRouterInfo("10.0.0.1", "a", 120));
+  table.ApplyReport(kStart, MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120),
+                                           7, std::chrono::milliseconds(300)));
+  const OperatorKeysState same = table.OperatorKeysStateAt(kStart, 7);
+  CHECK(table.OperatorReplicaVerifiedAt(kStart, same, 5) ==
+        kStart - std::chrono::milliseconds(300));
+  CHECK(table.OperatorKeySources(kStart, same, 5).empty());
+  const OperatorKeysState older = table.OperatorKeysStateAt(kStart, 6);
+  CHECK(older.newest_revision == 7);
+  CHECK(table.OperatorReplicaVerifiedAt(kStart, older, 5) == TimePoint());
+  CHECK(table.OperatorKeySources(kStart, older, 5) ==
+        std::vector<std::string>{"10.0.0.2"});
+}
+
+TEST_CASE("Reports of earlier versions are compared by the store's revision") {
+  PeerTable table(MakeRouterInfo("10.0.0.1", "a", 120));
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.2", "a", 120), 1, 1);
+  report.operator_revision = 9;
+  table.ApplyReport(kStart, report);
+  const OperatorKeysState keys = table.OperatorKeysStateAt(kStart, 7);
+  CHECK(table.OperatorKeySources(kStart, keys, 8) ==
+        std::vector<std::string>{"10.0.0.2"});
+  CHECK(table.OperatorKeySources(kStart, keys, 9).empty());
+}
+
+TEST_CASE("A change of the operators' keys ages while it is passed on") {
+  PeerTable table(MakeRouterInfo("10.0.0.1", "a", 120));
+  PeerReport report =
+      MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120), 7, Duration(0));
+  report.operator_keys->newest_revision = 8;
+  report.operator_keys->newest_age = std::chrono::milliseconds(40);
+  table.ApplyReport(kStart, report);
+  const OperatorKeysState keys =
+      table.OperatorKeysStateAt(kStart + std::chrono::milliseconds(10), 7);
+  CHECK(keys.content_revision == 7);
+  CHECK(keys.newest_revision == 8);
+  CHECK(keys.newest_age == std::chrono::milliseconds(50));
+}
+
+// A member whose relay lacks a change asks the relays of other zones for it.
+TEST_CASE("Sources of a known change include the relays of other zones") {
+  PeerTable table(MakeRouterInfo("10.0.0.50", "a", 120));
+  for (int i = 0; i < 20; ++i) {
+    table.ApplyReport(
+        kStart, MakeReport(MakeRouterInfo("10.0.0." + std::to_string(10 + i),
+                                          i < 10 ? "a" : "b", 120),
+                           1, 1));
+  }
+  table.RecordOperatorChange(8, kStart);
+  const std::vector<std::string> sources =
+      table.OperatorKeySources(kStart, table.OperatorKeysStateAt(kStart, 7), 9);
+  CHECK(sources == std::vector<std::string>{"10.0.0.20"});
+}
+
+TEST_CASE("The state of the operators' keys survives the encoding") {
+  PeerReport report = MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120), 7,
+                                     std::chrono::milliseconds(5));
+  report.operator_keys->newest_age = std::chrono::milliseconds(40);
+  const auto decoded = DecodeReport(EncodeReport(report));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->operator_keys == report.operator_keys);
+}
+
 // Three zones of ten routers. Guards against load that is counted twice or lost
 // when relays aggregate it: each router must see the total of all others.
 TEST_CASE("Fleet reports give each router the load of all others") {
--- /dev/null
+++ b/src/peers/replica_batch.cc
@@ -0,0 +1,148 @@
+#include "peers/replica_batch.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/status/status.h"
+
+namespace corianderpost {
+namespace {
+
+using Json = nlohmann::json;
+
+// Names of the fields. Unknown ones are ignored, so that later versions can add
+// more.
+constexpr char kRevisionField[] = "revision";
+constexpr char kSnapshotField[] = "snapshot";
+constexpr char kItemsField[] = "items";
+// Fields of an item. One without value and without delta is a removal.
+constexpr char kKeyField[] = "key";
+constexpr char kValueField[] = "value";
+constexpr char kDeltaField[] = "delta";
+// Fields of a delta. A part is either bytes or an array of offset and size.
+constexpr char kBaseField[] = "base";
+constexpr char kResultField[] = "result";
+constexpr char kPartsField[] = "parts";
+
+Json ToBinary(std::string_view bytes) {
+  return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string FromBinary(const Json& json) {
+  const auto& bytes = json.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+Json EncodeDelta(const ValueDelta& delta) {
+  Json parts = Json::array();
+  for (const DeltaPart& it : delta.parts) {
+    if (const auto* range = std::get_if<CopiedRange>(&it)) {
+      parts.push_back({range->offset, range->size});
+    } else {
+      parts.push_back(ToBinary(std::get<std::string>(it)));
+    }
+  }
+  return {{kBaseField, delta.base_hash},
+          {kResultField, delta.result_hash},
+          {kPartsField, std::move(parts)}};
+}
+
+ValueDelta DecodeDelta(const Json& json) {
+  ValueDelta delta;
+  delta.base_hash = json.at(kBaseField).get<std::uint64_t>();
+  delta.result_hash = json.at(kResultField).get<std::uint64_t>();
+  for (const Json& it : json.at(kPartsField)) {
+    if (it.is_binary()) {
+      delta.parts.emplace_back(FromBinary(it));
+    } else {
+      delta.parts.emplace_back(CopiedRange{it.at(0).get<std::uint64_t>(),
+                                           it.at(1).get<std::uint64_t>()});
+    }
+  }
+  return delta;
+}
+
+Json EncodeItem(const StoreItem& item, const StoreReplica& replica,
+                const std::vector<std::uint64_t>& bases) {
+  Json json = {{kKeyField, ToBinary(item.key)},
+               {kRevisionField, item.revision}};
+  if (item.is_removed) {
+    return json;
+  }
+  if (const auto it = replica.histories().find(item.key);
+      it != replica.histories().end()) {
+    if (const auto delta = it->second.DeltaTo(item.value, bases)) {
+      json[kDeltaField] = EncodeDelta(*delta);
+      return json;
+    }
+  }
+  json[kValueField] = ToBinary(item.value);
+  return json;
+}
+
+absl::StatusOr<StoreItem> DecodeItem(const Json& json,
+                                     const StoreReplica& replica) {
+  StoreItem item;
+  item.key = FromBinary(json.at(kKeyField));
+  item.revision = json.at(kRevisionField).get<std::uint64_t>();
+  if (json.contains(kValueField)) {
+    item.value = FromBinary(json.at(kValueField));
+    return item;
+  }
+  if (!json.contains(kDeltaField)) {
+    item.is_removed = true;
+    return item;
+  }
+  const auto base = replica.items().find(item.key);
+  if (base == replica.items().end()) {
+    return absl::FailedPreconditionError("no value for the delta of " +
+                                         item.key);
+  }
+  auto value =
+      ApplyDelta(base->second.value, DecodeDelta(json.at(kDeltaField)));
+  if (!value.ok()) {
+    return value.status();
+  }
+  item.value = *std::move(value);
+  return item;
+}
+
+}  // namespace
+
+std::string EncodeReplicaBatch(const StoreReplica& replica, std::uint64_t after,
+                               const std::vector<std::uint64_t>& bases) {
+  const StoreBatch batch = replica.ChangesSince(after);
+  Json items = Json::array();
+  for (const StoreItem& it : batch.items) {
+    items.push_back(EncodeItem(it, replica, bases));
+  }
+  const std::vector<std::uint8_t> bytes =
+      Json::to_msgpack({{kRevisionField, batch.store_revision},
+                        {kSnapshotField, batch.is_snapshot},
+                        {kItemsField, std::move(items)}});
+  return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<StoreBatch> DecodeReplicaBatch(std::string_view bytes,
+                                              const StoreReplica& replica) {
+  const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  if (!json.is_object()) {
+    return absl::InvalidArgumentError("replica batch is not a MessagePack map");
+  }
+  try {
+    StoreBatch batch;
+    batch.store_revision = json.at(kRevisionField).get<std::uint64_t>();
+    batch.is_snapshot = json.at(kSnapshotField).get<bool>();
+    for (const Json& it : json.at(kItemsField)) {
+      auto item = DecodeItem(it, replica);
+      if (!item.ok()) {
+        return item.status();
+      }
+      batch.items.push_back(*std::move(item));
+    }
+    return batch;
+  } catch (const Json::exception& ex) {
+    return absl::InvalidArgumentError(ex.what());
+  }
+}
+
+}  // namespace corianderpost
--- /dev/null
+++ b/src/peers/replica_batch_test.cc
@@ -0,0 +1,80 @@
+#include "peers/replica_batch.h"
+
+#include <doctest/doctest.h>
+
+namespace corianderpost {
+namespace {
+
+StoreBatch Batch(std::vector<StoreItem> items, std::uint64_t revision) {
+  StoreBatch batch;
+  batch.items = std::move(items);
+  batch.store_revision = revision;
+  return batch;
+}
+
+std::string LargeValue(char last) {
+  std::string value;
+  for (int i = 0; i < 3000; ++i) {
+    value += "line " + std::to_string(i * 7919) + "\n";
+  }
+  return value + last;
+}
+
+TEST_CASE("A replica batch carries values, removals and bytes of any kind") {
+  StoreReplica source;
+  source.ApplySnapshot(
+      Batch({{"k/a", std::string("\0\xff", 2), 3}, {"k/b", "", 4}}, 4));
+  source.ApplyChanges(Batch({{"k/c", "x", 5}, {"k/b", "", 6, true}}, 6));
+  const auto batch =
+      DecodeReplicaBatch(EncodeReplicaBatch(source, 4, {}), StoreReplica());
+  REQUIRE(batch.ok());
+  CHECK_FALSE(batch->is_snapshot);
+  CHECK(batch->store_revision == 6);
+  CHECK(batch->items ==
+        std::vector<StoreItem>{{"k/c", "x", 5, false}, {"k/b", "", 6, true}});
+  const auto snapshot =
+      DecodeReplicaBatch(EncodeReplicaBatch(source, 0, {}), StoreReplica());
+  REQUIRE(snapshot.ok());
+  CHECK(snapshot->is_snapshot);
+  CHECK(snapshot->items.size() == 2);
+}
+
+TEST_CASE("A small change of a large value is sent as a delta") {
+  StoreReplica source;
+  StoreReplica receiver;
+  const StoreBatch before = Batch({{"k", LargeValue('a'), 1}}, 1);
+  source.ApplySnapshot(before);
+  receiver.ApplySnapshot(before);
+  source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
+  const std::string bytes =
+      EncodeReplicaBatch(source, 1, receiver.LargeValueHashes());
+  CHECK(bytes.size() < LargeValue('b').size() / 4);
+  const auto batch = DecodeReplicaBatch(bytes, receiver);
+  REQUIRE(batch.ok());
+  REQUIRE(batch->items.size() == 1);
+  CHECK(batch->items[0].value == LargeValue('b'));
+}
+
+TEST_CASE("A delta whose base has been replaced meanwhile is refused") {
+  StoreReplica source;
+  StoreReplica receiver;
+  const StoreBatch before = Batch({{"k", LargeValue('a'), 1}}, 1);
+  source.ApplySnapshot(before);
+  receiver.ApplySnapshot(before);
+  source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
+  const std::string bytes =
+      EncodeReplicaBatch(source, 1, receiver.LargeValueHashes());
+  receiver.ApplyChanges(Batch({{"k", LargeValue('c'), 2}}, 2));
+  CHECK(
+      absl::IsFailedPrecondition(DecodeReplicaBatch(bytes, receiver).status()));
+}
+
+TEST_CASE("Malformed replica batches are refused") {
+  const StoreReplica replica;
+  for (const char* bytes : {"", "{}", "\x80", "\xc1", "\x81\xa5items\xc0"}) {
+    CHECK_FALSE(DecodeReplicaBatch(bytes, replica).ok());
+  }
+}
+
+}  // namespace
+}  // namespace corianderpost
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -1,5 +1,9 @@
 #include "peers/store_reader.h"
 
+#include <algorithm>
+
+#include "absl/strings/str_join.h"
+#include "peers/replica_batch.h"
 #include "runtime/json_log.h"
 
 namespace corianderpost {
@@ -9,11 +13,14 @@
 using internal::LogLevel;
 using std::chrono::milliseconds;
 
-// A watch fails this long after the store should have responded. Slow stores
-// need several hundred milliseconds.
+// The head of a watch's response is late if it comes this long after the store
+// should have responded. Slow stores need several hundred milliseconds.
 constexpr Duration kWatchTimeoutMargin = milliseconds(900);
 // A page may be large and the store slow.
-constexpr Duration kPageTimeout = milliseconds(2000);
+constexpr Duration kPageTimeout = milliseconds(1500);
+// Limits on the transfer of a response, which may have to share a narrow link.
+constexpr Duration kStoreProgressTimeout = milliseconds(1000);
+constexpr Duration kStoreTransferTimeout = milliseconds(8000);
 constexpr Duration kInitialRetryDelay = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(800);
 constexpr int kMaxRetryDoublings = 3;
@@ -22,9 +29,9 @@
 constexpr Duration kOutageThreshold = milliseconds(1000);
 // For this long after an outage, changes may be effects of it.
 constexpr Duration kOutageSettlingTime = milliseconds(2200);
-// Shortest time between two requests to peers.
-constexpr Duration kPeerRequestInterval = milliseconds(400);
-constexpr Duration kPeerRequestTimeout = milliseconds(800);
+// Another peer is asked if one does not begin to respond within this time.
+constexpr FetchTimeouts kPeerTimeouts = {milliseconds(500), milliseconds(500),
+                                         milliseconds(3000)};
 
 std::int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -39,13 +46,12 @@
       protocol_(protocol),
       fetcher_(fetcher),
       clock_(clock),
-      change_handler_(std::move(change_handler)),
-      store_responded_at_(clock.Now()),
-      started_at_(clock.Now()) {}
+      change_handler_(std::move(change_handler)) {}
 
 void StoreReader::Restart() {
   ++generation_;
   is_store_request_pending_ = false;
+  pending_watch_.reset();
   next_request_at_ = TimePoint();
 }
 
@@ -110,7 +116,7 @@
 
 void StoreReader::FetchPage(const std::string& after) {
   fetcher_.Get(options_.address, protocol_.RangePath(options_.prefix, after),
-               kPageTimeout,
+               {kPageTimeout, kStoreProgressTimeout, kStoreTransferTimeout},
                [this, generation = generation_](const FetchResult& result) {
                  if (generation != generation_) {
                    return;
@@ -155,15 +161,17 @@
 }
 
 void StoreReader::Watch() {
-  fetcher_.Get(
+  pending_watch_ = fetcher_.Get(
       options_.address,
       protocol_.WatchPath(options_.prefix, replica_.revision(),
                           options_.watch_timeout),
-      options_.watch_timeout + kWatchTimeoutMargin,
+      {options_.watch_timeout + kWatchTimeoutMargin, kStoreProgressTimeout,
+       kStoreTransferTimeout},
       [this, generation = generation_](const FetchResult& result) {
         if (generation != generation_) {
           return;
         }
+        pending_watch_.reset();
         if (result.status == 410) {
           Log(LogLevel::kInfo,
               "store discarded the requested changes; reading a snapshot",
@@ -193,57 +201,91 @@
       });
 }
 
+void StoreReader::RestartWatch() {
+  if (pending_watch_) {
+    fetcher_.Cancel(*pending_watch_);
+    pending_watch_.reset();
+    Restart();
+  }
+}
+
 void StoreReader::FetchFromPeer(const std::string& peer) {
   is_peer_request_pending_ = true;
-  next_peer_request_at_ = clock_.Now() + kPeerRequestInterval;
-  fetcher_.Get(
-      peer,
-      "/mirror?prefix=" + options_.prefix + "&after=" +
-          std::to_string(replica_.is_loaded() ? replica_.revision() : 0),
-      kPeerRequestTimeout, [this, peer](const FetchResult& result) {
-        is_peer_request_pending_ = false;
-        if (result.status != 200) {
-          if (options_.logs_changes) {
-            Log(LogLevel::kWarning, "request to a peer failed",
-                {{"prefix", options_.prefix},
-                 {"peer", peer},
-                 {"status", result.status},
-                 {"had_head", result.head_at != TimePoint()},
-                 {"after_ms",
-                  ToMilliseconds(result.ended_at - result.called_at)}});
-          }
-          return;
-        }
-        const auto batch = protocol_.DecodeBatch(result.body);
-        if (!batch.ok()) {
-          Log(LogLevel::kWarning, "invalid replica from a peer ignored",
-              {{"peer", peer},
-               {"reason", std::string(batch.status().message())}});
-          return;
-        }
-        LogReceived(result, peer, *batch, clock_.Now());
-        if (batch->store_revision <= replica_.revision() ||
-            (!batch->is_snapshot && !replica_.is_loaded())) {
-          return;
-        }
-        RecordUpdate(clock_.Now());
-        const std::vector<StoreItem> changes =
-            batch->is_snapshot ? replica_.ApplySnapshot(*batch)
-                               : replica_.ApplyChanges(*batch);
-        // A watch can continue from the revision of a loaded replica.
-        needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
-        if (!changes.empty()) {
-          Log(LogLevel::kInfo, "store replica updated from a peer",
-              {{"prefix", options_.prefix},
-               {"peer", peer},
-               {"revision", replica_.revision()},
-               {"changes", changes.size()}});
-          change_handler_(changes, IsAfterOutage(clock_.Now()));
-        }
+  next_peer_request_at_ = clock_.Now() + options_.peer_request_interval;
+  std::string path =
+      "/mirror?format=binary&prefix=" + options_.prefix + "&after=" +
+      std::to_string(replica_.is_loaded() ? replica_.revision() : 0);
+  if (!needs_whole_values_) {
+    path += "&bases=" + absl::StrJoin(replica_.LargeValueHashes(), ",");
+  }
+  fetcher_.Get(peer, path, kPeerTimeouts,
+               [this, peer](const FetchResult& result) {
+                 is_peer_request_pending_ = false;
+                 HandlePeerResponse(peer, result);
+               });
+}
+
+absl::StatusOr<StoreBatch> StoreReader::DecodePeerBatch(
+    const std::string& body) const {
+  return body.starts_with("{") ? protocol_.DecodeBatch(body)
+                               : DecodeReplicaBatch(body, replica_);
+}
+
+void StoreReader::HandlePeerResponse(const std::string& peer,
+                                     const FetchResult& result) {
+  if (result.status != 200) {
+    ++peer_failures_;
+    if (options_.logs_changes) {
+      Log(LogLevel::kWarning, "request to a peer failed",
+          {{"prefix", options_.prefix},
+           {"peer", peer},
+           {"status", result.status},
+           {"had_head", result.head_at != TimePoint()},
+           {"after_ms", ToMilliseconds(result.ended_at - result.called_at)}});
+    }
+    return;
+  }
+  const auto batch = DecodePeerBatch(result.body);
+  needs_whole_values_ = absl::IsFailedPrecondition(batch.status());
+  if (!batch.ok()) {
+    ++peer_failures_;
+    Log(LogLevel::kWarning, "invalid replica from a peer ignored",
+        {{"peer", peer}, {"reason", std::string(batch.status().message())}});
+    return;
+  }
+  peer_failures_ = 0;
+  LogReceived(result, peer, *batch, clock_.Now());
+  if (batch->store_revision <= replica_.revision() ||
+      (!batch->is_snapshot && !replica_.is_loaded())) {
+    return;
+  }
+  RecordUpdate(clock_.Now());
+  const std::uint64_t old_content = replica_.content_revision();
+  const std::vector<StoreItem> changes = batch->is_snapshot
+                                             ? replica_.ApplySnapshot(*batch)
+                                             : replica_.ApplyChanges(*batch);
+  // A watch can continue from the revision of a loaded replica.
+  needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
+  if (changes.empty()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "store replica updated from a peer",
+      {{"prefix", options_.prefix},
+       {"peer", peer},
+       {"revision", replica_.revision()},
+       {"changes", changes.size()}});
+  const bool has_large_change =
+      std::any_of(changes.begin(), changes.end(), [&](const StoreItem& it) {
+        return it.revision > old_content &&
+               it.value.size() >= kMinDeltaValueBytes;
       });
+  if (has_large_change) {
+    RestartWatch();
+  }
+  change_handler_(changes, IsAfterOutage(clock_.Now()));
 }
 
-void StoreReader::Tick(TimePoint now, const std::optional<std::string>& peer,
+void StoreReader::Tick(TimePoint now, const std::vector<std::string>& peers,
                        bool reads_store) {
   if (!is_store_request_pending_ && now >= next_request_at_ &&
       (reads_store || !replica_.is_loaded())) {
@@ -255,8 +297,9 @@
       Watch();
     }
   }
-  if (peer && !is_peer_request_pending_ && now >= next_peer_request_at_) {
-    FetchFromPeer(*peer);
+  if (!peers.empty() && !is_peer_request_pending_ &&
+      now >= next_peer_request_at_) {
+    FetchFromPeer(peers[peer_failures_ % peers.size()]);
   }
 }
 
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -46,6 +46,8 @@
   // Whether each response with changes has a line in the log. Unsuitable for
   // prefixes that change often.
   bool logs_changes = false;
+  // Shortest time between the starts of two requests to peers.
+  Duration peer_request_interval = std::chrono::milliseconds(400);
 };
 
 // Used from the event loop only.
@@ -60,10 +62,11 @@
               Fetcher& fetcher, const Clock& clock,
               ChangeHandler change_handler);
 
-  // Starts the requests that are due. `peer` is the control address ("IP:port")
-  // of a peer whose newer replica is to be fetched. With `reads_store` false,
-  // the store is read only until the replica is loaded.
-  void Tick(TimePoint now, const std::optional<std::string>& peer,
+  // Starts the requests that are due. `peers` are control addresses ("IP:port")
+  // of peers that may have a newer replica, the preferred one first; if a
+  // request to one fails, the next one is used. With `reads_store` false, the
+  // store is read only until the replica is loaded.
+  void Tick(TimePoint now, const std::vector<std::string>& peers,
             bool reads_store);
   // Ignores the pending store request and sends a new one at the next tick,
   // e.g. after the VM was suspended.
@@ -73,9 +76,8 @@
   const StoreReplica& replica() const { return replica_; }
   // Time of the last response from the store or newer data from a peer.
   TimePoint updated_at() const { return updated_at_; }
-  // Time of the last response from the store, or of construction if there was
-  // none.
-  TimePoint store_responded_at() const { return store_responded_at_; }
+  // Time of the last response from the store; TimePoint() if there was none.
+  TimePoint store_verified_at() const { return store_responded_at_; }
   // Whether the last store request failed.
   bool is_failing() const { return consecutive_failures_ > 0; }
 
@@ -90,6 +92,13 @@
   void RecordStoreResponse();
   void HandleFailure(const std::string& reason);
   void FetchFromPeer(const std::string& peer);
+  void HandlePeerResponse(const std::string& peer, const FetchResult& result);
+  // Decodes the response of a peer, which may be of an earlier version that
+  // responds in the format of the store.
+  absl::StatusOr<StoreBatch> DecodePeerBatch(const std::string& body) const;
+  // Sends the pending watch again from the replica's revision, so that the
+  // store does not send a large value that a peer has sent.
+  void RestartWatch();
   // Logs the size and the times of a response with changes.
   void LogReceived(const FetchResult& result, const std::string& source,
                    const StoreBatch& batch, TimePoint decoded_at) const;
@@ -104,6 +113,8 @@
   // Pages of the snapshot being read.
   StoreBatch partial_snapshot_;
   bool is_store_request_pending_ = false;
+  // Set while a watch is pending.
+  std::optional<FetchId> pending_watch_;
   bool needs_snapshot_ = true;
   // Responses to requests of an earlier generation are ignored.
   std::uint64_t generation_ = 0;
@@ -112,9 +123,12 @@
   TimePoint store_responded_at_;
   TimePoint updated_at_;
   TimePoint outage_effects_until_;
-  TimePoint started_at_;
   bool is_peer_request_pending_ = false;
   TimePoint next_peer_request_at_;
+  // Requests to peers that failed since the last successful one.
+  std::size_t peer_failures_ = 0;
+  // The last delta had another base, so the next request asks for whole values.
+  bool needs_whole_values_ = false;
 };
 
 }  // namespace corianderpost
--- a/src/peers/store_replica.cc
+++ b/src/peers/store_replica.cc
@@ -22,10 +22,15 @@
     items_.erase(item.key);
     tombstones_[item.key] = item.revision;
     PruneTombstones();
+    histories_.erase(item.key);
   } else {
     tombstones_.erase(item.key);
     items_[item.key] = item;
+    if (item.value.size() >= kMinDeltaValueBytes) {
+      histories_[item.key].Record(item.value);
+    }
   }
+  content_revision_ = std::max(content_revision_, item.revision);
   return true;
 }
 
@@ -101,4 +106,14 @@
   return batch;
 }
 
+std::vector<std::uint64_t> StoreReplica::LargeValueHashes() const {
+  std::vector<std::uint64_t> hashes;
+  for (const auto& [key, history] : histories_) {
+    if (const auto hash = history.NewestHash()) {
+      hashes.push_back(*hash);
+    }
+  }
+  return hashes;
+}
+
 }  // namespace corianderpost
--- a/src/peers/store_replica.h
+++ b/src/peers/store_replica.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "model/store_batch.h"
+#include "peers/value_delta.h"
 
 namespace corianderpost {
 
@@ -33,9 +34,18 @@
 
   // The replica includes all changes up to this revision of the store.
   std::uint64_t revision() const { return revision_; }
+  // Revision of the last change under the prefix. Unlike `revision()`, it does
+  // not grow when other keys of the store change.
+  std::uint64_t content_revision() const { return content_revision_; }
   // True once a snapshot has been applied.
   bool is_loaded() const { return is_loaded_; }
   const std::map<std::string, StoreItem>& items() const { return items_; }
+  // Recent versions of the large values, by key.
+  const std::map<std::string, ValueHistory>& histories() const {
+    return histories_;
+  }
+  // Hashes of the large values, which a peer needs in order to send deltas.
+  std::vector<std::uint64_t> LargeValueHashes() const;
 
  private:
   // Returns false if the replica has the same or a newer revision of the key.
@@ -48,6 +58,9 @@
   // first snapshot, or their tombstones have been pruned.
   std::uint64_t pruned_revision_ = 0;
   std::uint64_t revision_ = 0;
+  std::uint64_t content_revision_ = 0;
+  // Versions of large values that peers may have, by key.
+  std::map<std::string, ValueHistory> histories_;
   bool is_loaded_ = false;
 };
 
--- a/src/router/deployment.h
+++ b/src/router/deployment.h
@@ -3,10 +3,13 @@
 #ifndef CORIANDERPOST_ROUTER_DEPLOYMENT_H_
 #define CORIANDERPOST_ROUTER_DEPLOYMENT_H_
 
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
+#include "absl/status/statusor.h"
 #include "dataplane/dialect.h"
 #include "model/configuration.h"
 #include "model/store_batch.h"
@@ -15,9 +18,22 @@
 
 namespace corianderpost {
 
-// A new version of the operators' configuration.
-struct ConfigurationChanged {
-  std::shared_ptr<const Configuration> configuration;
+// Decodes one version of the operators' configuration in steps, so that a large
+// one does not hold the event loop. Not thread-safe.
+class ConfigurationDecoding {
+ public:
+  using Result = absl::StatusOr<std::shared_ptr<const Configuration>>;
+  virtual ~ConfigurationDecoding() = default;
+  // Does the next step; at most `max_routes` routes are parsed in it. Returns
+  // the configuration, or InvalidArgumentError, after the last step. Must not
+  // be called again then.
+  virtual std::optional<Result> Step(std::size_t max_routes) = 0;
+};
+
+// The operators wrote a version of the configuration.
+struct ConfigurationWritten {
+  // To be decoded by `Deployment::StartDecoding`.
+  std::string value;
 };
 // Operators evacuated a zone or put it back in rotation.
 struct ZoneChanged {
@@ -44,7 +60,7 @@
 
 // A change of one store item, decoded.
 using FleetChange =
-    std::variant<ConfigurationChanged, ZoneChanged, TargetListed, TargetRemoved,
+    std::variant<ConfigurationWritten, ZoneChanged, TargetListed, TargetRemoved,
                  MalformedItem, UnknownItem>;
 
 // Translates between the router's types and one deployment's formats.
@@ -60,6 +76,11 @@
   // Decodes an item of the store, or its removal. Returns a MalformedItem if it
   // can't be decoded.
   virtual FleetChange DecodeChange(const StoreItem& item) const = 0;
+  // Starts to decode a version of the configuration. Decoding is faster if
+  // `previous`, which may be null, has routes in common with it.
+  virtual std::unique_ptr<ConfigurationDecoding> StartDecoding(
+      std::string value,
+      std::shared_ptr<const Configuration> previous) const = 0;
 };
 
 }  // namespace corianderpost
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -14,6 +14,7 @@
 #include "dataplane/exchange.h"
 #include "dataplane/fetch.h"
 #include "peers/peer_messenger.h"
+#include "peers/replica_batch.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
 #include "router/overload_detector.h"
@@ -57,9 +58,10 @@
 constexpr Duration kTargetListWatchPause = milliseconds(700);
 // Pause between two watches of the operators' keys, which rarely change.
 constexpr Duration kOperatorWatchPause = milliseconds(100);
-// Maximum time that a watch waits for a change. The operators' watch can be
-// longer because peers report a newer configuration earlier.
-constexpr Duration kOperatorWatchTimeout = milliseconds(3000);
+// Maximum time that a watch waits for a change. A connection that has become
+// silent is noticed after this time and the reader's margin; see the time
+// bounds in DESIGN.md.
+constexpr Duration kOperatorWatchTimeout = milliseconds(1500);
 constexpr Duration kTargetListWatchTimeout = milliseconds(1000);
 // A replica is stale this long after its last update (target list) or after a
 // peer last verified it (operators' keys). A router with a stale replica reads
@@ -67,11 +69,24 @@
 // reads the store also copies a stale target list from a peer whose list is
 // newer.
 constexpr Duration kTargetListStaleAfter = milliseconds(2600);
-constexpr Duration kOperatorStaleAfter = milliseconds(4500);
+constexpr Duration kOperatorStaleAfter = milliseconds(2200);
+// A router that lacks a change of the operators' keys for this long reads the
+// store itself, whatever its role.
+constexpr Duration kMaxOperatorReplicaLag = milliseconds(1000);
+constexpr Duration kOperatorPeerRequestInterval = milliseconds(100);
+// Routes that are parsed in one turn of the event loop.
+constexpr std::size_t kRoutesPerDecodingStep = 256;
+// A router that has started is not ready before its copy of the operators' keys
+// is known to have been current at most this long ago. It doesn't wait for that
+// while the store fails, nor longer than the second time.
+constexpr Duration kMaxOperatorReplicaAgeAtStart = milliseconds(1000);
+constexpr Duration kMaxStartVerification = milliseconds(3000);
+// Interval of the log lines of a router that lacks a change.
+constexpr Duration kBehindLogInterval = seconds(1);
 // A router that reads the store waits this long for its own watch to deliver a
 // change of the operators' keys that a peer already has, before it copies from
 // the peer.
-constexpr Duration kPeerFetchDelay = milliseconds(300);
+constexpr Duration kPeerFetchDelay = milliseconds(150);
 // Smallest increase of CLOCK_BOOTTIME over CLOCK_MONOTONIC that is treated as a
 // suspension of the VM.
 constexpr Duration kMinSuspension = milliseconds(700);
@@ -126,6 +141,24 @@
   return "";
 }
 
+// Returns 0 if `text` does not begin with an unsigned number.
+std::uint64_t ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+std::vector<std::uint64_t> ParseNumbers(std::string_view list) {
+  std::vector<std::uint64_t> numbers;
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    numbers.push_back(ParseNumber(list.substr(0, comma)));
+    list.remove_prefix(comma == std::string_view::npos ? list.size()
+                                                       : comma + 1);
+  }
+  return numbers;
+}
+
 }  // namespace
 
 class Router::Impl {
@@ -217,6 +250,12 @@
   void Tick();
   void TickExchanges(TimePoint now);
   void TickReaders(TimePoint now);
+  void TickOperatorReader(TimePoint now, bool reads_store,
+                          Duration takeover_delay);
+  OperatorKeysState LocalOperatorKeys(TimePoint now) const;
+  // Exports, and logs at intervals, for how long a change has been missing.
+  void ReportLag(TimePoint now, const OperatorKeysState& keys,
+                 Duration behind_for);
   void TickDrain(TimePoint now);
   void CheckLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
@@ -235,7 +274,13 @@
   void BeginDrain();
 
   void ApplyChanges(const std::vector<StoreItem>& items, bool after_outage);
-  void Apply(const ConfigurationChanged& change, bool after_outage);
+  // A configuration is decoded over several turns of the event loop. Of those
+  // that arrive meanwhile, the last one is decoded next.
+  void QueueConfiguration(std::string value, std::uint64_t revision);
+  void StartDecoding();
+  void ContinueDecoding();
+  bool is_decoding() const { return decoding_ != nullptr; }
+  void ApplyConfiguration(std::shared_ptr<const Configuration> configuration);
   void Apply(const ZoneChanged& change, bool after_outage);
   void Apply(const TargetListed& change, bool after_outage);
   void Apply(const TargetRemoved& change, bool after_outage);
@@ -245,11 +290,6 @@
   // Adds to a report the revisions of both replicas of this router, and the age
   // of its replica of the operators' keys.
   void AddReplicaState(TimePoint now, PeerReport& report) const;
-  // Returns the control address of a peer whose replica is newer than
-  // `local_revision`, if there is one.
-  std::optional<std::string> AddressOfNewerReplica(
-      TimePoint now, std::uint64_t PeerReport::*revision,
-      std::uint64_t local_revision);
   // Returns the control address of the router at IPv4 address `ip`.
   std::string ControlAddressOf(const std::string& ip) const;
 
@@ -284,6 +324,29 @@
   TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
   bool is_operator_replica_behind_ = false;
+  // When the replica of the operators' keys was last known to be current.
+  TimePoint operator_replica_verified_at_;
+  TimePoint next_behind_log_at_;
+  const TimePoint started_at_ = clock_.Now();
+  // The operators' keys were current, as far as can be known, at some time
+  // since the start.
+  bool has_verified_operator_keys_ = false;
+  // A configuration that waits to be decoded.
+  struct WrittenConfiguration {
+    std::string value;
+    std::uint64_t revision = 0;
+    TimePoint received_at;
+  };
+  std::optional<WrittenConfiguration> queued_configuration_;
+  std::unique_ptr<ConfigurationDecoding> decoding_;
+  // What is being decoded, for the log.
+  struct DecodedConfiguration {
+    std::size_t bytes = 0;
+    std::uint64_t revision = 0;
+    TimePoint received_at;
+    TimePoint started_at;
+  };
+  DecodedConfiguration decoded_;
   TimePoint drain_began_at_;
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
@@ -310,7 +373,8 @@
                  }),
       operator_reader_(
           {deployment.operator_prefix(), settings.store_address,
-           kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true},
+           kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true,
+           kOperatorPeerRequestInterval},
           deployment.store_protocol(), fetcher_, clock_,
           [this](const std::vector<StoreItem>& items, bool after_outage) {
             ApplyChanges(items, after_outage);
@@ -351,7 +415,7 @@
 }
 
 bool Router::Impl::IsReady() const {
-  return plane_.configuration != nullptr &&
+  return plane_.configuration != nullptr && has_verified_operator_keys_ &&
          target_list_reader_.replica().is_loaded() && !plane_.is_draining &&
          !overload_detector_.is_overloaded() &&
          !plane_.processor_admission.is_limiting();
@@ -385,10 +449,14 @@
     const StoreReader& reader = prefix == deployment_.operator_prefix()
                                     ? operator_reader_
                                     : target_list_reader_;
-    std::uint64_t after = 0;
-    const std::string after_text = QueryValue(request_target, "after");
-    std::from_chars(after_text.data(), after_text.data() + after_text.size(),
-                    after);
+    const std::uint64_t after =
+        ParseNumber(QueryValue(request_target, "after"));
+    if (QueryValue(request_target, "format") == "binary") {
+      return {200, "application/msgpack",
+              EncodeReplicaBatch(
+                  reader.replica(), after,
+                  ParseNumbers(QueryValue(request_target, "bases")))};
+    }
     return {200, "application/json",
             deployment_.store_protocol().EncodeBatch(
                 reader.replica().ChangesSince(after))};
@@ -737,39 +805,87 @@
   const Duration takeover_delay =
       kTakeoverDelayPerRank *
       std::clamp(rank - kRoutersReadingStorePerZone, 0, kMaxTakeoverRanks);
-  std::optional<std::string> operator_peer =
-      AddressOfNewerReplica(now, &PeerReport::operator_revision,
-                            operator_reader_.replica().revision());
-  if (!operator_peer) {
+  TickOperatorReader(now, reads_store, takeover_delay);
+  const bool is_target_list_stale =
+      target_list_reader_.is_failing() ||
+      !target_list_reader_.replica().is_loaded() ||
+      now - target_list_reader_.updated_at() >
+          kTargetListStaleAfter + takeover_delay;
+  plane_.target_list_read_at = target_list_reader_.updated_at();
+  std::vector<std::string> target_list_peers;
+  if (is_target_list_stale || !reads_store) {
+    if (const auto vm = peers.PeerWithNewerReplica(
+            now, &PeerReport::target_list_revision,
+            target_list_reader_.replica().revision())) {
+      target_list_peers.push_back(ControlAddressOf(*vm));
+    }
+  }
+  target_list_reader_.Tick(now, target_list_peers,
+                           reads_store || is_target_list_stale);
+}
+
+OperatorKeysState Router::Impl::LocalOperatorKeys(TimePoint now) const {
+  return messenger_.peers().OperatorKeysStateAt(
+      now, operator_reader_.replica().content_revision());
+}
+
+void Router::Impl::TickOperatorReader(TimePoint now, bool reads_store,
+                                      Duration takeover_delay) {
+  const PeerTable& peers = messenger_.peers();
+  const StoreReplica& replica = operator_reader_.replica();
+  const OperatorKeysState keys = LocalOperatorKeys(now);
+  std::vector<std::string> sources =
+      peers.OperatorKeySources(now, keys, replica.revision());
+  if (sources.empty()) {
     is_operator_replica_behind_ = false;
   } else if (!is_operator_replica_behind_) {
     is_operator_replica_behind_ = true;
     operator_replica_behind_since_ = now;
   }
-  if (reads_store && is_operator_replica_behind_ &&
-      now - operator_replica_behind_since_ < kPeerFetchDelay &&
-      operator_reader_.replica().is_loaded()) {
+  const Duration behind_for = is_operator_replica_behind_
+                                  ? now - operator_replica_behind_since_
+                                  : Duration(0);
+  ReportLag(now, keys, behind_for);
+  if (reads_store && behind_for < kPeerFetchDelay && replica.is_loaded()) {
     // This router's own watch usually delivers the change in time.
-    operator_peer.reset();
+    sources.clear();
+  }
+  for (std::string& it : sources) {
+    it = ControlAddressOf(it);
+  }
+  // A newer change does not undo that the replica was current before.
+  operator_replica_verified_at_ = std::max(
+      {operator_replica_verified_at_, operator_reader_.store_verified_at(),
+       peers.OperatorReplicaVerifiedAt(now, keys, replica.revision())});
+  const TimePoint verified_at = operator_replica_verified_at_;
+  if (!has_verified_operator_keys_ && plane_.configuration != nullptr) {
+    has_verified_operator_keys_ =
+        now - started_at_ > kMaxStartVerification ||
+        (!is_operator_replica_behind_ && !is_decoding() &&
+         (operator_reader_.is_failing() ||
+          now - verified_at <= kMaxOperatorReplicaAgeAtStart));
   }
-  const TimePoint verified_at = messenger_.peers().OperatorReplicaVerifiedAt(
-      now, operator_reader_.replica().revision());
   operator_reader_.Tick(
-      now, operator_peer,
-      reads_store || now - verified_at > kOperatorStaleAfter + takeover_delay);
-  const bool is_target_list_stale =
-      target_list_reader_.is_failing() ||
-      !target_list_reader_.replica().is_loaded() ||
-      now - target_list_reader_.updated_at() >
-          kTargetListStaleAfter + takeover_delay;
-  plane_.target_list_read_at = target_list_reader_.updated_at();
-  target_list_reader_.Tick(
-      now,
-      is_target_list_stale || !reads_store
-          ? AddressOfNewerReplica(now, &PeerReport::target_list_revision,
-                                  target_list_reader_.replica().revision())
-          : std::nullopt,
-      reads_store || is_target_list_stale);
+      now, sources,
+      reads_store || behind_for > kMaxOperatorReplicaLag ||
+          now - verified_at > kOperatorStaleAfter + takeover_delay);
+}
+
+void Router::Impl::ReportLag(TimePoint now, const OperatorKeysState& keys,
+                             Duration behind_for) {
+  metrics_.SetGauge("corianderpost_operator_keys_behind_seconds",
+                    std::chrono::duration<double>(behind_for).count());
+  if (behind_for < kBehindLogInterval || now < next_behind_log_at_) {
+    return;
+  }
+  next_behind_log_at_ = now + kBehindLogInterval;
+  Log(LogLevel::kWarning, "a change of the operators' keys is missing",
+      {{"revision", keys.content_revision},
+       {"newest_revision", keys.newest_revision},
+       {"behind_ms",
+        std::chrono::duration_cast<milliseconds>(behind_for).count()},
+       {"version",
+        plane_.configuration ? plane_.configuration->version() : 0}});
 }
 
 std::string Router::Impl::ControlAddressOf(const std::string& ip) const {
@@ -778,60 +894,109 @@
          settings_.control_address.substr(settings_.control_address.find(':'));
 }
 
-std::optional<std::string> Router::Impl::AddressOfNewerReplica(
-    TimePoint now, std::uint64_t PeerReport::*revision,
-    std::uint64_t local_revision) {
-  const auto ip =
-      messenger_.peers().PeerWithNewerReplica(now, revision, local_revision);
-  return ip ? std::optional<std::string>(ControlAddressOf(*ip)) : std::nullopt;
-}
-
 void Router::Impl::AddReplicaState(TimePoint now, PeerReport& report) const {
-  const std::uint64_t revision = operator_reader_.replica().revision();
-  report.operator_revision = revision;
+  const StoreReplica& replica = operator_reader_.replica();
+  report.operator_revision = replica.revision();
   report.target_list_revision = target_list_reader_.replica().revision();
-  report.operator_replica_age =
-      now -
-      std::max(operator_reader_.store_responded_at(),
-               messenger_.peers().OperatorReplicaVerifiedAt(now, revision));
+  report.operator_keys = LocalOperatorKeys(now);
+  report.operator_replica_age = now - operator_replica_verified_at_;
 }
 
 void Router::Impl::ApplyChanges(const std::vector<StoreItem>& items,
                                 bool after_outage) {
+  const TimePoint now = clock_.Now();
   for (const StoreItem& it : items) {
-    const TimePoint received_at = clock_.Now();
-    const FleetChange decoded = deployment_.DecodeChange(it);
-    if (std::holds_alternative<ConfigurationChanged>(decoded)) {
-      Log(LogLevel::kInfo, "configuration decoded",
-          {{"revision", it.revision},
-           {"bytes", it.value.size()},
-           {"decode_ms",
-            std::chrono::duration_cast<milliseconds>(clock_.Now() - received_at)
-                .count()}});
+    if (it.key.starts_with(deployment_.operator_prefix())) {
+      messenger_.RecordOperatorChange(now, it.revision);
     }
-    std::visit([this, after_outage](
-                   const auto& change) { Apply(change, after_outage); },
-               decoded);
+    std::visit(
+        [this, &it, after_outage](auto&& change) {
+          using Change = std::decay_t<decltype(change)>;
+          if constexpr (std::is_same_v<Change, ConfigurationWritten>) {
+            QueueConfiguration(std::move(change.value), it.revision);
+          } else {
+            Apply(change, after_outage);
+          }
+        },
+        deployment_.DecodeChange(it));
   }
 }
 
-void Router::Impl::Apply(const ConfigurationChanged& change,
-                         bool after_outage) {
-  static_cast<void>(after_outage);
+void Router::Impl::QueueConfiguration(std::string value,
+                                      std::uint64_t revision) {
+  // Versions in between are not needed.
+  queued_configuration_ =
+      WrittenConfiguration{std::move(value), revision, clock_.Now()};
+  if (!is_decoding()) {
+    StartDecoding();
+  }
+}
+
+void Router::Impl::StartDecoding() {
+  decoded_ = {queued_configuration_->value.size(),
+              queued_configuration_->revision,
+              queued_configuration_->received_at, clock_.Now()};
+  decoding_ = deployment_.StartDecoding(std::move(queued_configuration_->value),
+                                        plane_.configuration);
+  queued_configuration_.reset();
+  ContinueDecoding();
+}
+
+void Router::Impl::ContinueDecoding() {
+  // Each step has a turn of the event loop of its own.
+  asio::post(loop_, [this] {
+    auto result = decoding_->Step(kRoutesPerDecodingStep);
+    if (!result) {
+      ContinueDecoding();
+      return;
+    }
+    decoding_.reset();
+    if (result->ok()) {
+      ApplyConfiguration(**std::move(result));
+    } else {
+      Apply(MalformedItem{"configuration",
+                          std::string(result->status().message())},
+            false);
+    }
+    if (queued_configuration_) {
+      StartDecoding();
+    }
+  });
+}
+
+void Router::Impl::ApplyConfiguration(
+    std::shared_ptr<const Configuration> configuration) {
+  const TimePoint now = clock_.Now();
+  const auto to_ms = [](Duration duration) {
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+  };
+  Log(LogLevel::kInfo, "configuration decoded",
+      {{"version", configuration->version()},
+       {"revision", decoded_.revision},
+       {"bytes", decoded_.bytes},
+       {"waited_ms", to_ms(decoded_.started_at - decoded_.received_at)},
+       {"decode_ms", to_ms(now - decoded_.started_at)}});
   if (plane_.configuration &&
-      change.configuration->version() < plane_.configuration->version()) {
+      configuration->version() < plane_.configuration->version()) {
     Log(LogLevel::kWarning, "older configuration ignored",
-        {{"version", change.configuration->version()},
+        {{"version", configuration->version()},
          {"in_force", plane_.configuration->version()}});
     return;
   }
-  plane_.configuration = change.configuration;
-  scheduler_.SetConfiguration(change.configuration);
+  plane_.configuration = std::move(configuration);
+  scheduler_.SetConfiguration(plane_.configuration);
   messenger_.ReportAtNextTick();
+  const OperatorKeysState keys = LocalOperatorKeys(now);
+  const Duration delay = keys.newest_revision == decoded_.revision
+                             ? keys.newest_age
+                             : now - decoded_.received_at;
+  metrics_.Observe("corianderpost_configuration_delay_seconds", delay);
   Log(LogLevel::kInfo, "configuration applied",
-      {{"version", change.configuration->version()},
-       {"routes", change.configuration->routes().size()},
-       {"customers", change.configuration->customers().size()}});
+      {{"version", plane_.configuration->version()},
+       {"revision", decoded_.revision},
+       {"routes", plane_.configuration->routes().size()},
+       {"customers", plane_.configuration->customers().size()},
+       {"delay_ms", to_ms(delay)}});
 }
 
 void Router::Impl::Apply(const ZoneChanged& change, bool after_outage) {
--- a/tests/fleet/large_configuration_fleet_test.cc
+++ b/tests/fleet/large_configuration_fleet_test.cc
@@ -1,6 +1,7 @@
 // Plays changes of a large configuration on a fleet that uses relays, under
 // load.
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include <random>
 
@@ -177,5 +178,78 @@
   CHECK(failed_after == 0);
 }
 
+// In both zones the router with the lowest address is the relay and reads the
+// store.
+constexpr std::size_t kReaders = 2;
+
+// Publishes a change while the readers of both zones do not run, and returns
+// the longest delay of the other routers.
+Duration MaxDelayWithoutReaders(EngineFleet& fleet, Load& load,
+                                std::uint64_t version, int signal) {
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    fleet.routers()[i]->Signal(signal);
+  }
+  const int routes = kLargeRouteCount + static_cast<int>(version);
+  fleet.PublishConfiguration(version, routes);
+  const std::vector<Duration> delays =
+      MeasureDelays(fleet, load, routes, seconds(6));
+  MESSAGE(ToText(delays));
+  return *std::max_element(delays.begin() + kReaders, delays.end());
+}
+
+TEST_CASE(
+    "A change of a large configuration is in force in time while its readers "
+    "are paused or killed") {
+  EngineFleet fleet(208, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  Load load(fleet, 3);
+  fleet.PublishConfiguration(2, kLargeRouteCount);
+  fleet.PlayFor(seconds(4), std::ref(load));
+  CHECK(MaxDelayWithoutReaders(fleet, load, 3, SIGSTOP) <= kApplyBound);
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    fleet.routers()[i]->Signal(SIGCONT);
+  }
+  fleet.PlayFor(seconds(4), std::ref(load));
+  CHECK(MaxDelayWithoutReaders(fleet, load, 4, SIGKILL) <= kApplyBound);
+}
+
+// Returns when the router answered its readiness check with 200 for the first
+// time; asks every 20 ms.
+std::optional<TimePoint> AwaitReady(EngineFleet& fleet, std::size_t router) {
+  std::vector<std::shared_ptr<const EngineCall>> checks;
+  for (int i = 0; i < 250; ++i) {
+    checks.push_back(fleet.SendReadinessCheck(router));
+    fleet.PlayFor(milliseconds(20));
+    for (const auto& it : checks) {
+      if (it->response.starts_with("HTTP/1.1 200")) {
+        return it->answered_at;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+TEST_CASE(
+    "A router that starts beside a change of a large configuration is ready "
+    "with the change only") {
+  EngineFleet fleet(209, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  fleet.PublishConfiguration(2, kLargeRouteCount);
+  fleet.PlayFor(seconds(3));
+  for (int i = 0; i < 5; ++i) {
+    INFO("start ", i);
+    const std::size_t router = kReaders + static_cast<std::size_t>(i);
+    const int routes = kLargeRouteCount + 1 + i;
+    fleet.routers()[router]->Kill();
+    fleet.PublishConfiguration(3 + static_cast<std::uint64_t>(i), routes);
+    fleet.routers()[router]->Start();
+    REQUIRE(AwaitReady(fleet, router).has_value());
+    const auto call = fleet.Send(router, "c0", {{7, 50}},
+                                 "/added-" + std::to_string(routes - 1) + "/");
+    fleet.PlayFor(milliseconds(600));
+    CHECK(call->is_served());
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost::soak
