--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -60,6 +60,7 @@
     result_.head_at = clock_.Now();
     RecordProgress(result_.head_at);
     result_.status = static_cast<int>(head.result_int());
+    result_.fields = head;
   }
   void OnBody(std::string_view data) override {
     RecordProgress(clock_.Now());
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -17,6 +17,8 @@
 struct FetchResult {
   int status = 0;
   std::string body;
+  // Headers of the response; empty without one.
+  HttpFields fields;
   // Times of the call, of the response's head and of its end. Without a
   // complete response, `head_at` may be unset.
   TimePoint called_at;
--- a/src/model/store_batch.h
+++ b/src/model/store_batch.h
@@ -28,6 +28,9 @@
   bool has_more = false;
   // True if the items are a full listing, false if they are only changes.
   bool is_snapshot = false;
+  // Era of the store, which rises each time it is restored from an older copy;
+  // revisions of different eras can't be compared. 0 if unknown.
+  std::uint64_t era = 0;
 };
 
 }  // namespace corianderpost
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -106,6 +106,7 @@
   Log(LogLevel::kInfo, "store changes received",
       {{"prefix", options_.prefix},
        {"source", source},
+       {"era", batch.era},
        {"revision", batch.store_revision},
        {"items", batch.items.size()},
        {"bytes", result.body.size()},
@@ -129,6 +130,7 @@
                    HandleFailure(std::string(batch.status().message()));
                    return;
                  }
+                 batch->era = protocol_.DecodeEra(result.fields);
                  LogReceived(result, "store", *batch, clock_.Now());
                  HandlePage(*std::move(batch));
                });
@@ -141,6 +143,7 @@
   // first page's revision. The watch then delivers the later changes.
   if (is_first) {
     partial_snapshot_.store_revision = batch.store_revision;
+    partial_snapshot_.era = batch.era;
   }
   partial_snapshot_.items.insert(partial_snapshot_.items.end(),
                                  batch.items.begin(), batch.items.end());
@@ -151,10 +154,12 @@
   RecordStoreResponse();
   is_store_request_pending_ = false;
   needs_snapshot_ = false;
-  const std::vector<StoreItem> changes =
-      replica_.ApplySnapshot(std::exchange(partial_snapshot_, {}));
+  const StoreBatch snapshot = std::exchange(partial_snapshot_, {});
+  const std::vector<StoreItem> changes = replica_.ApplySnapshot(snapshot);
   Log(LogLevel::kInfo, "store snapshot read",
       {{"prefix", options_.prefix},
+       {"era", snapshot.era},
+       {"store_revision", snapshot.store_revision},
        {"revision", replica_.revision()},
        {"changes", changes.size()}});
   change_handler_(changes, IsAfterOutage(clock_.Now()));
@@ -190,11 +195,20 @@
           HandleFailure(std::string(batch.status().message()));
           return;
         }
+        batch->era = protocol_.DecodeEra(result.fields);
         LogReceived(result, "store", *batch, clock_.Now());
         RecordStoreResponse();
         is_store_request_pending_ = false;
         next_request_at_ = clock_.Now() + options_.watch_pause;
         const std::vector<StoreItem> changes = replica_.ApplyChanges(*batch);
+        if (changes.size() < batch->items.size()) {
+          Log(LogLevel::kInfo, "store items not newer than the replica ignored",
+              {{"prefix", options_.prefix},
+               {"era", batch->era},
+               {"items", batch->items.size() - changes.size()},
+               {"store_revision", batch->store_revision},
+               {"revision", replica_.revision()}});
+        }
         if (!changes.empty()) {
           change_handler_(changes, IsAfterOutage(clock_.Now()));
         }
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -28,6 +28,10 @@
   virtual std::string WatchPath(std::string_view prefix,
                                 std::uint64_t after_revision,
                                 Duration wait) const = 0;
+  // Returns the era of the store that the headers of its response state: it
+  // rises each time the store is restored from an older copy. Returns 0 if the
+  // headers state none, or no valid one.
+  virtual std::uint64_t DecodeEra(const HttpFields& fields) const = 0;
   // Returns InvalidArgumentError if `body` is not a response of the store.
   virtual absl::StatusOr<StoreBatch> DecodeBatch(
       std::string_view body) const = 0;
