--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -166,8 +166,20 @@
   }
 }
 
-void EngineFleet::PublishEngine(std::size_t index) {
+void EngineFleet::PublishAllEngines() {
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    if (engines_[i]->is_running()) {
+      PublishEngine(i, draining_engines_.contains(i));
+    }
+  }
+}
+
+void EngineFleet::PublishEngine(std::size_t index, bool is_draining) {
+  if (is_draining) {
+    draining_engines_.insert(index);
+  }
   TargetEntry entry;
+  entry.is_draining = is_draining;
   entry.id = "t" + std::to_string(index);
   entry.service = kService;
   entry.address = network_.Address(1, kTargetPort + static_cast<int>(index));
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -111,6 +111,11 @@
   std::shared_ptr<const EngineCall> SendReadinessCheck(std::size_t router);
   // Writes a version of the configuration with this many added routes.
   void PublishConfiguration(std::uint64_t version, int added_routes);
+  // Writes the engine's entry of the target list again.
+  void PublishEngine(std::size_t index, bool is_draining = false);
+  // Writes all entries that are missing from the store or outdated in it, as
+  // the engines do some time after the store has returned.
+  void PublishAllEngines();
   // Lets each router run for this fraction of the time only; 1 removes the
   // limit.
   void Throttle(double fraction) { run_fraction_ = fraction; }
@@ -128,7 +133,6 @@
 
  private:
   struct OpenCall;
-  void PublishEngine(std::size_t index);
   void Start(const std::shared_ptr<OpenCall>& open, const std::string& address);
   void Read(const std::shared_ptr<OpenCall>& open);
   void ApplyThrottle(TimePoint now);
@@ -142,6 +146,7 @@
   std::vector<std::unique_ptr<Engine>> engines_;
   // By engine; the incarnation that the store lists.
   std::vector<std::int64_t> listed_incarnations_;
+  std::set<std::size_t> draining_engines_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::shared_ptr<EngineCall>> calls_;
   double run_fraction_ = 1;
--- a/tests/soak/standins.cc
+++ b/tests/soak/standins.cc
@@ -81,8 +81,18 @@
   return youngest;
 }
 
+void Store::Restore(const Copy& copy) {
+  items_ = copy.items;
+  revision_ = copy.revision;
+  ++era_;
+}
+
 void Store::Respond(const std::shared_ptr<OpenRequest>& request) {
   const bool is_watch = request->decoded.is_watch;
+  if (is_watch && !is_down_ && request->decoded.after_revision > revision_) {
+    Send(request, 410, "{}");
+    return;
+  }
   StoreBatch batch =
       items_.ChangesSince(is_watch ? request->decoded.after_revision : 0);
   batch.is_snapshot = !is_watch;
@@ -103,6 +113,7 @@
                  const std::string& body) {
   std::string response =
       FormatTextReply({status, "application/json", body}, false);
+  response.insert(response.find("\r\n") + 2, platform::FormatStandinEra(era_));
   if (bytes_per_second_ > 0) {
     Trickle(request->caller, std::move(response));
     return;
@@ -127,6 +138,7 @@
 
 void Store::OnRequest(const std::shared_ptr<CallerConnection>& caller,
                       ReceivedRequest request) {
+  ++request_count_;
   auto open = std::make_shared<OpenRequest>();
   open->caller = caller;
   open->decoded =
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -62,6 +62,15 @@
   void Remove(const std::string& key);
   // While the store is down, requests get 503.
   void SetDown(bool is_down) { is_down_ = is_down; }
+  // A copy of the store's contents, and a return to it in a new era.
+  struct Copy {
+    StoreReplica items;
+    std::uint64_t revision = 0;
+  };
+  Copy MakeCopy() const { return {items_, revision_}; }
+  void Restore(const Copy& copy);
+  // Number of requests so far.
+  std::size_t request_count() const { return request_count_; }
   // Limits the rate of each response; zero means no limit.
   void SetBytesPerSecond(int bytes) { bytes_per_second_ = bytes; }
   // Returns the number of watches of a prefix that wait for a change, and the
@@ -87,6 +96,8 @@
   const Clock& clock_;
   StoreReplica items_;
   std::uint64_t revision_ = 1;
+  std::uint64_t era_ = 1;
+  std::size_t request_count_ = 0;
   bool is_down_ = false;
   int bytes_per_second_ = 0;
   std::vector<std::weak_ptr<OpenRequest>> watches_;
