--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -49,6 +49,8 @@
 constexpr Duration kMaxRateLimitAge = std::chrono::hours(1);
 // How long reports say that a target's rate limit has ended.
 constexpr Duration kEndedRateLimitReportTime = seconds(5);
+// A copy from which the store is restored is not older than this.
+constexpr Duration kDepartureRetention = seconds(60);
 // Maximum time between broken connections that are attributed to one crash.
 constexpr Duration kMaxCrashBreakGap = milliseconds(60);
 // Number of such connections that indicates a crash.
@@ -135,6 +137,16 @@
   return is_changed;
 }
 
+bool TargetTable::ApplyRestoredEntry(TimePoint now, const TargetEntry& entry) {
+  const auto departure = departures_.find(entry.id);
+  const TargetState* target = Find(entry.id);
+  const std::int64_t known_incarnation =
+      target != nullptr                ? target->entry.incarnation
+      : departure != departures_.end() ? departure->second.incarnation
+                                       : -1;
+  return entry.incarnation > known_incarnation && ApplyEntry(now, entry);
+}
+
 void TargetTable::ApplyRemoval(TimePoint now, const std::string& id,
                                Duration grace) {
   TargetState* target = Find(id);
@@ -150,12 +162,14 @@
 }
 
 void TargetTable::Expire(TimePoint now) {
+  ForgetDepartures(now);
   for (auto it = targets_.begin(); it != targets_.end();) {
     TargetState& target = it->second;
     if (target.is_listed && now >= target.removal_effective_at) {
       target.is_listed = false;
     }
     if (!target.is_listed && target.local_load.in_flight == 0) {
+      departures_[it->first] = {target.entry.incarnation, now};
       it = targets_.erase(it);
       by_service_.clear();
     } else {
@@ -164,6 +178,12 @@
   }
 }
 
+void TargetTable::ForgetDepartures(TimePoint now) {
+  std::erase_if(departures_, [now](const auto& it) {
+    return now - it.second.at > kDepartureRetention;
+  });
+}
+
 void TargetTable::Eject(TimePoint now, TargetState& target,
                         EjectionCause cause) {
   if (now < target.ejected_until) {
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -211,6 +211,10 @@
   // before, has restarted, or has another address, zone, service or draining
   // state.
   bool ApplyEntry(TimePoint now, const TargetEntry& entry);
+  // As `ApplyEntry`, for an entry of an older copy from which the store was
+  // restored. Has no effect on an incarnation of the target that was known
+  // before, or was replaced or removed since.
+  bool ApplyRestoredEntry(TimePoint now, const TargetEntry& entry);
   // Removes a target from rotation after `grace`, or at once if `grace` is zero
   // or the target is draining. A new entry within `grace` cancels the removal.
   // Use `grace` for removals that an outage of the store may have caused.
@@ -290,6 +294,13 @@
   void Eject(TimePoint now, TargetState& target, EjectionCause cause);
   void UpdateRegion(TargetState& target) const;
   void RecordEnd(const TargetState& target);
+  void ForgetDepartures(TimePoint now);
+  // An incarnation that was deleted from the table.
+  struct Departure {
+    std::int64_t incarnation = 0;
+    TimePoint at;
+  };
+  std::map<std::string, Departure> departures_;
   std::map<std::string, TargetState> targets_;
   std::vector<Ejection> new_ejections_;
   std::vector<EndedIncarnation> ended_incarnations_;
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -33,6 +33,35 @@
   CHECK_FALSE(table.IsInRotation(kStart, *table.Find("t")));
 }
 
+TEST_CASE("A restored entry undoes neither a drain nor a removal") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("draining");
+  entry.is_draining = true;
+  table.ApplyEntry(kStart, entry);
+  table.ApplyEntry(kStart, MakeEntry("removed"));
+  table.ApplyRemoval(kStart, "removed", Duration(0));
+  table.Expire(kStart);
+  REQUIRE(table.Find("removed") == nullptr);
+  CHECK_FALSE(table.ApplyRestoredEntry(kStart, MakeEntry("draining")));
+  CHECK_FALSE(table.IsInRotation(kStart, *table.Find("draining")));
+  CHECK_FALSE(table.ApplyRestoredEntry(kStart, MakeEntry("removed")));
+  CHECK(table.Find("removed") == nullptr);
+  // Written again by its target.
+  CHECK(table.ApplyEntry(kStart, MakeEntry("removed")));
+  CHECK(table.Find("removed") != nullptr);
+}
+
+TEST_CASE("A restored entry adds what was not known before") {
+  TargetTable table;
+  CHECK(table.ApplyRestoredEntry(kStart, MakeEntry("unknown")));
+  TargetEntry entry = MakeEntry("unknown");
+  entry.incarnation = 2;
+  CHECK(table.ApplyRestoredEntry(kStart, entry));
+  // An earlier incarnation of the target.
+  CHECK_FALSE(table.ApplyRestoredEntry(kStart, MakeEntry("unknown")));
+  CHECK(table.Find("unknown")->entry.incarnation == 2);
+}
+
 TEST_CASE("TargetTable takes targets of an evacuated zone out of rotation") {
   TargetTable table;
   table.ApplyEntry(kStart, MakeEntry("t"));
--- a/src/model/store_batch.h
+++ b/src/model/store_batch.h
@@ -2,12 +2,22 @@
 #ifndef CORIANDERPOST_MODEL_STORE_BATCH_H_
 #define CORIANDERPOST_MODEL_STORE_BATCH_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace corianderpost {
 
+// A point in the history of the store. Revisions are given out again after the
+// store was restored from an older copy, which begins a new era.
+struct StorePosition {
+  // 0 if the store states none.
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 // One item of the store, or the removal of one.
 struct StoreItem {
   std::string key;
@@ -16,6 +26,9 @@
   // Store revision at which the item was written or removed.
   std::uint64_t revision = 0;
   bool is_removed = false;
+  // Set if the item, or its absence, comes from an older copy that the store
+  // was restored from, so that it may be older than what was known before.
+  bool is_restored = false;
   friend bool operator==(const StoreItem&, const StoreItem&) = default;
 };
 
@@ -28,9 +41,13 @@
   bool has_more = false;
   // True if the items are a full listing, false if they are only changes.
   bool is_snapshot = false;
-  // Era of the store, which rises each time it is restored from an older copy;
-  // revisions of different eras can't be compared. 0 if unknown.
+  // Era of the store; 0 if it states none.
   std::uint64_t era = 0;
+  // Items of a former era that the sender, a peer, keeps until their owners
+  // have written them again.
+  std::vector<StoreItem> retained = {};
+
+  StorePosition position() const { return {era, store_revision}; }
 };
 
 }  // namespace corianderpost
--- a/src/peers/peer_messenger.h
+++ b/src/peers/peer_messenger.h
@@ -48,9 +48,9 @@
   }
 
   const PeerTable& peers() const { return peers_; }
-  // Records that this router has the operators' change of this revision.
-  void RecordOperatorChange(TimePoint now, std::uint64_t revision) {
-    peers_.RecordOperatorChange(revision, now);
+  // Records that this router has the operators' change of this position.
+  void RecordOperatorChange(TimePoint now, const StorePosition& position) {
+    peers_.RecordOperatorChange(position, now);
   }
   // Adds a seed address: an IPv4 address, without port, at which a router may
   // run.
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -118,8 +118,11 @@
                      {"limit_use", EncodeLimitUse(report.load)}};
   if (report.operator_keys) {
     const OperatorKeysState& keys = *report.operator_keys;
-    extensions["operator_keys"] = {keys.content_revision, keys.newest_revision,
-                                   ToMillis(keys.newest_age)};
+    extensions["operator_keys"] = {
+        keys.content.era,          keys.content.revision,
+        keys.newest.era,           keys.newest.revision,
+        ToMillis(keys.newest_age), keys.configuration_version};
+    extensions["target_list_era"] = report.target_list_era;
   }
   crashes.push_back(std::move(extensions));
   return crashes;
@@ -131,9 +134,13 @@
     return std::nullopt;
   }
   const Json& keys = crashes.back().at("operator_keys");
-  return OperatorKeysState{keys.at(0).get<std::uint64_t>(),
-                           keys.at(1).get<std::uint64_t>(),
-                           milliseconds(keys.at(2).get<std::int64_t>())};
+  const auto number = [&keys](std::size_t i) {
+    return keys.at(i).get<std::uint64_t>();
+  };
+  return OperatorKeysState{{number(0), number(1)},
+                           {number(2), number(3)},
+                           milliseconds(keys.at(4).get<std::int64_t>()),
+                           number(5)};
 }
 
 void DecodeLimits(const Json& crashes, PeerReport& report) {
@@ -292,6 +299,10 @@
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
     report.operator_keys = DecodeOperatorKeys(json[10]);
+    if (report.operator_keys) {
+      report.target_list_era =
+          json[10].back().at("target_list_era").get<std::uint64_t>();
+    }
     report.unreachable_targets = json[11].get<std::vector<std::string>>();
     for (std::size_t i = 0; i + kFieldsPerRouter <= json[12].size();
          i += kFieldsPerRouter) {
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -15,6 +15,7 @@
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/target_table.h"
+#include "model/store_batch.h"
 
 namespace corianderpost {
 
@@ -44,12 +45,15 @@
 
 // What a router knows of the operators' keys.
 struct OperatorKeysState {
-  // Revision of the last change that the router has.
-  std::uint64_t content_revision = 0;
-  // Revision of the last change that the router knows any router to have, and
-  // the time since a router first had it.
-  std::uint64_t newest_revision = 0;
+  // The last change that the router has.
+  StorePosition content;
+  // The last change that the router knows any router to have, and the time
+  // since a router first had it.
+  StorePosition newest;
   Duration newest_age{0};
+  // Version of the configuration in force. It may be newer than that of the
+  // last change if the store was restored from an older copy.
+  std::uint64_t configuration_version = 0;
   friend bool operator==(const OperatorKeysState&,
                          const OperatorKeysState&) = default;
 };
@@ -72,6 +76,9 @@
   // target list.
   std::uint64_t operator_revision = 0;
   std::uint64_t target_list_revision = 0;
+  // Era of `target_list_revision`; 0 in reports of earlier versions of the
+  // router.
+  std::uint64_t target_list_era = 0;
   // Time since the sender last knew its replica of the operators' keys to be
   // current.
   Duration operator_replica_age{0};
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -63,10 +63,18 @@
 bool HasNewerOperatorKeys(const PeerReport& report,
                           const OperatorKeysState& local,
                           std::uint64_t local_revision) {
-  // Revisions of earlier versions also grow with changes of other keys.
-  return report.operator_keys
-             ? report.operator_keys->content_revision > local.content_revision
-             : report.operator_revision > local_revision;
+  if (report.operator_keys) {
+    return report.operator_keys->content > local.content ||
+           report.operator_keys->configuration_version >
+               local.configuration_version;
+  }
+  // Revisions of earlier versions also grow with changes of other keys, and may
+  // be of a former era.
+  return local.content.era == 0 && report.operator_revision > local_revision;
+}
+
+StorePosition TargetListPosition(const PeerReport& report) {
+  return {report.target_list_era, report.target_list_revision};
 }
 
 }  // namespace
@@ -113,7 +121,7 @@
   }
   if (report.operator_keys) {
     RecordOperatorChange(
-        report.operator_keys->newest_revision,
+        report.operator_keys->newest,
         now - std::max(Duration(0), report.operator_keys->newest_age));
   }
   Peer& peer = it->second;
@@ -350,22 +358,21 @@
   return report;
 }
 
-std::optional<std::string> PeerTable::PeerWithNewerReplica(
-    TimePoint now, std::uint64_t PeerReport::*revision,
-    std::uint64_t local_revision) const {
+std::optional<std::string> PeerTable::PeerWithNewerTargetList(
+    TimePoint now, const StorePosition& local) const {
   const PeerReport* newest = nullptr;
   bool newest_is_in_local_zone = false;
   const auto consider = [&](const std::optional<PeerReport>& report,
                             TimePoint received_at) {
     if (!report || now - received_at > kLivenessTimeout ||
-        (*report).*revision <= local_revision) {
+        TargetListPosition(*report) <= local) {
       return;
     }
     // Fetching a replica within the zone causes no traffic between zones.
     const bool is_in_local_zone = report->sender.zone == self_.zone;
     if (newest == nullptr || (is_in_local_zone && !newest_is_in_local_zone) ||
         (is_in_local_zone == newest_is_in_local_zone &&
-         (*report).*revision > newest->*revision)) {
+         TargetListPosition(*report) > TargetListPosition(*newest))) {
       newest = &*report;
       newest_is_in_local_zone = is_in_local_zone;
     }
@@ -379,22 +386,22 @@
                            : std::optional<std::string>(newest->sender.vm);
 }
 
-void PeerTable::RecordOperatorChange(std::uint64_t revision,
+void PeerTable::RecordOperatorChange(const StorePosition& position,
                                      TimePoint known_at) {
-  if (revision > newest_operator_revision_) {
-    newest_operator_revision_ = revision;
+  if (position > newest_operator_change_) {
+    newest_operator_change_ = position;
     newest_operator_change_at_ = known_at;
-  } else if (revision == newest_operator_revision_) {
+  } else if (position == newest_operator_change_) {
     newest_operator_change_at_ = std::min(newest_operator_change_at_, known_at);
   }
 }
 
 OperatorKeysState PeerTable::OperatorKeysStateAt(
-    TimePoint now, std::uint64_t content_revision) const {
-  return {content_revision,
-          std::max(content_revision, newest_operator_revision_),
-          newest_operator_revision_ == 0 ? Duration(0)
-                                         : now - newest_operator_change_at_};
+    TimePoint now, const StorePosition& content) const {
+  return {content, std::max(content, newest_operator_change_),
+          newest_operator_change_ == StorePosition{}
+              ? Duration(0)
+              : now - newest_operator_change_at_};
 }
 
 std::vector<std::string> PeerTable::OperatorKeySources(
@@ -403,7 +410,7 @@
   struct Source {
     std::string vm;
     bool is_in_local_zone = false;
-    std::uint64_t revision = 0;
+    StorePosition content;
   };
   std::vector<Source> sources;
   const auto consider = [&](const std::optional<PeerReport>& report,
@@ -412,8 +419,8 @@
         HasNewerOperatorKeys(*report, local, local_revision)) {
       sources.push_back({report->sender.vm, report->sender.zone == self_.zone,
                          report->operator_keys
-                             ? report->operator_keys->content_revision
-                             : report->operator_revision});
+                             ? report->operator_keys->content
+                             : StorePosition{0, report->operator_revision}});
     }
   };
   for (const auto& [vm, peer] : peers_) {
@@ -422,12 +429,11 @@
   }
   consider(fleet_report_, fleet_report_at_);
   // Copying within the zone causes no traffic between zones.
-  std::stable_sort(sources.begin(), sources.end(),
-                   [](const Source& a, const Source& b) {
-                     return a.is_in_local_zone != b.is_in_local_zone
-                                ? a.is_in_local_zone
-                                : a.revision > b.revision;
-                   });
+  std::stable_sort(
+      sources.begin(), sources.end(), [](const Source& a, const Source& b) {
+        return a.is_in_local_zone != b.is_in_local_zone ? a.is_in_local_zone
+                                                        : a.content > b.content;
+      });
   std::vector<std::string> vms;
   const auto add = [&vms](const std::string& vm) {
     if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
@@ -437,7 +443,7 @@
   for (const Source& it : sources) {
     add(it.vm);
   }
-  if (local.newest_revision > local.content_revision && UsesRelays(now)) {
+  if (local.newest > local.content && UsesRelays(now)) {
     std::vector<RouterInfo> relays = OtherZoneRelays(now);
     std::stable_partition(
         relays.begin(), relays.end(),
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -74,22 +74,21 @@
   PeerReport FleetReportFor(TimePoint now, const std::string& vm,
                             const PeerReport& local_report) const;
 
-  // Address of a live peer whose replica is newer than `local_revision`, or
-  // nullopt. Prefers peers of this zone, then the newest replica. `revision`
-  // selects which replica to compare.
-  std::optional<std::string> PeerWithNewerReplica(
-      TimePoint now, std::uint64_t PeerReport::*revision,
-      std::uint64_t local_revision) const;
-  // Records that some router has the operators' change of this revision.
-  void RecordOperatorChange(std::uint64_t revision, TimePoint known_at);
+  // Address of a live peer whose replica of the target list is newer than
+  // `local`, or nullopt. Prefers peers of this zone, then the newest replica.
+  std::optional<std::string> PeerWithNewerTargetList(
+      TimePoint now, const StorePosition& local) const;
+  // Records that some router has the operators' change of this position.
+  void RecordOperatorChange(const StorePosition& position, TimePoint known_at);
   // Returns what this router reports of the operators' keys if the last change
-  // that it has is that of `content_revision`.
+  // that it has is `content`.
   OperatorKeysState OperatorKeysStateAt(TimePoint now,
-                                        std::uint64_t content_revision) const;
+                                        const StorePosition& content) const;
   // Returns peers from which to copy the operators' keys, the preferred one
   // first: those that have a change which `local` lacks, then the relays of
   // other zones, which may have it; empty if no change is known to be missing.
-  // `local_revision` is compared for peers of earlier versions.
+  // `local_revision` is compared for peers of earlier versions, which know no
+  // era.
   std::vector<std::string> OperatorKeySources(
       TimePoint now, const OperatorKeysState& local,
       std::uint64_t local_revision) const;
@@ -128,7 +127,7 @@
   TimePoint fleet_report_at_;
   // The last change of the operators' keys that any router is known to have,
   // and when a router first had it.
-  std::uint64_t newest_operator_revision_ = 0;
+  StorePosition newest_operator_change_;
   TimePoint newest_operator_change_at_;
 };
 
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -182,7 +182,8 @@
   PeerReport report = MakeReport(sender, 1, 1);
   report.operator_revision = 1000;
   report.operator_replica_age = replica_age;
-  report.operator_keys = OperatorKeysState{revision, revision, Duration(0)};
+  report.operator_keys =
+      OperatorKeysState{{1, revision}, {1, revision}, Duration(0)};
   return report;
 }
 
@@ -192,12 +193,12 @@
   PeerTable table(MakeRouterInfo("10.0.0.1", "a", 120));
   table.ApplyReport(kStart, MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120),
                                            7, std::chrono::milliseconds(300)));
-  const OperatorKeysState same = table.OperatorKeysStateAt(kStart, 7);
+  const OperatorKeysState same = table.OperatorKeysStateAt(kStart, {1, 7});
   CHECK(table.OperatorReplicaVerifiedAt(kStart, same, 5) ==
         kStart - std::chrono::milliseconds(300));
   CHECK(table.OperatorKeySources(kStart, same, 5).empty());
-  const OperatorKeysState older = table.OperatorKeysStateAt(kStart, 6);
-  CHECK(older.newest_revision == 7);
+  const OperatorKeysState older = table.OperatorKeysStateAt(kStart, {1, 6});
+  CHECK(older.newest == StorePosition{1, 7});
   CHECK(table.OperatorReplicaVerifiedAt(kStart, older, 5) == TimePoint());
   CHECK(table.OperatorKeySources(kStart, older, 5) ==
         std::vector<std::string>{"10.0.0.2"});
@@ -208,23 +209,28 @@
   PeerReport report = MakeReport(MakeRouterInfo("10.0.0.2", "a", 120), 1, 1);
   report.operator_revision = 9;
   table.ApplyReport(kStart, report);
-  const OperatorKeysState keys = table.OperatorKeysStateAt(kStart, 7);
+  const OperatorKeysState keys = table.OperatorKeysStateAt(kStart, {0, 7});
   CHECK(table.OperatorKeySources(kStart, keys, 8) ==
         std::vector<std::string>{"10.0.0.2"});
   CHECK(table.OperatorKeySources(kStart, keys, 9).empty());
+  // Their revision may be of a former era.
+  CHECK(table
+            .OperatorKeySources(kStart,
+                                table.OperatorKeysStateAt(kStart, {2, 7}), 8)
+            .empty());
 }
 
 TEST_CASE("A change of the operators' keys ages while it is passed on") {
   PeerTable table(MakeRouterInfo("10.0.0.1", "a", 120));
   PeerReport report =
       MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120), 7, Duration(0));
-  report.operator_keys->newest_revision = 8;
+  report.operator_keys->newest = {1, 8};
   report.operator_keys->newest_age = std::chrono::milliseconds(40);
   table.ApplyReport(kStart, report);
   const OperatorKeysState keys =
-      table.OperatorKeysStateAt(kStart + std::chrono::milliseconds(10), 7);
-  CHECK(keys.content_revision == 7);
-  CHECK(keys.newest_revision == 8);
+      table.OperatorKeysStateAt(kStart + std::chrono::milliseconds(10), {1, 7});
+  CHECK(keys.content == StorePosition{1, 7});
+  CHECK(keys.newest == StorePosition{1, 8});
   CHECK(keys.newest_age == std::chrono::milliseconds(50));
 }
 
@@ -237,9 +243,9 @@
                                           i < 10 ? "a" : "b", 120),
                            1, 1));
   }
-  table.RecordOperatorChange(8, kStart);
-  const std::vector<std::string> sources =
-      table.OperatorKeySources(kStart, table.OperatorKeysStateAt(kStart, 7), 9);
+  table.RecordOperatorChange({1, 8}, kStart);
+  const std::vector<std::string> sources = table.OperatorKeySources(
+      kStart, table.OperatorKeysStateAt(kStart, {1, 7}), 9);
   CHECK(sources == std::vector<std::string>{"10.0.0.20"});
 }
 
--- a/src/peers/replica_batch.cc
+++ b/src/peers/replica_batch.cc
@@ -13,7 +13,9 @@
 // more.
 constexpr char kRevisionField[] = "revision";
 constexpr char kSnapshotField[] = "snapshot";
+constexpr char kEraField[] = "era";
 constexpr char kItemsField[] = "items";
+constexpr char kRetainedField[] = "retained";
 // Fields of an item. One without value and without delta is a removal.
 constexpr char kKeyField[] = "key";
 constexpr char kValueField[] = "value";
@@ -106,19 +108,41 @@
   return item;
 }
 
+Json EncodeItems(const std::vector<StoreItem>& items,
+                 const StoreReplica& replica,
+                 const std::vector<std::uint64_t>& bases) {
+  Json list = Json::array();
+  for (const StoreItem& it : items) {
+    list.push_back(EncodeItem(it, replica, bases));
+  }
+  return list;
+}
+
+absl::Status DecodeItems(const Json& list, const StoreReplica& replica,
+                         std::vector<StoreItem>& items) {
+  for (const Json& it : list) {
+    auto item = DecodeItem(it, replica);
+    if (!item.ok()) {
+      return item.status();
+    }
+    items.push_back(*std::move(item));
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace
 
-std::string EncodeReplicaBatch(const StoreReplica& replica, std::uint64_t after,
+std::string EncodeReplicaBatch(const StoreReplica& replica,
+                               const StorePosition& after,
                                const std::vector<std::uint64_t>& bases) {
-  const StoreBatch batch = replica.ChangesSince(after);
-  Json items = Json::array();
-  for (const StoreItem& it : batch.items) {
-    items.push_back(EncodeItem(it, replica, bases));
-  }
-  const std::vector<std::uint8_t> bytes =
-      Json::to_msgpack({{kRevisionField, batch.store_revision},
-                        {kSnapshotField, batch.is_snapshot},
-                        {kItemsField, std::move(items)}});
+  const StoreBatch batch =
+      replica.ChangesSince(after.era == replica.era() ? after.revision : 0);
+  const std::vector<std::uint8_t> bytes = Json::to_msgpack(
+      {{kRevisionField, batch.store_revision},
+       {kEraField, batch.era},
+       {kSnapshotField, batch.is_snapshot},
+       {kItemsField, EncodeItems(batch.items, replica, bases)},
+       {kRetainedField, EncodeItems(batch.retained, replica, bases)}});
   return {bytes.begin(), bytes.end()};
 }
 
@@ -131,13 +155,14 @@
   try {
     StoreBatch batch;
     batch.store_revision = json.at(kRevisionField).get<std::uint64_t>();
+    batch.era = json.at(kEraField).get<std::uint64_t>();
     batch.is_snapshot = json.at(kSnapshotField).get<bool>();
-    for (const Json& it : json.at(kItemsField)) {
-      auto item = DecodeItem(it, replica);
-      if (!item.ok()) {
-        return item.status();
+    for (auto status :
+         {DecodeItems(json.at(kItemsField), replica, batch.items),
+          DecodeItems(json.at(kRetainedField), replica, batch.retained)}) {
+      if (!status.ok()) {
+        return status;
       }
-      batch.items.push_back(*std::move(item));
     }
     return batch;
   } catch (const Json::exception& ex) {
--- a/src/peers/replica_batch.h
+++ b/src/peers/replica_batch.h
@@ -14,10 +14,11 @@
 
 namespace corianderpost {
 
-// Encodes the changes of `replica` after revision `after` as MessagePack.
-// `bases` are hashes of large values that the receiver has. Not thread-safe
-// with changes of the replica.
-std::string EncodeReplicaBatch(const StoreReplica& replica, std::uint64_t after,
+// Encodes the changes of `replica` after the position `after` as MessagePack,
+// or a snapshot if that is of another era. `bases` are hashes of large values
+// that the receiver has. Not thread-safe with changes of the replica.
+std::string EncodeReplicaBatch(const StoreReplica& replica,
+                               const StorePosition& after,
                                const std::vector<std::uint64_t>& bases);
 
 // Decodes a batch, and builds values from deltas and the values of `replica`,
--- a/src/peers/replica_batch_test.cc
+++ b/src/peers/replica_batch_test.cc
@@ -25,15 +25,15 @@
   source.ApplySnapshot(
       Batch({{"k/a", std::string("\0\xff", 2), 3}, {"k/b", "", 4}}, 4));
   source.ApplyChanges(Batch({{"k/c", "x", 5}, {"k/b", "", 6, true}}, 6));
-  const auto batch =
-      DecodeReplicaBatch(EncodeReplicaBatch(source, 4, {}), StoreReplica());
+  const auto batch = DecodeReplicaBatch(EncodeReplicaBatch(source, {0, 4}, {}),
+                                        StoreReplica());
   REQUIRE(batch.ok());
   CHECK_FALSE(batch->is_snapshot);
   CHECK(batch->store_revision == 6);
   CHECK(batch->items ==
         std::vector<StoreItem>{{"k/c", "x", 5, false}, {"k/b", "", 6, true}});
   const auto snapshot =
-      DecodeReplicaBatch(EncodeReplicaBatch(source, 0, {}), StoreReplica());
+      DecodeReplicaBatch(EncodeReplicaBatch(source, {}, {}), StoreReplica());
   REQUIRE(snapshot.ok());
   CHECK(snapshot->is_snapshot);
   CHECK(snapshot->items.size() == 2);
@@ -47,7 +47,7 @@
   receiver.ApplySnapshot(before);
   source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
   const std::string bytes =
-      EncodeReplicaBatch(source, 1, receiver.LargeValueHashes());
+      EncodeReplicaBatch(source, {0, 1}, receiver.LargeValueHashes());
   CHECK(bytes.size() < LargeValue('b').size() / 4);
   const auto batch = DecodeReplicaBatch(bytes, receiver);
   REQUIRE(batch.ok());
@@ -63,12 +63,30 @@
   receiver.ApplySnapshot(before);
   source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
   const std::string bytes =
-      EncodeReplicaBatch(source, 1, receiver.LargeValueHashes());
+      EncodeReplicaBatch(source, {0, 1}, receiver.LargeValueHashes());
   receiver.ApplyChanges(Batch({{"k", LargeValue('c'), 2}}, 2));
   CHECK(
       absl::IsFailedPrecondition(DecodeReplicaBatch(bytes, receiver).status()));
 }
 
+TEST_CASE("A receiver of another era gets a snapshot and what is retained") {
+  StoreReplica source;
+  StoreBatch batch = Batch({{"k/a", "new", 8}, {"k/b", "x", 3}}, 9);
+  batch.era = 1;
+  source.ApplySnapshot(batch);
+  batch = Batch({{"k/a", "old", 4}, {"k/b", "x", 3}}, 5);
+  batch.era = 2;
+  source.ApplySnapshot(batch);
+  const auto decoded = DecodeReplicaBatch(
+      EncodeReplicaBatch(source, {1, 9}, {}), StoreReplica());
+  REQUIRE(decoded.ok());
+  CHECK(decoded->is_snapshot);
+  CHECK(decoded->position() == StorePosition{2, 5});
+  CHECK(decoded->items.size() == 2);
+  REQUIRE(decoded->retained.size() == 1);
+  CHECK(decoded->retained[0].value == "new");
+}
+
 TEST_CASE("Malformed replica batches are refused") {
   const StoreReplica replica;
   for (const char* bytes : {"", "{}", "\x80", "\xc1", "\x81\xa5items\xc0"}) {
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -21,6 +21,10 @@
 // Limits on the transfer of a response, which may have to share a narrow link.
 constexpr Duration kStoreProgressTimeout = milliseconds(1000);
 constexpr Duration kStoreTransferTimeout = milliseconds(8000);
+// Larger steps between the eras of two responses are implausible.
+constexpr std::uint64_t kMaxEraStep = 1000;
+// Keys named in the line on a restored store.
+constexpr std::size_t kMaxLoggedKeys = 8;
 constexpr Duration kInitialRetryDelay = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(800);
 constexpr int kMaxRetryDoublings = 3;
@@ -130,7 +134,7 @@
                    HandleFailure(std::string(batch.status().message()));
                    return;
                  }
-                 batch->era = protocol_.DecodeEra(result.fields);
+                 batch->era = EraOf(result);
                  LogReceived(result, "store", *batch, clock_.Now());
                  HandlePage(*std::move(batch));
                });
@@ -144,6 +148,9 @@
   if (is_first) {
     partial_snapshot_.store_revision = batch.store_revision;
     partial_snapshot_.era = batch.era;
+  } else if (batch.era != partial_snapshot_.era) {
+    HandleFailure("the store was restored while a snapshot was read");
+    return;
   }
   partial_snapshot_.items.insert(partial_snapshot_.items.end(),
                                  batch.items.begin(), batch.items.end());
@@ -151,68 +158,125 @@
     FetchPage(partial_snapshot_.items.back().key);
     return;
   }
+  const StoreBatch snapshot = std::exchange(partial_snapshot_, {});
+  if (replica_.IsOlder(snapshot)) {
+    RejectOlder(snapshot.position());
+    return;
+  }
   RecordStoreResponse();
   is_store_request_pending_ = false;
   needs_snapshot_ = false;
-  const StoreBatch snapshot = std::exchange(partial_snapshot_, {});
-  const std::vector<StoreItem> changes = replica_.ApplySnapshot(snapshot);
+  const std::vector<StoreItem> changes = ApplySnapshot(snapshot);
   Log(LogLevel::kInfo, "store snapshot read",
       {{"prefix", options_.prefix},
-       {"era", snapshot.era},
-       {"store_revision", snapshot.store_revision},
+       {"era", replica_.era()},
        {"revision", replica_.revision()},
        {"changes", changes.size()}});
   change_handler_(changes, IsAfterOutage(clock_.Now()));
 }
 
+std::uint64_t StoreReader::EraOf(const FetchResult& result) const {
+  const std::uint64_t era = protocol_.DecodeEra(result.fields);
+  const std::uint64_t known = replica_.era();
+  // An implausible era would make all later ones look older.
+  return known != 0 && era > known + kMaxEraStep ? 0 : era;
+}
+
+std::vector<StoreItem> StoreReader::ApplySnapshot(const StoreBatch& snapshot) {
+  const bool is_new_era = replica_.IsOfNewEra(snapshot);
+  const StorePosition former = replica_.position();
+  std::vector<StoreItem> changes = replica_.ApplySnapshot(snapshot);
+  if (is_new_era) {
+    ++restore_count_;
+    outage_effects_until_ = clock_.Now() + kOutageSettlingTime;
+    nlohmann::json retained = nlohmann::json::array();
+    for (const auto& [key, item] : replica_.retained()) {
+      if (retained.size() < kMaxLoggedKeys) {
+        retained.push_back(key);
+      }
+    }
+    Log(LogLevel::kWarning,
+        "store was restored from an older copy; keeping what it lacks until "
+        "that is written again",
+        {{"prefix", options_.prefix},
+         {"former_era", former.era},
+         {"former_revision", former.revision},
+         {"era", replica_.era()},
+         {"revision", replica_.revision()},
+         {"changes", changes.size()},
+         {"retained", replica_.retained().size()},
+         {"retained_keys", std::move(retained)}});
+  }
+  return changes;
+}
+
+void StoreReader::RejectOlder(const StorePosition& position) {
+  Log(LogLevel::kWarning, "response of the store is older than the replica",
+      {{"prefix", options_.prefix},
+       {"response_era", position.era},
+       {"response_revision", position.revision},
+       {"era", replica_.era()},
+       {"revision", replica_.revision()}});
+  HandleFailure("the response is older than the replica");
+}
+
 void StoreReader::Watch() {
-  pending_watch_ = fetcher_.Get(
-      options_.address,
-      protocol_.WatchPath(options_.prefix, replica_.revision(),
-                          options_.watch_timeout),
-      {options_.watch_timeout + kWatchTimeoutMargin, kStoreProgressTimeout,
-       kStoreTransferTimeout},
-      [this, generation = generation_](const FetchResult& result) {
-        if (generation != generation_) {
-          return;
-        }
-        pending_watch_.reset();
-        if (result.status == 410) {
-          Log(LogLevel::kInfo,
-              "store discarded the requested changes; reading a snapshot",
-              {{"prefix", options_.prefix}});
-          RecordStoreResponse();
-          outage_effects_until_ = clock_.Now() + kOutageSettlingTime;
-          needs_snapshot_ = true;
-          is_store_request_pending_ = false;
-          return;
-        }
-        auto batch =
-            result.status == 200
-                ? protocol_.DecodeBatch(result.body)
-                : absl::UnavailableError(std::to_string(result.status));
-        if (!batch.ok()) {
-          HandleFailure(std::string(batch.status().message()));
-          return;
-        }
-        batch->era = protocol_.DecodeEra(result.fields);
-        LogReceived(result, "store", *batch, clock_.Now());
-        RecordStoreResponse();
-        is_store_request_pending_ = false;
-        next_request_at_ = clock_.Now() + options_.watch_pause;
-        const std::vector<StoreItem> changes = replica_.ApplyChanges(*batch);
-        if (changes.size() < batch->items.size()) {
-          Log(LogLevel::kInfo, "store items not newer than the replica ignored",
-              {{"prefix", options_.prefix},
-               {"era", batch->era},
-               {"items", batch->items.size() - changes.size()},
-               {"store_revision", batch->store_revision},
-               {"revision", replica_.revision()}});
-        }
-        if (!changes.empty()) {
-          change_handler_(changes, IsAfterOutage(clock_.Now()));
-        }
-      });
+  pending_watch_ =
+      fetcher_.Get(options_.address,
+                   protocol_.WatchPath(options_.prefix, replica_.revision(),
+                                       options_.watch_timeout),
+                   {options_.watch_timeout + kWatchTimeoutMargin,
+                    kStoreProgressTimeout, kStoreTransferTimeout},
+                   [this, generation = generation_](const FetchResult& result) {
+                     if (generation != generation_) {
+                       return;
+                     }
+                     pending_watch_.reset();
+                     HandleWatchResponse(result);
+                   });
+}
+
+void StoreReader::HandleWatchResponse(const FetchResult& result) {
+  if (result.status == 410) {
+    Log(LogLevel::kInfo,
+        "store discarded the requested changes; reading a snapshot",
+        {{"prefix", options_.prefix}, {"era", EraOf(result)}});
+    RecordStoreResponse();
+    RequestSnapshot();
+    return;
+  }
+  auto batch = result.status == 200
+                   ? protocol_.DecodeBatch(result.body)
+                   : absl::UnavailableError(std::to_string(result.status));
+  if (!batch.ok()) {
+    HandleFailure(std::string(batch.status().message()));
+    return;
+  }
+  batch->era = EraOf(result);
+  if (replica_.IsOfNewEra(*batch)) {
+    // Changes up to the requested revision may be unknown in the new era.
+    RequestSnapshot();
+    return;
+  }
+  if (replica_.IsOlder(*batch)) {
+    RejectOlder(batch->position());
+    return;
+  }
+  LogReceived(result, "store", *batch, clock_.Now());
+  RecordStoreResponse();
+  is_store_request_pending_ = false;
+  next_request_at_ = clock_.Now() + options_.watch_pause;
+  const std::vector<StoreItem> changes = replica_.ApplyChanges(*batch);
+  if (!changes.empty()) {
+    change_handler_(changes, IsAfterOutage(clock_.Now()));
+  }
+}
+
+void StoreReader::RequestSnapshot() {
+  outage_effects_until_ = clock_.Now() + kOutageSettlingTime;
+  needs_snapshot_ = true;
+  is_store_request_pending_ = false;
+  next_request_at_ = clock_.Now() + kInitialRetryDelay;
 }
 
 void StoreReader::RestartWatch() {
@@ -227,7 +291,8 @@
   is_peer_request_pending_ = true;
   next_peer_request_at_ = clock_.Now() + options_.peer_request_interval;
   std::string path =
-      "/mirror?format=binary&prefix=" + options_.prefix + "&after=" +
+      "/mirror?format=binary&prefix=" + options_.prefix +
+      "&era=" + std::to_string(replica_.era()) + "&after=" +
       std::to_string(replica_.is_loaded() ? replica_.revision() : 0);
   if (!needs_whole_values_) {
     path += "&bases=" + absl::StrJoin(replica_.LargeValueHashes(), ",");
@@ -245,6 +310,18 @@
                                : DecodeReplicaBatch(body, replica_);
 }
 
+bool StoreReader::IsNews(const StoreBatch& batch) const {
+  if (!replica_.is_loaded()) {
+    return batch.is_snapshot;
+  }
+  if (replica_.IsOfNewEra(batch)) {
+    return batch.is_snapshot;
+  }
+  // A peer of an earlier version states no era. It may be of a former one.
+  return batch.era == replica_.era() &&
+         batch.store_revision > replica_.revision();
+}
+
 void StoreReader::HandlePeerResponse(const std::string& peer,
                                      const FetchResult& result) {
   if (result.status != 200) {
@@ -269,25 +346,28 @@
   }
   peer_failures_ = 0;
   LogReceived(result, peer, *batch, clock_.Now());
-  if (batch->store_revision <= replica_.revision() ||
-      (!batch->is_snapshot && !replica_.is_loaded())) {
-    return;
-  }
-  RecordUpdate(clock_.Now());
   const std::uint64_t old_content = replica_.content_revision();
-  const std::vector<StoreItem> changes = batch->is_snapshot
-                                             ? replica_.ApplySnapshot(*batch)
-                                             : replica_.ApplyChanges(*batch);
-  // A watch can continue from the revision of a loaded replica.
-  needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
+  std::vector<StoreItem> changes;
+  if (IsNews(*batch)) {
+    RecordUpdate(clock_.Now());
+    changes = batch->is_snapshot ? ApplySnapshot(*batch)
+                                 : replica_.ApplyChanges(*batch);
+    // A watch can continue from the revision of a loaded replica.
+    needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
+  }
+  for (StoreItem& it : replica_.ApplyRetained(batch->retained)) {
+    changes.push_back(std::move(it));
+  }
   if (changes.empty()) {
     return;
   }
   Log(LogLevel::kInfo, "store replica updated from a peer",
       {{"prefix", options_.prefix},
        {"peer", peer},
+       {"era", replica_.era()},
        {"revision", replica_.revision()},
-       {"changes", changes.size()}});
+       {"changes", changes.size()},
+       {"retained", batch->retained.size()}});
   const bool has_large_change =
       std::any_of(changes.begin(), changes.end(), [&](const StoreItem& it) {
         return it.revision > old_content &&
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -78,10 +78,21 @@
   void SetAddress(const std::string& address) { options_.address = address; }
 
   const StoreReplica& replica() const { return replica_; }
+  // Ends the retention of a key that its owner has written again.
+  void Release(const std::string& key) { replica_.Release(key); }
+  // Ends the retention of all keys but `key` once owners had the time to write
+  // them again.
+  void ReleaseSettled(TimePoint now, const std::string& key) {
+    if (!IsAfterOutage(now)) {
+      replica_.ReleaseAllExcept(key);
+    }
+  }
   // Time of the last response from the store or newer data from a peer.
   TimePoint updated_at() const { return updated_at_; }
   // Time of the last response from the store; TimePoint() if there was none.
   TimePoint store_verified_at() const { return store_responded_at_; }
+  // Number of times that the store was found to be restored.
+  std::uint64_t restore_count() const { return restore_count_; }
   // Whether the last store request failed.
   bool is_failing() const { return consecutive_failures_ > 0; }
 
@@ -89,6 +100,18 @@
   void FetchPage(const std::string& after);
   void Watch();
   void HandlePage(StoreBatch batch);
+  void HandleWatchResponse(const FetchResult& result);
+  // Reads a snapshot next, after a short delay.
+  void RequestSnapshot();
+  // Returns the era of a response, or 0 if it states none that is plausible.
+  std::uint64_t EraOf(const FetchResult& result) const;
+  // Applies a snapshot of the store or of a peer that is not older than the
+  // replica. Logs what is retained if the store was restored.
+  std::vector<StoreItem> ApplySnapshot(const StoreBatch& snapshot);
+  // Treats a response of an earlier position as a failure of the store.
+  void RejectOlder(const StorePosition& position);
+  // Whether a peer's batch can be applied and is newer than the replica.
+  bool IsNews(const StoreBatch& batch) const;
   // Records that the replica was brought up to date. If the time since the last
   // update is long, an outage of the store is assumed to have ended.
   void RecordUpdate(TimePoint now);
@@ -123,6 +146,7 @@
   // Responses to requests of an earlier generation are ignored.
   std::uint64_t generation_ = 0;
   int consecutive_failures_ = 0;
+  std::uint64_t restore_count_ = 0;
   TimePoint next_request_at_;
   TimePoint store_responded_at_;
   TimePoint updated_at_;
--- a/src/peers/store_replica.cc
+++ b/src/peers/store_replica.cc
@@ -1,6 +1,7 @@
 #include "peers/store_replica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderpost {
 namespace {
@@ -26,9 +27,7 @@
   } else {
     tombstones_.erase(item.key);
     items_[item.key] = item;
-    if (item.value.size() >= kMinDeltaValueBytes) {
-      histories_[item.key].Record(item.value);
-    }
+    RecordHistory(item);
   }
   content_revision_ = std::max(content_revision_, item.revision);
   return true;
@@ -44,11 +43,96 @@
   }
 }
 
+void StoreReplica::RecordHistory(const StoreItem& item) {
+  if (item.value.size() >= kMinDeltaValueBytes) {
+    histories_[item.key].Record(item.value);
+  }
+}
+
+bool StoreReplica::IsOfNewEra(const StoreBatch& batch) const {
+  if (!is_loaded_ || batch.era <= era_) {
+    return false;
+  }
+  // A replica that was copied from a peer of an earlier version knows no era.
+  return era_ != 0 || batch.store_revision < revision_;
+}
+
+bool StoreReplica::IsOlder(const StoreBatch& batch) const {
+  if (!is_loaded_ || IsOfNewEra(batch)) {
+    return false;
+  }
+  return (batch.era != 0 && batch.era < era_) ||
+         batch.store_revision < revision_;
+}
+
+std::vector<StoreItem> StoreReplica::ApplyNewEra(const StoreBatch& batch) {
+  const std::map<std::string, StoreItem> former = std::exchange(items_, {});
+  tombstones_.clear();
+  for (const StoreItem& it : batch.items) {
+    items_[it.key] = it;
+  }
+  content_revision_ = 0;
+  std::vector<StoreItem> changes;
+  for (const auto& [key, item] : former) {
+    const auto restored = items_.find(key);
+    if (restored == items_.end()) {
+      changes.push_back({key, "", batch.store_revision, true, true});
+    }
+    if (restored == items_.end() || restored->second.value != item.value) {
+      // An item that is retained already is of a still earlier era, and its
+      // owner has not written it since.
+      retained_.try_emplace(key, item);
+    }
+  }
+  for (auto& [key, item] : items_) {
+    content_revision_ = std::max(content_revision_, item.revision);
+    RecordHistory(item);
+    const auto retained = retained_.find(key);
+    if (retained != retained_.end() && retained->second.value == item.value) {
+      retained_.erase(retained);
+    }
+    const auto before = former.find(key);
+    if (before == former.end() || before->second.value != item.value) {
+      changes.push_back(item);
+      changes.back().is_restored = true;
+    }
+  }
+  era_ = batch.era;
+  revision_ = batch.store_revision;
+  pruned_revision_ = batch.store_revision;
+  return changes;
+}
+
+void StoreReplica::ReleaseAllExcept(const std::string& key) {
+  std::erase_if(retained_, [&key](const auto& it) { return it.first != key; });
+}
+
+std::vector<StoreItem> StoreReplica::ApplyRetained(
+    const std::vector<StoreItem>& items) {
+  std::vector<StoreItem> changes;
+  for (const StoreItem& it : items) {
+    const auto existing = items_.find(it.key);
+    if ((existing != items_.end() && existing->second.value == it.value) ||
+        !retained_.try_emplace(it.key, it).second) {
+      continue;
+    }
+    changes.push_back(it);
+    if (existing == items_.end()) {
+      changes.push_back({it.key, "", it.revision, true, true});
+    }
+  }
+  return changes;
+}
+
 std::vector<StoreItem> StoreReplica::ApplySnapshot(const StoreBatch& batch) {
   std::vector<StoreItem> changes;
-  if (is_loaded_ && batch.store_revision < revision_) {
+  if (IsOlder(batch)) {
     return changes;
   }
+  if (IsOfNewEra(batch)) {
+    return ApplyNewEra(batch);
+  }
+  era_ = std::max(era_, batch.era);
   std::map<std::string, StoreItem> listed;
   for (const StoreItem& it : batch.items) {
     listed[it.key] = it;
@@ -78,6 +162,9 @@
 
 std::vector<StoreItem> StoreReplica::ApplyChanges(const StoreBatch& batch) {
   std::vector<StoreItem> changes;
+  if (batch.era != 0 && era_ != 0 && batch.era != era_) {
+    return changes;
+  }
   for (const StoreItem& it : batch.items) {
     if (ApplyItem(it)) {
       changes.push_back(it);
@@ -90,6 +177,10 @@
 StoreBatch StoreReplica::ChangesSince(std::uint64_t after) const {
   StoreBatch batch;
   batch.store_revision = revision_;
+  batch.era = era_;
+  for (const auto& [key, item] : retained_) {
+    batch.retained.push_back(item);
+  }
   batch.is_snapshot = after < pruned_revision_ || after == 0;
   for (const auto& [key, item] : items_) {
     if (batch.is_snapshot || item.revision > after) {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <fstream>
+#include <limits>
+#include <map>
 #include <set>
 #include <sstream>
 #include <unordered_map>
@@ -87,6 +89,9 @@
 // change of the operators' keys that a peer already has, before it copies from
 // the peer.
 constexpr Duration kPeerFetchDelay = milliseconds(150);
+// Entries that expired during an outage of the store, or that a restored store
+// lacks, are written again within about two seconds of its return.
+constexpr Duration kOutageRemovalGrace = milliseconds(2200);
 // Smallest increase of CLOCK_BOOTTIME over CLOCK_MONOTONIC that is treated as a
 // suspension of the VM.
 constexpr Duration kMinSuspension = milliseconds(700);
@@ -242,6 +247,23 @@
     const CallerLimits limits_;
   };
 
+  // How a change of the store came about.
+  enum class ChangeOrigin {
+    kWrite,
+    // It may be an effect of an outage of the store that has just ended.
+    kAfterOutage,
+    // The store was restored from an older copy, which differs in this from
+    // what was known.
+    kRestore,
+  };
+  // A configuration that waits to be decoded.
+  struct WrittenConfiguration {
+    std::string value;
+    std::string key;
+    std::uint64_t revision = 0;
+    TimePoint received_at;
+  };
+
   TextReply HandleReadiness();
   TextReply HandleControl(const HttpRequest& request);
   bool IsReady() const;
@@ -276,16 +298,20 @@
   void ApplyChanges(const std::vector<StoreItem>& items, bool after_outage);
   // A configuration is decoded over several turns of the event loop. Of those
   // that arrive meanwhile, the last one is decoded next.
-  void QueueConfiguration(std::string value, std::uint64_t revision);
+  void QueueConfiguration(WrittenConfiguration written);
   void StartDecoding();
   void ContinueDecoding();
   bool is_decoding() const { return decoding_ != nullptr; }
   void ApplyConfiguration(std::shared_ptr<const Configuration> configuration);
-  void Apply(const ZoneChanged& change, bool after_outage);
-  void Apply(const TargetListed& change, bool after_outage);
-  void Apply(const TargetRemoved& change, bool after_outage);
-  void Apply(const MalformedItem& change, bool after_outage);
-  void Apply(const UnknownItem& change, bool after_outage);
+  void Apply(const ConfigurationWritten& change, ChangeOrigin origin);
+  void Apply(const ZoneChanged& change, ChangeOrigin origin);
+  void Apply(const TargetListed& change, ChangeOrigin origin);
+  void Apply(const TargetRemoved& change, ChangeOrigin origin);
+  void Apply(const MalformedItem& change, ChangeOrigin origin);
+  void Apply(const UnknownItem& change, ChangeOrigin origin);
+  // Ends evacuations that were not written again after a restore, and what the
+  // replicas retain.
+  void SettleRestore(TimePoint now);
 
   // Adds to a report the revisions of both replicas of this router, and the age
   // of its replica of the operators' keys.
@@ -331,22 +357,23 @@
   // The operators' keys were current, as far as can be known, at some time
   // since the start.
   bool has_verified_operator_keys_ = false;
-  // A configuration that waits to be decoded.
-  struct WrittenConfiguration {
-    std::string value;
-    std::uint64_t revision = 0;
-    TimePoint received_at;
-  };
   std::optional<WrittenConfiguration> queued_configuration_;
   std::unique_ptr<ConfigurationDecoding> decoding_;
-  // What is being decoded, for the log.
+  // What is being decoded.
   struct DecodedConfiguration {
     std::size_t bytes = 0;
+    std::uint64_t hash = 0;
+    std::string key;
     std::uint64_t revision = 0;
     TimePoint received_at;
     TimePoint started_at;
   };
   DecodedConfiguration decoded_;
+  // Store key of the configuration in force.
+  std::string configuration_key_;
+  // When the evacuation of zones ends that a restored store lacks, unless it is
+  // written again before.
+  std::map<std::string, TimePoint> evacuation_ends_;
   TimePoint drain_began_at_;
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
@@ -436,6 +463,14 @@
                       static_cast<double>(caller_listener_.size()));
     metrics_.SetGauge("corianderpost_peers",
                       messenger_.peers().FleetSize(clock_.Now()) - 1);
+    metrics_.SetGauge("corianderpost_store_era",
+                      static_cast<double>(operator_reader_.replica().era()));
+    metrics_.SetGauge("corianderpost_store_restores",
+                      static_cast<double>(operator_reader_.restore_count()));
+    metrics_.SetGauge(
+        "corianderpost_retained_items",
+        static_cast<double>(operator_reader_.replica().retained().size() +
+                            target_list_reader_.replica().retained().size()));
     metrics_.SetGauge("corianderpost_configuration_version",
                       plane_.configuration
                           ? static_cast<double>(plane_.configuration->version())
@@ -449,8 +484,9 @@
     const StoreReader& reader = prefix == deployment_.operator_prefix()
                                     ? operator_reader_
                                     : target_list_reader_;
-    const std::uint64_t after =
-        ParseNumber(QueryValue(request_target, "after"));
+    const StorePosition after = {
+        ParseNumber(QueryValue(request_target, "era")),
+        ParseNumber(QueryValue(request_target, "after"))};
     if (QueryValue(request_target, "format") == "binary") {
       return {200, "application/msgpack",
               EncodeReplicaBatch(
@@ -459,7 +495,7 @@
     }
     return {200, "application/json",
             deployment_.store_protocol().EncodeBatch(
-                reader.replica().ChangesSince(after))};
+                reader.replica().ChangesSince(after.revision))};
   }
   return {404, "text/plain", "not found\n"};
 }
@@ -811,12 +847,12 @@
       !target_list_reader_.replica().is_loaded() ||
       now - target_list_reader_.updated_at() >
           kTargetListStaleAfter + takeover_delay;
+  SettleRestore(now);
   plane_.target_list_read_at = target_list_reader_.updated_at();
   std::vector<std::string> target_list_peers;
   if (is_target_list_stale || !reads_store) {
-    if (const auto vm = peers.PeerWithNewerReplica(
-            now, &PeerReport::target_list_revision,
-            target_list_reader_.replica().revision())) {
+    if (const auto vm = peers.PeerWithNewerTargetList(
+            now, target_list_reader_.replica().position())) {
       target_list_peers.push_back(ControlAddressOf(*vm));
     }
   }
@@ -825,15 +861,24 @@
 }
 
 OperatorKeysState Router::Impl::LocalOperatorKeys(TimePoint now) const {
-  return messenger_.peers().OperatorKeysStateAt(
-      now, operator_reader_.replica().content_revision());
+  const StoreReplica& replica = operator_reader_.replica();
+  OperatorKeysState keys = messenger_.peers().OperatorKeysStateAt(
+      now, {replica.era(), replica.content_revision()});
+  if (plane_.configuration) {
+    keys.configuration_version = plane_.configuration->version();
+  }
+  return keys;
 }
 
 void Router::Impl::TickOperatorReader(TimePoint now, bool reads_store,
                                       Duration takeover_delay) {
   const PeerTable& peers = messenger_.peers();
   const StoreReplica& replica = operator_reader_.replica();
-  const OperatorKeysState keys = LocalOperatorKeys(now);
+  OperatorKeysState keys = LocalOperatorKeys(now);
+  if (is_decoding()) {
+    // The version that is being decoded may be that of the peers.
+    keys.configuration_version = std::numeric_limits<std::uint64_t>::max();
+  }
   std::vector<std::string> sources =
       peers.OperatorKeySources(now, keys, replica.revision());
   if (sources.empty()) {
@@ -880,8 +925,10 @@
   }
   next_behind_log_at_ = now + kBehindLogInterval;
   Log(LogLevel::kWarning, "a change of the operators' keys is missing",
-      {{"revision", keys.content_revision},
-       {"newest_revision", keys.newest_revision},
+      {{"era", keys.content.era},
+       {"revision", keys.content.revision},
+       {"newest_era", keys.newest.era},
+       {"newest_revision", keys.newest.revision},
        {"behind_ms",
         std::chrono::duration_cast<milliseconds>(behind_for).count()},
        {"version",
@@ -898,6 +945,7 @@
   const StoreReplica& replica = operator_reader_.replica();
   report.operator_revision = replica.revision();
   report.target_list_revision = target_list_reader_.replica().revision();
+  report.target_list_era = target_list_reader_.replica().era();
   report.operator_keys = LocalOperatorKeys(now);
   report.operator_replica_age = now - operator_replica_verified_at_;
 }
@@ -906,27 +954,39 @@
                                 bool after_outage) {
   const TimePoint now = clock_.Now();
   for (const StoreItem& it : items) {
-    if (it.key.starts_with(deployment_.operator_prefix())) {
-      messenger_.RecordOperatorChange(now, it.revision);
+    const bool is_operator_key =
+        it.key.starts_with(deployment_.operator_prefix());
+    if (is_operator_key) {
+      messenger_.RecordOperatorChange(
+          now, {operator_reader_.replica().era(), it.revision});
+    }
+    const ChangeOrigin origin = it.is_restored ? ChangeOrigin::kRestore
+                                : after_outage ? ChangeOrigin::kAfterOutage
+                                               : ChangeOrigin::kWrite;
+    FleetChange change = deployment_.DecodeChange(it);
+    if (auto* written = std::get_if<ConfigurationWritten>(&change)) {
+      QueueConfiguration({std::move(written->value), it.key, it.revision, now});
+      continue;
     }
-    std::visit(
-        [this, &it, after_outage](auto&& change) {
-          using Change = std::decay_t<decltype(change)>;
-          if constexpr (std::is_same_v<Change, ConfigurationWritten>) {
-            QueueConfiguration(std::move(change.value), it.revision);
-          } else {
-            Apply(change, after_outage);
-          }
-        },
-        deployment_.DecodeChange(it));
+    if (!it.is_restored) {
+      (is_operator_key ? operator_reader_ : target_list_reader_)
+          .Release(it.key);
+    }
+    std::visit([this, origin](const auto& decoded) { Apply(decoded, origin); },
+               change);
   }
 }
 
-void Router::Impl::QueueConfiguration(std::string value,
-                                      std::uint64_t revision) {
+void Router::Impl::Apply(const ConfigurationWritten& change,
+                         ChangeOrigin origin) {
+  // Configurations are queued instead.
+  static_cast<void>(change);
+  static_cast<void>(origin);
+}
+
+void Router::Impl::QueueConfiguration(WrittenConfiguration written) {
   // Versions in between are not needed.
-  queued_configuration_ =
-      WrittenConfiguration{std::move(value), revision, clock_.Now()};
+  queued_configuration_ = std::move(written);
   if (!is_decoding()) {
     StartDecoding();
   }
@@ -934,8 +994,11 @@
 
 void Router::Impl::StartDecoding() {
   decoded_ = {queued_configuration_->value.size(),
+              HashOfValue(queued_configuration_->value),
+              queued_configuration_->key,
               queued_configuration_->revision,
-              queued_configuration_->received_at, clock_.Now()};
+              queued_configuration_->received_at,
+              clock_.Now()};
   decoding_ = deployment_.StartDecoding(std::move(queued_configuration_->value),
                                         plane_.configuration);
   queued_configuration_.reset();
@@ -954,9 +1017,9 @@
     if (result->ok()) {
       ApplyConfiguration(**std::move(result));
     } else {
-      Apply(MalformedItem{"configuration",
-                          std::string(result->status().message())},
-            false);
+      Apply(
+          MalformedItem{decoded_.key, std::string(result->status().message())},
+          ChangeOrigin::kWrite);
     }
     if (queued_configuration_) {
       StartDecoding();
@@ -986,8 +1049,15 @@
   plane_.configuration = std::move(configuration);
   scheduler_.SetConfiguration(plane_.configuration);
   messenger_.ReportAtNextTick();
+  configuration_key_ = decoded_.key;
+  const auto& items = operator_reader_.replica().items();
+  if (const auto it = items.find(decoded_.key);
+      it != items.end() && HashOfValue(it->second.value) == decoded_.hash) {
+    // The store has the version in force.
+    operator_reader_.Release(decoded_.key);
+  }
   const OperatorKeysState keys = LocalOperatorKeys(now);
-  const Duration delay = keys.newest_revision == decoded_.revision
+  const Duration delay = keys.newest.revision == decoded_.revision
                              ? keys.newest_age
                              : now - decoded_.received_at;
   metrics_.Observe("corianderpost_configuration_delay_seconds", delay);
@@ -999,8 +1069,14 @@
        {"delay_ms", to_ms(delay)}});
 }
 
-void Router::Impl::Apply(const ZoneChanged& change, bool after_outage) {
-  static_cast<void>(after_outage);
+void Router::Impl::Apply(const ZoneChanged& change, ChangeOrigin origin) {
+  if (!change.is_evacuated && origin == ChangeOrigin::kRestore) {
+    // The operators may have evacuated the zone after the copy was made.
+    evacuation_ends_.try_emplace(change.zone,
+                                 clock_.Now() + kOutageRemovalGrace);
+    return;
+  }
+  evacuation_ends_.erase(change.zone);
   if (change.is_evacuated) {
     evacuated_zones_.insert(change.zone);
   } else if (evacuated_zones_.erase(change.zone) > 0) {
@@ -1016,13 +1092,29 @@
   scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
   Log(LogLevel::kInfo,
       change.is_evacuated ? "zone evacuated" : "zone back in rotation",
-      {{"zone", change.zone}});
+      {{"zone", change.zone}, {"restored", origin == ChangeOrigin::kRestore}});
+}
+
+void Router::Impl::SettleRestore(TimePoint now) {
+  operator_reader_.ReleaseSettled(now, configuration_key_);
+  target_list_reader_.ReleaseSettled(now, "");
+  for (auto it = evacuation_ends_.begin(); it != evacuation_ends_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    const std::string zone = it->first;
+    it = evacuation_ends_.erase(it);
+    Apply(ZoneChanged{zone, false}, ChangeOrigin::kWrite);
+  }
 }
 
-void Router::Impl::Apply(const TargetListed& change, bool after_outage) {
-  static_cast<void>(after_outage);
+void Router::Impl::Apply(const TargetListed& change, ChangeOrigin origin) {
   const TargetEntry& entry = change.entry;
-  if (scheduler_.targets().ApplyEntry(clock_.Now(), entry)) {
+  const TimePoint now = clock_.Now();
+  TargetTable& targets = scheduler_.targets();
+  if (origin == ChangeOrigin::kRestore ? targets.ApplyRestoredEntry(now, entry)
+                                       : targets.ApplyEntry(now, entry)) {
     Log(LogLevel::kInfo, "target added or updated",
         {{"target", entry.id},
          {"service", entry.service},
@@ -1030,35 +1122,33 @@
          {"zone", entry.zone},
          {"draining", entry.is_draining},
          {"cold_ms", entry.cold_remaining.count() / 1000},
-         {"incarnation", entry.incarnation}});
+         {"incarnation", entry.incarnation},
+         {"restored", origin == ChangeOrigin::kRestore}});
   }
 }
 
-void Router::Impl::Apply(const TargetRemoved& change, bool after_outage) {
-  // Entries that expired during a store outage are written again within about
-  // two seconds, which cancels a removal that is still delayed.
-  constexpr Duration kOutageRemovalGrace = milliseconds(2200);
+void Router::Impl::Apply(const TargetRemoved& change, ChangeOrigin origin) {
+  const bool may_return = origin != ChangeOrigin::kWrite;
   scheduler_.targets().ApplyRemoval(
-      clock_.Now(), change.id,
-      after_outage ? kOutageRemovalGrace : Duration(0));
+      clock_.Now(), change.id, may_return ? kOutageRemovalGrace : Duration(0));
   Log(LogLevel::kInfo, "target removed",
-      {{"target", change.id}, {"after_outage", after_outage}});
+      {{"target", change.id}, {"after_outage", may_return}});
 }
 
-void Router::Impl::Apply(const MalformedItem& change, bool after_outage) {
-  static_cast<void>(after_outage);
+void Router::Impl::Apply(const MalformedItem& change, ChangeOrigin origin) {
   Log(LogLevel::kWarning, "malformed store item",
       {{"key", change.key}, {"reason", change.reason}});
   // A target whose list entry is malformed must no longer be used.
   const std::string prefix = deployment_.target_prefix();
   if (change.key.starts_with(prefix)) {
     scheduler_.targets().ApplyRemoval(
-        clock_.Now(), change.key.substr(prefix.size()), Duration(0));
+        clock_.Now(), change.key.substr(prefix.size()),
+        origin == ChangeOrigin::kRestore ? kOutageRemovalGrace : Duration(0));
   }
 }
 
-void Router::Impl::Apply(const UnknownItem& change, bool after_outage) {
-  static_cast<void>(after_outage);
+void Router::Impl::Apply(const UnknownItem& change, ChangeOrigin origin) {
+  static_cast<void>(origin);
   Log(LogLevel::kDebug, "unknown store item ignored", {{"key", change.key}});
 }
 
