--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -293,6 +293,7 @@
   // request.
   if (status != 421) {
     RecordRateLimit(meta);
+    RecordLeaving(meta);
   }
   if (meta.is_not_executed || status == 421) {
     response_kind_ = ResponseKind::kNotExecuted;
@@ -336,6 +337,28 @@
        {"per_second", meta.rate_limit.value_or(0.0)}});
 }
 
+void Exchange::CountMalformedHint(const char* hint) {
+  plane_.metrics.IncrementCounter("corianderpost_malformed_target_hints_total",
+                                  "hint=\"" + std::string(hint) + "\"");
+}
+
+void Exchange::RecordLeaving(const ResponseMeta& meta) {
+  if (meta.has_malformed_leaving) {
+    CountMalformedHint("leaving");
+  }
+  if (!meta.is_leaving || plane_.scheduler.targets().RecordLeaving(
+                              {TargetId::FromName(assignment_->target_id),
+                               assignment_->incarnation}) == nullptr) {
+    return;
+  }
+  Log(LogLevel::kInfo, "target said that it leaves",
+      {{"target", assignment_->target_id},
+       {"incarnation", assignment_->incarnation}});
+  if (plane_.on_target_leaving) {
+    plane_.on_target_leaving();
+  }
+}
+
 void Exchange::OnBody(std::string_view data) {
   last_progress_at_ = plane_.clock.Now();
   if (response_kind_ == ResponseKind::kBuffered) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -49,6 +49,9 @@
   // Called when a request became a suspect for a crash of its target, so that
   // peers learn of it. May be empty.
   std::function<void()> on_crash = {};
+  // Called when a target said that it leaves, so that peers learn of it. May be
+  // empty.
+  std::function<void()> on_target_leaving = {};
   // Called with the id of a target to which no connection could be made, so
   // that peers learn of it. May be empty.
   std::function<void(const std::string&)> on_unreachable = {};
@@ -125,6 +128,9 @@
   // Records the rate limit that the target's response names, or that it names
   // none.
   void RecordRateLimit(const ResponseMeta& meta);
+  // Records that the target's response says that it leaves.
+  void RecordLeaving(const ResponseMeta& meta);
+  void CountMalformedHint(const char* hint);
   // Records metrics and logs the request. Does nothing if already done.
   void Finish(std::string_view outcome);
   // Time left until the caller's deadline or the route's timeout, whichever is
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -120,6 +120,7 @@
   target.removal_effective_at = TimePoint::max();
   target.cold_until = now + entry.cold_remaining;
   if (is_restarted) {
+    target.is_leaving = false;
     target.cached_chains.clear();
     target.named_rate_limit.reset();
     target.rate_limit_named_at = now;
@@ -329,6 +330,28 @@
   return nullptr;
 }
 
+TargetState* TargetTable::RecordLeaving(const LeavingTarget& leaving) {
+  for (auto& [id, target] : targets_) {
+    if (target.id == leaving.target) {
+      return target.entry.incarnation == leaving.incarnation &&
+                     !std::exchange(target.is_leaving, true)
+                 ? &target
+                 : nullptr;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<LeavingTarget> TargetTable::LeavingTargets() const {
+  std::vector<LeavingTarget> leaving;
+  for (const auto& [id, target] : targets_) {
+    if (target.is_leaving) {
+      leaving.push_back({target.id, target.entry.incarnation});
+    }
+  }
+  return leaving;
+}
+
 std::vector<NamedRateLimit> TargetTable::RateLimits(TimePoint now) const {
   std::vector<NamedRateLimit> limits;
   for (const auto& [id, target] : targets_) {
@@ -423,7 +446,7 @@
 
 bool TargetTable::IsInRotation(TimePoint now, const TargetState& target) const {
   return target.is_listed && now < target.removal_effective_at &&
-         !target.entry.is_draining &&
+         !target.entry.is_draining && !target.is_leaving &&
          !evacuated_zones_.contains(target.entry.zone);
 }
 
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -59,6 +59,13 @@
                          const NamedRateLimit&) = default;
 };
 
+// A run of a target that has said that it leaves.
+struct LeavingTarget {
+  TargetId target;
+  std::int64_t incarnation = 0;
+  friend bool operator==(const LeavingTarget&, const LeavingTarget&) = default;
+};
+
 // How an attempt ended, as evidence of the target's health.
 enum class AttemptOutcome {
   // A complete response with a status below 500.
@@ -135,6 +142,9 @@
   bool is_in_local_region = false;
   // False after the entry was removed from the target list.
   bool is_listed = true;
+  // The target has said in an answer that it leaves. Its list entry may not
+  // show it for a while. Holds for this incarnation.
+  bool is_leaving = false;
   // When a delayed removal takes effect; see `TargetTable::ApplyRemoval`.
   TimePoint removal_effective_at = TimePoint::max();
   // End of the cold start according to the target list.
@@ -242,6 +252,12 @@
   TargetState* MergeRateLimit(TimePoint now, const NamedRateLimit& named);
   // Returns the limits to be sent to peers, and those that ended recently.
   std::vector<NamedRateLimit> RateLimits(TimePoint now) const;
+  // Records that an answer to a router says that the target leaves. Returns the
+  // target if that is new, and it is still the same incarnation; otherwise
+  // null.
+  TargetState* RecordLeaving(const LeavingTarget& leaving);
+  // Returns the targets that leave, for the reports to peers.
+  std::vector<LeavingTarget> LeavingTargets() const;
   // Records a measured time to first event and the time expected from the load
   // alone, both in seconds.
   void RecordFirstEvent(TimePoint now, TargetState& target,
@@ -276,7 +292,7 @@
   std::map<std::string, TargetState>& targets() { return targets_; }
 
   // Returns whether the target may get new requests, regardless of its health:
-  // it is listed, not draining, and its zone is not evacuated.
+  // it is listed, neither draining nor leaving, and its zone is not evacuated.
   bool IsInRotation(TimePoint now, const TargetState& target) const;
   bool IsCold(TimePoint now, const TargetState& target) const {
     return now < target.cold_until || target.may_be_cold;
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -33,6 +33,24 @@
   CHECK_FALSE(table.IsInRotation(kStart, *table.Find("t")));
 }
 
+TEST_CASE("A target that leaves stays out of rotation until it restarts") {
+  TargetTable table;
+  table.ApplyEntry(kStart, MakeEntry("t"));
+  const LeavingTarget leaving{TargetId::FromName("t"), 1};
+  CHECK(table.RecordLeaving({TargetId::FromName("t"), 2}) == nullptr);
+  CHECK(table.RecordLeaving(leaving) == table.Find("t"));
+  CHECK(table.RecordLeaving(leaving) == nullptr);
+  CHECK(table.LeavingTargets() == std::vector<LeavingTarget>{leaving});
+  // Its heartbeats don't show it yet.
+  table.ApplyEntry(kStart + seconds(1), MakeEntry("t"));
+  CHECK_FALSE(table.IsInRotation(kStart + seconds(1), *table.Find("t")));
+  TargetEntry entry = MakeEntry("t");
+  entry.incarnation = 2;
+  table.ApplyEntry(kStart + seconds(2), entry);
+  CHECK(table.IsInRotation(kStart + seconds(2), *table.Find("t")));
+  CHECK(table.RecordLeaving(leaving) == nullptr);
+}
+
 TEST_CASE("A restored entry undoes neither a drain nor a removal") {
   TargetTable table;
   TargetEntry entry = MakeEntry("draining");
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -60,6 +60,10 @@
   std::optional<double> rate_limit;
   // The response names a limit that is not a plausible number.
   bool has_malformed_rate_limit = false;
+  // The target says that it leaves.
+  bool is_leaving = false;
+  // The response has a malformed or repeated header about leaving.
+  bool has_malformed_leaving = false;
 };
 
 }  // namespace corianderpost
--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -116,6 +116,15 @@
            {"peer", report.sender.vm}});
     }
   }
+  for (const LeavingTarget& it : report.leaving_targets) {
+    if (const TargetState* target = scheduler_.targets().RecordLeaving(it);
+        target != nullptr) {
+      Log(LogLevel::kInfo, "target said that it leaves",
+          {{"target", target->entry.id},
+           {"incarnation", it.incarnation},
+           {"peer", report.sender.vm}});
+    }
+  }
   for (const std::string& it : report.unreachable_targets) {
     scheduler_.ConfirmCrash(now, it);
     TargetState* target = scheduler_.targets().Find(it);
@@ -167,6 +176,7 @@
   report.customer_rates = scheduler_.fair_share().LocalRates(now);
   report.link_use = scheduler_.LocalLinkUse(now);
   report.rate_limits = scheduler_.targets().RateLimits(now);
+  report.leaving_targets = scheduler_.targets().LeavingTargets();
   report.suspects = scheduler_.suspects().ReportsFor(now, is_complete);
   std::erase_if(unreachable_recorded_at_, [now](const auto& it) {
     return now - it.second > kUnreachableReportTime;
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -116,6 +116,12 @@
   Json extensions = {{"suspects", EncodeSuspects(report.suspects)},
                      {"rate_limits", EncodeRateLimits(report.rate_limits)},
                      {"limit_use", EncodeLimitUse(report.load)}};
+  Json leaving = Json::array();
+  for (const LeavingTarget& it : report.leaving_targets) {
+    leaving.push_back(it.target.value());
+    leaving.push_back(it.incarnation);
+  }
+  extensions["leaving"] = std::move(leaving);
   if (report.operator_keys) {
     const OperatorKeysState& keys = *report.operator_keys;
     extensions["operator_keys"] = {
@@ -128,6 +134,18 @@
   return crashes;
 }
 
+void DecodeLeaving(const Json& crashes, PeerReport& report) {
+  // Reports of earlier versions lack the field.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("leaving")) {
+    return;
+  }
+  const Json& leaving = crashes.back().at("leaving");
+  for (std::size_t i = 0; i + 2 <= leaving.size(); i += 2) {
+    report.leaving_targets.push_back({TargetId(leaving[i].get<std::uint32_t>()),
+                                      leaving[i + 1].get<std::int64_t>()});
+  }
+}
+
 // Returns absent if the sender is of an earlier version.
 std::optional<OperatorKeysState> DecodeOperatorKeys(const Json& crashes) {
   if (crashes.size() % 2 == 0 || !crashes.back().contains("operator_keys")) {
@@ -298,6 +316,7 @@
     }
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
+    DecodeLeaving(json[10], report);
     report.operator_keys = DecodeOperatorKeys(json[10]);
     if (report.operator_keys) {
       report.target_list_era =
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -104,6 +104,7 @@
   Duration echo_delay{0};
   std::vector<SuspectReport> suspects;
   std::vector<NamedRateLimit> rate_limits;
+  std::vector<LeavingTarget> leaving_targets;
   // Ids of targets to which connections failed recently.
   std::vector<std::string> unreachable_targets;
   // Live routers known to the sender; omitted from some reports.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -249,13 +249,17 @@
   CHECK(sources == std::vector<std::string>{"10.0.0.20"});
 }
 
-TEST_CASE("The state of the operators' keys survives the encoding") {
+TEST_CASE("What earlier versions don't report survives the encoding") {
   PeerReport report = MakeKeysReport(MakeRouterInfo("10.0.0.2", "a", 120), 7,
                                      std::chrono::milliseconds(5));
   report.operator_keys->newest_age = std::chrono::milliseconds(40);
+  report.target_list_era = 3;
+  report.leaving_targets = {{TargetId::FromName("t"), 1'781'647'952'021}};
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
   CHECK(decoded->operator_keys == report.operator_keys);
+  CHECK(decoded->target_list_era == 3);
+  CHECK(decoded->leaving_targets == report.leaving_targets);
 }
 
 // Three zones of ten routers. Guards against load that is counted twice or lost
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -428,6 +428,7 @@
       tick_timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
   plane_.on_crash = [this] { messenger_.ReportAtNextTick(); };
+  plane_.on_target_leaving = [this] { messenger_.ReportAtNextTick(); };
   plane_.on_unreachable = [this](const std::string& id) {
     messenger_.ReportUnreachable(clock_.Now(), id);
   };
--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -73,6 +73,14 @@
   }
   arrivals_.push_back({clock_.Now(), meta.request_id, crashing_part});
   open_.push_back(caller);
+  if (is_refusing) {
+    caller->Write("HTTP/1.1 503 Service Unavailable\r\n" +
+                  platform::FormatStandinSignature(meta.request_id) +
+                  platform::FormatStandinNotExecuted() + refusal_headers +
+                  "Content-Length: 0\r\n\r\n");
+    caller->FinishResponse(false);
+    return;
+  }
   RunAfter(loop_, kStartDelay,
            [this, caller, meta, crashing_part, incarnation = incarnation_] {
              if (incarnation == incarnation_ && caller->is_open()) {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -53,6 +53,10 @@
   std::set<std::uint64_t> crashing_parts;
   // Header lines added to each response.
   std::string extra_headers;
+  // Whether requests are answered with 503, as not executed, and the header
+  // lines of these responses.
+  bool is_refusing = false;
+  std::string refusal_headers;
 
  private:
   void Begin(const std::shared_ptr<CallerConnection>& caller,
--- /dev/null
+++ b/tests/fleet/target_hints_fleet_test.cc
@@ -0,0 +1,72 @@
+// Plays load before engines that say in their answers that they leave, or that
+// they want no requests for a while.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+#include "fleet/engine_fleet.h"
+#include "platform/standin_wire.h"
+
+namespace corianderpost::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kRouters = 6;
+constexpr int kEngines = 8;
+constexpr double kRequestsPerSecond = 150;
+const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
+
+class Load {
+ public:
+  Load(EngineFleet& fleet, std::uint64_t seed)
+      : fleet_(fleet), random_(seed), next_(fleet.Now()) {}
+  void operator()(TimePoint now) {
+    std::exponential_distribution<double> gap(kRequestsPerSecond);
+    for (; next_ <= now;
+         next_ += Duration(static_cast<std::int64_t>(1e6 * gap(random_)))) {
+      fleet_.Send(random_() % fleet_.routers().size(),
+                  kCustomers[random_() % kCustomers.size()],
+                  {{1 + random_() % 40, 300}, {random_(), 200}});
+    }
+  }
+
+ private:
+  EngineFleet& fleet_;
+  std::mt19937_64 random_;
+  TimePoint next_;
+};
+
+TEST_CASE("A target that says that it leaves gets no requests") {
+  constexpr Duration kDrainBound = seconds(3);
+  const std::uint64_t seed = 1;
+  INFO("seed ", seed);
+  EngineFleet fleet(216, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  Load load(fleet, seed);
+  fleet.PlayFor(seconds(2), std::ref(load));
+  fleet.store().SetDown(true);
+  const TimePoint left_at = fleet.Now();
+  for (const std::size_t i : {0, 3}) {
+    fleet.engines()[i]->extra_headers = platform::FormatStandinLeaving();
+  }
+  fleet.PlayFor(kDrainBound, std::ref(load));
+  // A router that starts learns it from its peers.
+  fleet.routers()[2]->Kill();
+  fleet.routers()[2]->Start();
+  fleet.PlayFor(seconds(4), std::ref(load));
+  const auto late = [&](std::size_t engine) {
+    return std::count_if(
+        fleet.engines()[engine]->arrivals().begin(),
+        fleet.engines()[engine]->arrivals().end(),
+        [&](const Arrival& it) { return it.at >= left_at + kDrainBound; });
+  };
+  CHECK(late(0) == 0);
+  CHECK(late(3) == 0);
+  CHECK(late(1) > 0);
+}
+
+}  // namespace
+}  // namespace corianderpost::soak
