--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -295,6 +295,9 @@
     RecordRateLimit(meta);
     RecordLeaving(meta);
   }
+  if (status == 503) {
+    RecordPause(meta);
+  }
   if (meta.is_not_executed || status == 421) {
     response_kind_ = ResponseKind::kNotExecuted;
     return;
@@ -342,6 +345,24 @@
                                   "hint=\"" + std::string(hint) + "\"");
 }
 
+void Exchange::RecordPause(const ResponseMeta& meta) {
+  if (meta.has_malformed_retry_after) {
+    CountMalformedHint("retry_after");
+  }
+  TargetState* target = plane_.scheduler.targets().Find(assignment_->target_id);
+  if (!meta.retry_after || target == nullptr ||
+      target->entry.incarnation != assignment_->incarnation) {
+    return;
+  }
+  const TimePoint until = last_progress_at_ + *meta.retry_after;
+  if (!TargetTable::IsPaused(last_progress_at_, *target)) {
+    Log(LogLevel::kInfo, "target asked for a pause",
+        {{"target", assignment_->target_id},
+         {"for_ms", ToMilliseconds(*meta.retry_after)}});
+  }
+  target->paused_until = std::max(target->paused_until, until);
+}
+
 void Exchange::RecordLeaving(const ResponseMeta& meta) {
   if (meta.has_malformed_leaving) {
     CountMalformedHint("leaving");
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -130,6 +130,8 @@
   void RecordRateLimit(const ResponseMeta& meta);
   // Records that the target's response says that it leaves.
   void RecordLeaving(const ResponseMeta& meta);
+  // Records that the target rejected the request and asked for a pause.
+  void RecordPause(const ResponseMeta& meta);
   void CountMalformedHint(const char* hint);
   // Records metrics and logs the request. Does nothing if already done.
   void Finish(std::string_view outcome);
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -152,6 +152,8 @@
       return "retry_budget";
     case RejectionReason::kRateLimited:
       return "rate_limited";
+    case RejectionReason::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -232,7 +234,7 @@
   std::vector<TargetState*> in_rotation;
   std::vector<TargetState*> healthy;
   for (TargetState* it : targets_.OfService(request.service)) {
-    if (!targets_.IsInRotation(now, *it) ||
+    if (!targets_.IsInRotation(now, *it) || TargetTable::IsPaused(now, *it) ||
         !IsAllowedRegion(request, it->region) ||
         Contains(request.tried_targets, it->entry.id)) {
       continue;
@@ -412,7 +414,8 @@
   capacity.updated_at = now;
   double usable_engines = 0;
   for (const TargetState* it : targets_.OfService(service)) {
-    if (targets_.IsInRotation(now, *it) && now >= it->ejected_until) {
+    if (targets_.IsInRotation(now, *it) && now >= it->ejected_until &&
+        !TargetTable::IsPaused(now, *it)) {
       usable_engines += CapacityFraction(now, *it);
     }
   }
@@ -579,8 +582,7 @@
     return assignment;
   }
   if (candidates.empty()) {
-    return Rejection{RejectionReason::kNoTarget, kNoTargetRetryAfter,
-                     Duration(0), 0};
+    return RejectWithoutTarget(now, request);
   }
   if (has_share_credit && limited_rate > 0) {
     Decision decision = Reject(now, request, RejectionReason::kRateLimited,
@@ -597,6 +599,24 @@
                 best_seconds, limit_seconds, excluded);
 }
 
+Rejection Scheduler::RejectWithoutTarget(TimePoint now,
+                                         const ScheduledRequest& request) {
+  TimePoint first_pause_ends = TimePoint::max();
+  for (const TargetState* it : targets_.OfService(request.service)) {
+    if (targets_.IsInRotation(now, *it) && TargetTable::IsPaused(now, *it) &&
+        IsAllowedRegion(request, it->region) &&
+        !Contains(request.tried_targets, it->entry.id)) {
+      first_pause_ends = std::min(first_pause_ends, it->paused_until);
+    }
+  }
+  if (first_pause_ends == TimePoint::max()) {
+    return {RejectionReason::kNoTarget, kNoTargetRetryAfter, Duration(0), 0};
+  }
+  return {RejectionReason::kPaused,
+          std::clamp(first_pause_ends - now, kMinRetryAfter, kMaxRetryAfter),
+          Duration(0), 0};
+}
+
 Decision Scheduler::Reject(TimePoint now, const ScheduledRequest& request,
                            RejectionReason reason, double best_seconds,
                            double limit_seconds,
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -76,6 +76,8 @@
   kRetryBudget,
   // All targets with headroom name a rate limit that is used up.
   kRateLimited,
+  // All targets have asked this router for a pause.
+  kPaused,
 };
 
 std::string_view ToString(RejectionReason reason);
@@ -260,9 +262,12 @@
 
   // Returns the targets of the request's service that are in rotation, in an
   // allowed region and not tried yet. Leaves out those that are ejected and
-  // half-open ones with a probe in flight, unless none would be left.
+  // half-open ones with a probe in flight, unless none would be left, and
+  // always those that have asked for a pause.
   std::vector<TargetState*> UsableTargets(TimePoint now,
                                           const ScheduledRequest& request);
+  // Returns a rejection because no target is usable.
+  Rejection RejectWithoutTarget(TimePoint now, const ScheduledRequest& request);
   static bool IsAllowedRegion(const ScheduledRequest& request,
                               const std::string& region);
   // Predicts how `target` would serve the request. Shared parts that this
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -151,6 +151,26 @@
   CHECK(used.size() > 1);
 }
 
+TEST_CASE("Scheduler uses no target that has asked for a pause") {
+  Fixture fixture({"a", "a"});
+  TargetTable& targets = fixture.scheduler().targets();
+  targets.Find("t0")->paused_until = kStart + seconds(3);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(ChosenTarget(fixture.scheduler().Place(
+              kStart, fixture.Request("small", 40 + i, 10))) == "t1");
+  }
+  // Not even if it is the only one.
+  targets.Find("t1")->paused_until = kStart + milliseconds(1500);
+  const Decision decision =
+      fixture.scheduler().Place(kStart, fixture.Request("small", 42, 10));
+  const auto* rejection = std::get_if<Rejection>(&decision);
+  REQUIRE(rejection != nullptr);
+  CHECK(rejection->reason == RejectionReason::kPaused);
+  CHECK(rejection->retry_after == milliseconds(1500));
+  CHECK(ChosenTarget(fixture.scheduler().Place(
+            kStart + seconds(2), fixture.Request("small", 42, 10))) == "t1");
+}
+
 TEST_CASE("Scheduler includes the load that peers report") {
   Fixture fixture({"a", "b"});
   const std::string home = ChosenTarget(
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -121,6 +121,7 @@
   target.cold_until = now + entry.cold_remaining;
   if (is_restarted) {
     target.is_leaving = false;
+    target.paused_until = TimePoint();
     target.cached_chains.clear();
     target.named_rate_limit.reset();
     target.rate_limit_named_at = now;
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -145,6 +145,8 @@
   // The target has said in an answer that it leaves. Its list entry may not
   // show it for a while. Holds for this incarnation.
   bool is_leaving = false;
+  // Until then the target wants no requests from this router.
+  TimePoint paused_until;
   // When a delayed removal takes effect; see `TargetTable::ApplyRemoval`.
   TimePoint removal_effective_at = TimePoint::max();
   // End of the cold start according to the target list.
@@ -294,6 +296,10 @@
   // Returns whether the target may get new requests, regardless of its health:
   // it is listed, neither draining nor leaving, and its zone is not evacuated.
   bool IsInRotation(TimePoint now, const TargetState& target) const;
+  // Returns whether the target has asked this router for a pause that lasts.
+  static bool IsPaused(TimePoint now, const TargetState& target) {
+    return now < target.paused_until;
+  }
   bool IsCold(TimePoint now, const TargetState& target) const {
     return now < target.cold_until || target.may_be_cold;
   }
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -60,6 +60,11 @@
   std::optional<double> rate_limit;
   // The response names a limit that is not a plausible number.
   bool has_malformed_rate_limit = false;
+  // For how long the target wants no further requests from this router; absent
+  // if it names no time.
+  std::optional<Duration> retry_after;
+  // The response names a time that is malformed, implausible or repeated.
+  bool has_malformed_retry_after = false;
   // The target says that it leaves.
   bool is_leaving = false;
   // The response has a malformed or repeated header about leaving.
--- a/tests/fleet/target_hints_fleet_test.cc
+++ b/tests/fleet/target_hints_fleet_test.cc
@@ -39,6 +39,18 @@
   TimePoint next_;
 };
 
+// Times of the requests that reached an engine, by the router that sent them.
+std::map<std::size_t, std::vector<TimePoint>> ArrivalsByRouter(
+    const EngineFleet& fleet, const Engine& engine) {
+  std::map<std::size_t, std::vector<TimePoint>> arrivals;
+  for (const Arrival& it : engine.arrivals()) {
+    // The id is "c" and the number of the call.
+    const std::size_t call = std::stoul(it.request_id.substr(1)) - 1;
+    arrivals[fleet.calls().at(call)->router].push_back(it.at);
+  }
+  return arrivals;
+}
+
 TEST_CASE("A target that says that it leaves gets no requests") {
   constexpr Duration kDrainBound = seconds(3);
   const std::uint64_t seed = 1;
@@ -68,5 +80,49 @@
   CHECK(late(1) > 0);
 }
 
+TEST_CASE("A target that asks for a pause gets no requests of that router") {
+  constexpr Duration kPause = seconds(4);
+  constexpr Duration kNoticeTime = milliseconds(500);
+  constexpr std::ptrdiff_t kMaxRequests = 2;
+  const std::uint64_t seed = 2;
+  INFO("seed ", seed);
+  EngineFleet fleet(217, kRouters, kEngines, kCustomers);
+  fleet.Start();
+  Load load(fleet, seed);
+  fleet.PlayFor(seconds(2), std::ref(load));
+  const TimePoint refused_at = fleet.Now();
+  for (std::size_t i = 0; i < 5; ++i) {
+    fleet.engines()[i]->is_refusing = true;
+    fleet.engines()[i]->refusal_headers = "Retry-After: 4\r\n";
+  }
+  fleet.PlayFor(seconds(9), std::ref(load));
+  for (std::size_t i = 0; i < 5; ++i) {
+    fleet.engines()[i]->is_refusing = false;
+  }
+  const TimePoint accepted_at = fleet.Now();
+  fleet.PlayFor(seconds(6), std::ref(load));
+  std::size_t returned = 0;
+  for (std::size_t i = 0; i < 5; ++i) {
+    INFO("engine ", i);
+    for (const auto& [router, arrivals] :
+         ArrivalsByRouter(fleet, *fleet.engines()[i])) {
+      INFO("router ", router);
+      const auto first =
+          std::lower_bound(arrivals.begin(), arrivals.end(), refused_at);
+      if (first == arrivals.end()) {
+        continue;
+      }
+      const auto begin = std::lower_bound(arrivals.begin(), arrivals.end(),
+                                          *first + kNoticeTime);
+      const auto end =
+          std::lower_bound(arrivals.begin(), arrivals.end(), *first + kPause);
+      CHECK(end - begin <= kMaxRequests);
+      returned += arrivals.back() >= accepted_at ? 1 : 0;
+    }
+  }
+  // The pause ends.
+  CHECK(returned > 0);
+}
+
 }  // namespace
 }  // namespace corianderpost::soak
