--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -249,8 +249,10 @@
       return true;
     }
     const ResponseMeta meta = dialect_->DecodeResponse(head);
-    if (!meta.request_id.empty() && meta.request_id != request_id_) {
-      // A late response to an earlier request.
+    const bool may_be_late = is_reused_ && !request_id_.empty();
+    if (meta.request_id.empty() ? may_be_late
+                                : meta.request_id != request_id_) {
+      // A late or repeated response to an earlier request.
       is_skipping_response_ = true;
       must_close_ = true;
     } else {
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -60,7 +60,8 @@
 
   // Sends a request, connecting first if necessary. `listener` must outlive its
   // last call. A response that carries another id than `request_id` is a late
-  // response to an earlier request and is skipped.
+  // response to an earlier request and is skipped; on a connection that has
+  // carried an earlier request, so is one without an id.
   void Send(std::string head, std::shared_ptr<const std::string> body,
             bool is_head_request, std::string request_id,
             const Dialect& dialect, UpstreamListener* listener);
