--- a/src/dataplane/event_splitter.cc
+++ b/src/dataplane/event_splitter.cc
@@ -51,6 +51,17 @@
   return events;
 }
 
+bool IsComment(const StreamEvent& event) {
+  bool is_line_start = true;
+  for (const char c : event.text) {
+    if (is_line_start && c != ':' && c != '\n' && c != '\r') {
+      return false;
+    }
+    is_line_start = c == '\n' || c == '\r';
+  }
+  return true;
+}
+
 std::optional<std::int64_t> ParseEventNumber(std::string_view id) {
   std::int64_t value = 0;
   const auto [end, ec] =
--- a/src/dataplane/event_splitter.h
+++ b/src/dataplane/event_splitter.h
@@ -34,6 +34,10 @@
   std::string partial_;
 };
 
+// Returns whether an event consists of comments and empty lines only, such as
+// those that keep a connection open.
+bool IsComment(const StreamEvent& event);
+
 // Parses an event id that is a decimal integer; nullopt for any other id.
 std::optional<std::int64_t> ParseEventNumber(std::string_view id);
 
--- a/src/dataplane/event_splitter_test.cc
+++ b/src/dataplane/event_splitter_test.cc
@@ -58,5 +58,12 @@
   CHECK_FALSE(ParseEventNumber(""));
 }
 
+TEST_CASE("IsComment tells comments from events with data") {
+  CHECK(IsComment({": ping\n\n", ""}));
+  CHECK(IsComment({"\r\n", ""}));
+  CHECK_FALSE(IsComment({"data: x\n\n", ""}));
+  CHECK_FALSE(IsComment({": ping\nevent: error\n\n", ""}));
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -248,6 +248,8 @@
   response_kind_ = ResponseKind::kNone;
   response_body_.clear();
   splitter_ = EventSplitter();
+  is_resuming_ = has_stream_begun_;
+  attempt_events_ = 0;
   ForwardedContext context;
   context.remaining = RemainingTime(now);
   context.target_id = assignment.target_id;
@@ -413,16 +415,19 @@
 void Exchange::ForwardEvent(const StreamEvent& event) {
   const auto number = ParseEventNumber(event.id);
   const auto last = ParseEventNumber(last_event_id_);
-  if (number && last) {
-    if (*number != *last + 1) {
-      Log(LogLevel::kWarning, "stream has a gap or repeats an event",
-          {{"target", assignment_->target_id},
-           {"expected", *last + 1},
-           {"got", *number}});
-      EndAttempt(AttemptOutcome::kBroken);
-      RetryOrFail(true, "wrong event");
-      return;
-    }
+  // An event without a number may be the error message of a target that can't
+  // continue the stream.
+  const bool is_misplaced =
+      last &&
+      (number ? *number != *last + 1 : is_resuming_ && !IsComment(event));
+  if (is_misplaced) {
+    Log(LogLevel::kWarning, "stream has a gap or repeats an event",
+        {{"target", assignment_->target_id},
+         {"expected", *last + 1},
+         {"got", event.id}});
+    EndAttempt(AttemptOutcome::kBroken);
+    RetryOrFail(true, "wrong event");
+    return;
   }
   plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_,
                                     scheduled_);
@@ -442,6 +447,7 @@
     last_event_id_ = event.id;
   }
   ++events_forwarded_;
+  ++attempt_events_;
   caller_->Write(std::move(out));
 }
 
@@ -461,7 +467,10 @@
       RetryOrFail(true, "the target's answer can't be used");
       return;
     case ResponseKind::kStream:
-      if (splitter_.HasPartialEvent() || !has_stream_begun_) {
+      // The end of a connection says nothing about a stream of which nothing
+      // came.
+      if (splitter_.HasPartialEvent() || !has_stream_begun_ ||
+          (is_resuming_ && !is_framed && attempt_events_ == 0)) {
         EndAttempt(AttemptOutcome::kBroken);
         RetryOrFail(true, "the stream ended within an event");
         return;
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -197,6 +197,10 @@
   EventSplitter splitter_;
   // The response head and at least one event were sent to the caller.
   bool has_stream_begun_ = false;
+  // The current attempt continues a stream that an earlier one began.
+  bool is_resuming_ = false;
+  // Events of the current attempt that were forwarded.
+  std::uint64_t attempt_events_ = 0;
   // Id of the last event forwarded to the caller; before that, the caller's own
   // Last-Event-Id.
   std::string last_event_id_;
