--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -317,6 +317,10 @@
   if (replica_.IsOfNewEra(batch)) {
     return batch.is_snapshot;
   }
+  if (replica_.era() == 0 && batch.era != 0) {
+    // The replica was copied from a peer of an earlier version.
+    return batch.is_snapshot;
+  }
   // A peer of an earlier version states no era. It may be of a former one.
   return batch.era == replica_.era() &&
          batch.store_revision > replica_.revision();
--- a/src/peers/store_replica.cc
+++ b/src/peers/store_replica.cc
@@ -165,6 +165,7 @@
   if (batch.era != 0 && era_ != 0 && batch.era != era_) {
     return changes;
   }
+  era_ = std::max(era_, batch.era);
   for (const StoreItem& it : batch.items) {
     if (ApplyItem(it)) {
       changes.push_back(it);
--- a/src/peers/store_replica_test.cc
+++ b/src/peers/store_replica_test.cc
@@ -154,6 +154,8 @@
   replica.ApplySnapshot(BatchOfEra(0, {Item("a", 8)}, 9));
   CHECK_FALSE(replica.IsOfNewEra(BatchOfEra(1, {}, 10)));
   CHECK(replica.IsOfNewEra(BatchOfEra(1, {}, 8)));
+  CHECK(replica.ApplyChanges(BatchOfEra(1, {Item("b", 10)}, 10)).size() == 1);
+  CHECK(replica.era() == 1);
 }
 
 TEST_CASE("Items that a peer retains are followed by the end of their keys") {
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -298,12 +298,11 @@
   void ApplyChanges(const std::vector<StoreItem>& items, bool after_outage);
   // A configuration is decoded over several turns of the event loop. Of those
   // that arrive meanwhile, the last one is decoded next.
-  void QueueConfiguration(WrittenConfiguration written);
+  void QueueConfiguration(WrittenConfiguration written, ChangeOrigin origin);
   void StartDecoding();
   void ContinueDecoding();
   bool is_decoding() const { return decoding_ != nullptr; }
   void ApplyConfiguration(std::shared_ptr<const Configuration> configuration);
-  void Apply(const ConfigurationWritten& change, ChangeOrigin origin);
   void Apply(const ZoneChanged& change, ChangeOrigin origin);
   void Apply(const TargetListed& change, ChangeOrigin origin);
   void Apply(const TargetRemoved& change, ChangeOrigin origin);
@@ -965,29 +964,32 @@
                                 : after_outage ? ChangeOrigin::kAfterOutage
                                                : ChangeOrigin::kWrite;
     FleetChange change = deployment_.DecodeChange(it);
-    if (auto* written = std::get_if<ConfigurationWritten>(&change)) {
-      QueueConfiguration({std::move(written->value), it.key, it.revision, now});
-      continue;
-    }
-    if (!it.is_restored) {
+    if (!it.is_restored &&
+        !std::holds_alternative<ConfigurationWritten>(change)) {
       (is_operator_key ? operator_reader_ : target_list_reader_)
           .Release(it.key);
     }
-    std::visit([this, origin](const auto& decoded) { Apply(decoded, origin); },
-               change);
+    std::visit(
+        [&](auto& decoded) {
+          using Change = std::decay_t<decltype(decoded)>;
+          if constexpr (std::is_same_v<Change, ConfigurationWritten>) {
+            QueueConfiguration(
+                {std::move(decoded.value), it.key, it.revision, now}, origin);
+          } else {
+            Apply(decoded, origin);
+          }
+        },
+        change);
   }
 }
 
-void Router::Impl::Apply(const ConfigurationWritten& change,
-                         ChangeOrigin origin) {
-  // Configurations are queued instead.
-  static_cast<void>(change);
-  static_cast<void>(origin);
-}
-
-void Router::Impl::QueueConfiguration(WrittenConfiguration written) {
-  // Versions in between are not needed.
-  queued_configuration_ = std::move(written);
+void Router::Impl::QueueConfiguration(WrittenConfiguration written,
+                                      ChangeOrigin origin) {
+  // Versions in between are not needed. One of an older copy does not replace
+  // another.
+  if (origin != ChangeOrigin::kRestore || !queued_configuration_) {
+    queued_configuration_ = std::move(written);
+  }
   if (!is_decoding()) {
     StartDecoding();
   }
