--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -351,6 +351,7 @@
   peer_failures_ = 0;
   LogReceived(result, peer, *batch, clock_.Now());
   const std::uint64_t old_content = replica_.content_revision();
+  const std::uint64_t old_era = replica_.era();
   std::vector<StoreItem> changes;
   if (IsNews(*batch)) {
     RecordUpdate(clock_.Now());
@@ -358,6 +359,10 @@
                                  : replica_.ApplyChanges(*batch);
     // A watch can continue from the revision of a loaded replica.
     needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
+    if (replica_.era() != old_era) {
+      // The pending watch waits for what follows a revision of the former era.
+      RestartWatch();
+    }
   }
   for (StoreItem& it : replica_.ApplyRetained(batch->retained)) {
     changes.push_back(std::move(it));
