--- a/tests/fleet/target_hints_fleet_test.cc
+++ b/tests/fleet/target_hints_fleet_test.cc
@@ -104,9 +104,9 @@
   std::size_t returned = 0;
   for (std::size_t i = 0; i < 5; ++i) {
     INFO("engine ", i);
-    for (const auto& [router, arrivals] :
-         ArrivalsByRouter(fleet, *fleet.engines()[i])) {
-      INFO("router ", router);
+    for (const auto& it : ArrivalsByRouter(fleet, *fleet.engines()[i])) {
+      INFO("router ", it.first);
+      const std::vector<TimePoint>& arrivals = it.second;
       const auto first =
           std::lower_bound(arrivals.begin(), arrivals.end(), refused_at);
       if (first == arrivals.end()) {
