--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -326,6 +326,11 @@
       });
 }
 
+std::size_t EngineFleet::RouterOf(const Arrival& arrival) const {
+  // The id is "c" and the number of the call.
+  return calls_.at(std::stoul(arrival.request_id.substr(1)) - 1)->router;
+}
+
 std::vector<TimePoint> EngineFleet::Crashes() const {
   std::vector<TimePoint> crashes;
   for (const auto& it : engines_) {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -134,6 +134,8 @@
   }
   // Times of all crashes, in order.
   std::vector<TimePoint> Crashes() const;
+  // Returns the index of the router that a request was sent to.
+  std::size_t RouterOf(const Arrival& arrival) const;
 
  private:
   struct OpenCall;
--- a/tests/fleet/large_configuration_fleet_test.cc
+++ b/tests/fleet/large_configuration_fleet_test.cc
@@ -3,9 +3,8 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
-#include <random>
-
 #include "fleet/engine_fleet.h"
+#include "fleet/random_load.h"
 
 namespace corianderpost::soak {
 namespace {
@@ -25,31 +24,14 @@
 constexpr double kRequestsPerSecond = 150;
 const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
 
-// Sends requests to random routers.
-class Load {
- public:
-  Load(EngineFleet& fleet, std::uint64_t seed)
-      : fleet_(fleet), random_(seed), next_(fleet.Now()) {}
-  void operator()(TimePoint now) {
-    std::exponential_distribution<double> gap(kRequestsPerSecond);
-    for (; next_ <= now;
-         next_ += Duration(static_cast<std::int64_t>(1e6 * gap(random_)))) {
-      fleet_.Send(random_() % fleet_.routers().size(),
-                  kCustomers[random_() % kCustomers.size()],
-                  {{1 + random_() % 3, 300}, {random_(), 200}});
-    }
-  }
-
- private:
-  EngineFleet& fleet_;
-  std::mt19937_64 random_;
-  TimePoint next_;
-};
+RandomLoad MakeLoad(EngineFleet& fleet, std::uint64_t seed) {
+  return {fleet, kCustomers, kRequestsPerSecond, 3, seed};
+}
 
 // Asks each router at intervals for the last of `added_routes`, until
 // `duration` is over. Returns for each router the time from now until the first
 // request that it did not answer with 404; `duration` if there is none.
-std::vector<Duration> MeasureDelays(EngineFleet& fleet, Load& load,
+std::vector<Duration> MeasureDelays(EngineFleet& fleet, RandomLoad& load,
                                     int added_routes, Duration duration) {
   const TimePoint start = fleet.Now();
   const std::string path = "/added-" + std::to_string(added_routes - 1) + "/";
@@ -84,7 +66,7 @@
 
 // Waits until the store's watches have been open for a while, so that a value
 // is sent in the second half of their time.
-void AwaitOldWatches(EngineFleet& fleet, Load& load) {
+void AwaitOldWatches(EngineFleet& fleet, RandomLoad& load) {
   constexpr Duration kMinAge = milliseconds(1700);
   const std::string prefix = fleet.deployment().operator_prefix();
   for (int i = 0; i < 120 && fleet.store().YoungestWatchAge(prefix) < kMinAge;
@@ -100,7 +82,7 @@
   INFO("seed ", seed);
   EngineFleet fleet(205, kRouters, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, seed);
+  RandomLoad load = MakeLoad(fleet, seed);
   fleet.PublishConfiguration(2, kLargeRouteCount);
   fleet.PlayFor(seconds(4), std::ref(load));
   fleet.store().SetBytesPerSecond(kSlowBytesPerSecond);
@@ -122,7 +104,7 @@
   EngineFleet fleet(206, kRouters, kEngines, kCustomers);
   fleet.Start();
   fleet.PublishConfiguration(2, kLargeRouteCount);
-  Load load(fleet, 1);
+  RandomLoad load = MakeLoad(fleet, 1);
   fleet.PlayFor(seconds(3), std::ref(load));
   fleet.store().SetBytesPerSecond(kSlowBytesPerSecond);
   for (const auto& it : fleet.routers()) {
@@ -144,7 +126,7 @@
 }
 
 // Returns the number of readiness checks that are answered with 503.
-std::size_t CountFailedChecks(EngineFleet& fleet, Load& load,
+std::size_t CountFailedChecks(EngineFleet& fleet, RandomLoad& load,
                               Duration duration) {
   std::vector<std::shared_ptr<const EngineCall>> checks;
   TimePoint next = fleet.Now();
@@ -167,7 +149,7 @@
   INFO("seed ", seed);
   EngineFleet fleet(207, kRouters, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, seed);
+  RandomLoad load = MakeLoad(fleet, seed);
   fleet.Throttle(0.25);
   fleet.PlayFor(seconds(8), std::ref(load));
   const std::size_t failed_before = CountFailedChecks(fleet, load, seconds(2));
@@ -184,7 +166,7 @@
 
 // Publishes a change while the readers of both zones do not run, and returns
 // the longest delay of the other routers.
-Duration MaxDelayWithoutReaders(EngineFleet& fleet, Load& load,
+Duration MaxDelayWithoutReaders(EngineFleet& fleet, RandomLoad& load,
                                 std::uint64_t version, int signal) {
   for (std::size_t i = 0; i < kReaders; ++i) {
     fleet.routers()[i]->Signal(signal);
@@ -202,7 +184,7 @@
     "are paused or killed") {
   EngineFleet fleet(208, kRouters, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, 3);
+  RandomLoad load = MakeLoad(fleet, 3);
   fleet.PublishConfiguration(2, kLargeRouteCount);
   fleet.PlayFor(seconds(4), std::ref(load));
   CHECK(MaxDelayWithoutReaders(fleet, load, 3, SIGSTOP) <= kApplyBound);
--- a/tests/fleet/restored_store_fleet_test.cc
+++ b/tests/fleet/restored_store_fleet_test.cc
@@ -1,9 +1,8 @@
 // Plays a store that comes back from an older copy, under load.
 #include <doctest/doctest.h>
 
-#include <random>
-
 #include "fleet/engine_fleet.h"
+#include "fleet/random_load.h"
 #include "platform/standin_wire.h"
 
 namespace corianderpost::soak {
@@ -26,44 +25,13 @@
 constexpr int kEngines = 8;
 const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
 
-class Load {
- public:
-  Load(EngineFleet& fleet, std::uint64_t seed)
-      : fleet_(fleet), random_(seed), next_(fleet.Now()) {}
-  void operator()(TimePoint now) {
-    std::exponential_distribution<double> gap(kRequestsPerSecond);
-    for (; next_ <= now;
-         next_ += Duration(static_cast<std::int64_t>(1e6 * gap(random_)))) {
-      calls_.push_back(fleet_.Send(random_() % fleet_.routers().size(),
-                                   kCustomers[random_() % kCustomers.size()],
-                                   {{1 + random_() % 3, 300}, {random_(), 200}},
-                                   path));
-    }
-  }
-  // Number of requests since `from` that got a response with this status line.
-  std::size_t Count(const std::string& status_line, TimePoint from) const {
-    return static_cast<std::size_t>(
-        std::count_if(calls_.begin(), calls_.end(), [&](const auto& it) {
-          return it->began_at >= from && it->response.starts_with(status_line);
-        }));
-  }
-  std::size_t CountSince(TimePoint from) const {
-    return static_cast<std::size_t>(
-        std::count_if(calls_.begin(), calls_.end(),
-                      [from](const auto& it) { return it->began_at >= from; }));
-  }
-
-  std::string path = "/stream/";
-
- private:
-  EngineFleet& fleet_;
-  std::mt19937_64 random_;
-  TimePoint next_;
-  std::vector<std::shared_ptr<const EngineCall>> calls_;
-};
+RandomLoad MakeLoad(EngineFleet& fleet, std::uint64_t seed) {
+  return {fleet, kCustomers, kRequestsPerSecond, 3, seed};
+}
 
 // Takes the store away and lets it return from a copy.
-void RestoreStore(EngineFleet& fleet, Load& load, const Store::Copy& copy) {
+void RestoreStore(EngineFleet& fleet, RandomLoad& load,
+                  const Store::Copy& copy) {
   fleet.store().SetDown(true);
   fleet.PlayFor(kOutage, std::ref(load));
   fleet.store().Restore(copy);
@@ -83,7 +51,7 @@
 void PlayConfigurations(int network, int routers) {
   EngineFleet fleet(network, routers, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, 1);
+  RandomLoad load = MakeLoad(fleet, 1);
   const Store::Copy copy = fleet.store().MakeCopy();
   fleet.PublishConfiguration(2, 1);
   fleet.PublishConfiguration(3, 2);
@@ -122,7 +90,7 @@
 TEST_CASE("Two restores of the store in a row lose no version") {
   EngineFleet fleet(212, 6, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, 2);
+  RandomLoad load = MakeLoad(fleet, 2);
   const Store::Copy first = fleet.store().MakeCopy();
   fleet.PublishConfiguration(2, 1);
   const Store::Copy second = fleet.store().MakeCopy();
@@ -145,7 +113,7 @@
 TEST_CASE("A restored store undoes neither a drain nor an evacuation") {
   EngineFleet fleet(213, 6, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, 3);
+  RandomLoad load = MakeLoad(fleet, 3);
   const Store::Copy copy = fleet.store().MakeCopy();
   fleet.PublishEngine(0, true);
   fleet.store().Put(platform::StandinEvacuationKey("b"), "{}");
@@ -171,7 +139,7 @@
   EngineFleet fleet(214, 6, kEngines, kCustomers);
   Store::Copy empty = fleet.store().MakeCopy();
   fleet.Start();
-  Load load(fleet, 4);
+  RandomLoad load = MakeLoad(fleet, 4);
   fleet.PlayFor(seconds(2), std::ref(load));
   const TimePoint lost_at = fleet.Now();
   RestoreStore(fleet, load, empty);
@@ -188,7 +156,7 @@
 TEST_CASE("A router that starts beside a restore gets the newest version") {
   EngineFleet fleet(215, 6, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, 5);
+  RandomLoad load = MakeLoad(fleet, 5);
   const Store::Copy copy = fleet.store().MakeCopy();
   fleet.PublishConfiguration(2, 1);
   fleet.PlayFor(kApplyBound, std::ref(load));
--- a/tests/fleet/target_hints_fleet_test.cc
+++ b/tests/fleet/target_hints_fleet_test.cc
@@ -3,9 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <map>
-#include <random>
 
 #include "fleet/engine_fleet.h"
+#include "fleet/random_load.h"
 #include "platform/standin_wire.h"
 
 namespace corianderpost::soak {
@@ -19,34 +19,16 @@
 constexpr double kRequestsPerSecond = 150;
 const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
 
-class Load {
- public:
-  Load(EngineFleet& fleet, std::uint64_t seed)
-      : fleet_(fleet), random_(seed), next_(fleet.Now()) {}
-  void operator()(TimePoint now) {
-    std::exponential_distribution<double> gap(kRequestsPerSecond);
-    for (; next_ <= now;
-         next_ += Duration(static_cast<std::int64_t>(1e6 * gap(random_)))) {
-      fleet_.Send(random_() % fleet_.routers().size(),
-                  kCustomers[random_() % kCustomers.size()],
-                  {{1 + random_() % 40, 300}, {random_(), 200}});
-    }
-  }
-
- private:
-  EngineFleet& fleet_;
-  std::mt19937_64 random_;
-  TimePoint next_;
-};
+RandomLoad MakeLoad(EngineFleet& fleet, std::uint64_t seed) {
+  return {fleet, kCustomers, kRequestsPerSecond, 40, seed};
+}
 
 // Times of the requests that reached an engine, by the router that sent them.
 std::map<std::size_t, std::vector<TimePoint>> ArrivalsByRouter(
     const EngineFleet& fleet, const Engine& engine) {
   std::map<std::size_t, std::vector<TimePoint>> arrivals;
   for (const Arrival& it : engine.arrivals()) {
-    // The id is "c" and the number of the call.
-    const std::size_t call = std::stoul(it.request_id.substr(1)) - 1;
-    arrivals[fleet.calls().at(call)->router].push_back(it.at);
+    arrivals[fleet.RouterOf(it)].push_back(it.at);
   }
   return arrivals;
 }
@@ -57,7 +39,7 @@
   INFO("seed ", seed);
   EngineFleet fleet(216, kRouters, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, seed);
+  RandomLoad load = MakeLoad(fleet, seed);
   fleet.PlayFor(seconds(2), std::ref(load));
   fleet.store().SetDown(true);
   const TimePoint left_at = fleet.Now();
@@ -88,7 +70,7 @@
   INFO("seed ", seed);
   EngineFleet fleet(217, kRouters, kEngines, kCustomers);
   fleet.Start();
-  Load load(fleet, seed);
+  RandomLoad load = MakeLoad(fleet, seed);
   fleet.PlayFor(seconds(2), std::ref(load));
   const TimePoint refused_at = fleet.Now();
   for (std::size_t i = 0; i < 5; ++i) {
