--- a/src/model/store_batch.h
+++ b/src/model/store_batch.h
@@ -4,9 +4,12 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "corianderpost/clock.h"
+
 namespace corianderpost {
 
 // A point in the history of the store. Revisions are given out again after the
@@ -46,6 +49,9 @@
   // Items of a former era that the sender, a peer, keeps until their owners
   // have written them again.
   std::vector<StoreItem> retained = {};
+  // How much longer removals may be effects of an outage of the store, as the
+  // sender, a peer, knows. Absent if it doesn't state that.
+  std::optional<Duration> outage_effects = std::nullopt;
 
   StorePosition position() const { return {era, store_revision}; }
 };
--- a/src/peers/replica_batch.cc
+++ b/src/peers/replica_batch.cc
@@ -16,6 +16,8 @@
 constexpr char kEraField[] = "era";
 constexpr char kItemsField[] = "items";
 constexpr char kRetainedField[] = "retained";
+// In milliseconds.
+constexpr char kOutageEffectsField[] = "outage_effects";
 // Fields of an item. One without value and without delta is a removal.
 constexpr char kKeyField[] = "key";
 constexpr char kValueField[] = "value";
@@ -134,7 +136,8 @@
 
 std::string EncodeReplicaBatch(const StoreReplica& replica,
                                const StorePosition& after,
-                               const std::vector<std::uint64_t>& bases) {
+                               const std::vector<std::uint64_t>& bases,
+                               Duration outage_effects) {
   const StoreBatch batch =
       replica.ChangesSince(after.era == replica.era() ? after.revision : 0);
   const std::vector<std::uint8_t> bytes = Json::to_msgpack(
@@ -142,7 +145,10 @@
        {kEraField, batch.era},
        {kSnapshotField, batch.is_snapshot},
        {kItemsField, EncodeItems(batch.items, replica, bases)},
-       {kRetainedField, EncodeItems(batch.retained, replica, bases)}});
+       {kRetainedField, EncodeItems(batch.retained, replica, bases)},
+       {kOutageEffectsField,
+        std::chrono::duration_cast<std::chrono::milliseconds>(outage_effects)
+            .count()}});
   return {bytes.begin(), bytes.end()};
 }
 
@@ -157,6 +163,8 @@
     batch.store_revision = json.at(kRevisionField).get<std::uint64_t>();
     batch.era = json.at(kEraField).get<std::uint64_t>();
     batch.is_snapshot = json.at(kSnapshotField).get<bool>();
+    batch.outage_effects = std::chrono::milliseconds(
+        json.at(kOutageEffectsField).get<std::int64_t>());
     for (auto status :
          {DecodeItems(json.at(kItemsField), replica, batch.items),
           DecodeItems(json.at(kRetainedField), replica, batch.retained)}) {
--- a/src/peers/replica_batch.h
+++ b/src/peers/replica_batch.h
@@ -16,10 +16,12 @@
 
 // Encodes the changes of `replica` after the position `after` as MessagePack,
 // or a snapshot if that is of another era. `bases` are hashes of large values
-// that the receiver has. Not thread-safe with changes of the replica.
+// that the receiver has, `outage_effects` is as in `StoreBatch`. Not
+// thread-safe with changes of the replica.
 std::string EncodeReplicaBatch(const StoreReplica& replica,
                                const StorePosition& after,
-                               const std::vector<std::uint64_t>& bases);
+                               const std::vector<std::uint64_t>& bases,
+                               Duration outage_effects);
 
 // Decodes a batch, and builds values from deltas and the values of `replica`,
 // the receiver's own. Returns FailedPreconditionError if the replica no longer
--- a/src/peers/replica_batch_test.cc
+++ b/src/peers/replica_batch_test.cc
@@ -25,15 +25,15 @@
   source.ApplySnapshot(
       Batch({{"k/a", std::string("\0\xff", 2), 3}, {"k/b", "", 4}}, 4));
   source.ApplyChanges(Batch({{"k/c", "x", 5}, {"k/b", "", 6, true}}, 6));
-  const auto batch = DecodeReplicaBatch(EncodeReplicaBatch(source, {0, 4}, {}),
-                                        StoreReplica());
+  const auto batch = DecodeReplicaBatch(
+      EncodeReplicaBatch(source, {0, 4}, {}, Duration(0)), StoreReplica());
   REQUIRE(batch.ok());
   CHECK_FALSE(batch->is_snapshot);
   CHECK(batch->store_revision == 6);
   CHECK(batch->items ==
         std::vector<StoreItem>{{"k/c", "x", 5, false}, {"k/b", "", 6, true}});
-  const auto snapshot =
-      DecodeReplicaBatch(EncodeReplicaBatch(source, {}, {}), StoreReplica());
+  const auto snapshot = DecodeReplicaBatch(
+      EncodeReplicaBatch(source, {}, {}, Duration(0)), StoreReplica());
   REQUIRE(snapshot.ok());
   CHECK(snapshot->is_snapshot);
   CHECK(snapshot->items.size() == 2);
@@ -46,8 +46,8 @@
   source.ApplySnapshot(before);
   receiver.ApplySnapshot(before);
   source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
-  const std::string bytes =
-      EncodeReplicaBatch(source, {0, 1}, receiver.LargeValueHashes());
+  const std::string bytes = EncodeReplicaBatch(
+      source, {0, 1}, receiver.LargeValueHashes(), Duration(0));
   CHECK(bytes.size() < LargeValue('b').size() / 4);
   const auto batch = DecodeReplicaBatch(bytes, receiver);
   REQUIRE(batch.ok());
@@ -62,8 +62,8 @@
   source.ApplySnapshot(before);
   receiver.ApplySnapshot(before);
   source.ApplyChanges(Batch({{"k", LargeValue('b'), 2}}, 2));
-  const std::string bytes =
-      EncodeReplicaBatch(source, {0, 1}, receiver.LargeValueHashes());
+  const std::string bytes = EncodeReplicaBatch(
+      source, {0, 1}, receiver.LargeValueHashes(), Duration(0));
   receiver.ApplyChanges(Batch({{"k", LargeValue('c'), 2}}, 2));
   CHECK(
       absl::IsFailedPrecondition(DecodeReplicaBatch(bytes, receiver).status()));
@@ -78,7 +78,7 @@
   batch.era = 2;
   source.ApplySnapshot(batch);
   const auto decoded = DecodeReplicaBatch(
-      EncodeReplicaBatch(source, {1, 9}, {}), StoreReplica());
+      EncodeReplicaBatch(source, {1, 9}, {}, Duration(0)), StoreReplica());
   REQUIRE(decoded.ok());
   CHECK(decoded->is_snapshot);
   CHECK(decoded->position() == StorePosition{2, 5});
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -28,9 +28,9 @@
 constexpr Duration kInitialRetryDelay = milliseconds(150);
 constexpr Duration kMaxRetryDelay = milliseconds(800);
 constexpr int kMaxRetryDoublings = 3;
-// If a replica had no update for this long, in addition to the watch timeout,
-// the store is assumed to have been unavailable.
-constexpr Duration kOutageThreshold = milliseconds(1000);
+// A replica is silent if it had no update for this long, in addition to the
+// watch timeout.
+constexpr Duration kMinSilence = milliseconds(1000);
 // For this long after an outage, changes may be effects of it.
 constexpr Duration kOutageSettlingTime = milliseconds(2200);
 // Another peer is asked if one does not begin to respond within this time.
@@ -59,14 +59,14 @@
   next_request_at_ = TimePoint();
 }
 
-bool StoreReader::IsAfterOutage(TimePoint now) const {
-  return now < outage_effects_until_;
+bool StoreReader::WasSilent(TimePoint now) const {
+  return replica_.is_loaded() &&
+         now - updated_at_ > options_.watch_timeout + kMinSilence;
 }
 
 void StoreReader::RecordUpdate(TimePoint now) {
-  if (now - updated_at_ > options_.watch_timeout + kOutageThreshold &&
-      replica_.is_loaded()) {
-    outage_effects_until_ = now + kOutageSettlingTime;
+  if (WasSilent(now)) {
+    // Not taken for an outage of the store: this router may have been late.
     Log(LogLevel::kInfo,
         "store replica updated again after a long time without updates",
         {{"prefix", options_.prefix},
@@ -75,6 +75,19 @@
   updated_at_ = now;
 }
 
+void StoreReader::RecordPeerUpdate(const StoreBatch& batch) {
+  const TimePoint now = clock_.Now();
+  if (batch.outage_effects) {
+    outage_effects_until_ =
+        std::max(outage_effects_until_,
+                 now + std::min(*batch.outage_effects, kOutageSettlingTime));
+  } else if (WasSilent(now)) {
+    // A peer of an earlier version doesn't tell whether there was an outage.
+    outage_effects_until_ = now + kOutageSettlingTime;
+  }
+  RecordUpdate(now);
+}
+
 void StoreReader::RecordStoreResponse() {
   const TimePoint now = clock_.Now();
   if (consecutive_failures_ > 0) {
@@ -172,7 +185,7 @@
        {"era", replica_.era()},
        {"revision", replica_.revision()},
        {"changes", changes.size()}});
-  change_handler_(changes, IsAfterOutage(clock_.Now()));
+  change_handler_(changes, OutageEffects(clock_.Now()));
 }
 
 std::uint64_t StoreReader::EraOf(const FetchResult& result) const {
@@ -268,12 +281,11 @@
   next_request_at_ = clock_.Now() + options_.watch_pause;
   const std::vector<StoreItem> changes = replica_.ApplyChanges(*batch);
   if (!changes.empty()) {
-    change_handler_(changes, IsAfterOutage(clock_.Now()));
+    change_handler_(changes, OutageEffects(clock_.Now()));
   }
 }
 
 void StoreReader::RequestSnapshot() {
-  outage_effects_until_ = clock_.Now() + kOutageSettlingTime;
   needs_snapshot_ = true;
   is_store_request_pending_ = false;
   next_request_at_ = clock_.Now() + kInitialRetryDelay;
@@ -354,7 +366,7 @@
   const std::uint64_t old_era = replica_.era();
   std::vector<StoreItem> changes;
   if (IsNews(*batch)) {
-    RecordUpdate(clock_.Now());
+    RecordPeerUpdate(*batch);
     changes = batch->is_snapshot ? ApplySnapshot(*batch)
                                  : replica_.ApplyChanges(*batch);
     // A watch can continue from the revision of a loaded replica.
@@ -385,7 +397,7 @@
   if (has_large_change) {
     RestartWatch();
   }
-  change_handler_(changes, IsAfterOutage(clock_.Now()));
+  change_handler_(changes, OutageEffects(clock_.Now()));
 }
 
 void StoreReader::Tick(TimePoint now, const std::vector<std::string>& peers,
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -3,6 +3,7 @@
 #ifndef CORIANDERPOST_PEERS_STORE_READER_H_
 #define CORIANDERPOST_PEERS_STORE_READER_H_
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -57,10 +58,10 @@
 // Used from the event loop only.
 class StoreReader {
  public:
-  // Receives the changes. `after_outage` is true for a while after an outage of
-  // the store, when items may be missing because of it.
-  using ChangeHandler =
-      std::function<void(const std::vector<StoreItem>&, bool after_outage)>;
+  // Receives the changes. For the time `outage_effects` from now, items may be
+  // missing because of an outage of the store; zero if there was none.
+  using ChangeHandler = std::function<void(const std::vector<StoreItem>&,
+                                           Duration outage_effects)>;
 
   StoreReader(StoreReaderOptions options, const StoreProtocol& protocol,
               Fetcher& fetcher, const Clock& clock,
@@ -83,7 +84,7 @@
   // Ends the retention of all keys but `key` once owners had the time to write
   // them again.
   void ReleaseSettled(TimePoint now, const std::string& key) {
-    if (!IsAfterOutage(now)) {
+    if (OutageEffects(now) == Duration(0)) {
       replica_.ReleaseAllExcept(key);
     }
   }
@@ -93,6 +94,10 @@
   TimePoint store_verified_at() const { return store_responded_at_; }
   // Number of times that the store was found to be restored.
   std::uint64_t restore_count() const { return restore_count_; }
+  // How much longer removals may be effects of an outage of the store.
+  Duration OutageEffects(TimePoint now) const {
+    return std::max(Duration(0), outage_effects_until_ - now);
+  }
   // Whether the last store request failed.
   bool is_failing() const { return consecutive_failures_ > 0; }
 
@@ -112,9 +117,10 @@
   void RejectOlder(const StorePosition& position);
   // Whether a peer's batch can be applied and is newer than the replica.
   bool IsNews(const StoreBatch& batch) const;
-  // Records that the replica was brought up to date. If the time since the last
-  // update is long, an outage of the store is assumed to have ended.
+  // Records that the replica was brought up to date.
   void RecordUpdate(TimePoint now);
+  // Records what a peer's batch tells of an outage of the store.
+  void RecordPeerUpdate(const StoreBatch& batch);
   // As `RecordUpdate`, after a response of the store itself.
   void RecordStoreResponse();
   void HandleFailure(const std::string& reason);
@@ -129,7 +135,8 @@
   // Logs the size and the times of a response with changes.
   void LogReceived(const FetchResult& result, const std::string& source,
                    const StoreBatch& batch, TimePoint decoded_at) const;
-  bool IsAfterOutage(TimePoint now) const;
+  // Whether the replica had no update for longer than a watch may take.
+  bool WasSilent(TimePoint now) const;
 
   StoreReaderOptions options_;
   const StoreProtocol& protocol_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -248,13 +248,12 @@
   };
 
   // How a change of the store came about.
-  enum class ChangeOrigin {
-    kWrite,
-    // It may be an effect of an outage of the store that has just ended.
-    kAfterOutage,
+  struct ChangeOrigin {
     // The store was restored from an older copy, which differs in this from
     // what was known.
-    kRestore,
+    bool is_restored = false;
+    // How much longer a removal may be an effect of an outage of the store.
+    Duration outage_effects{0};
   };
   // A configuration that waits to be decoded.
   struct WrittenConfiguration {
@@ -295,7 +294,8 @@
   void AwaitSignal();
   void BeginDrain();
 
-  void ApplyChanges(const std::vector<StoreItem>& items, bool after_outage);
+  void ApplyChanges(const std::vector<StoreItem>& items,
+                    Duration outage_effects);
   // A configuration is decoded over several turns of the event loop. Of those
   // that arrive meanwhile, the last one is decoded next.
   void QueueConfiguration(WrittenConfiguration written, ChangeOrigin origin);
@@ -402,15 +402,15 @@
            kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true,
            kOperatorPeerRequestInterval},
           deployment.store_protocol(), fetcher_, clock_,
-          [this](const std::vector<StoreItem>& items, bool after_outage) {
-            ApplyChanges(items, after_outage);
+          [this](const std::vector<StoreItem>& items, Duration outage_effects) {
+            ApplyChanges(items, outage_effects);
           }),
       target_list_reader_(
           {deployment.target_prefix(), settings.store_address,
            kTargetListWatchPause, kTargetListWatchTimeout},
           deployment.store_protocol(), fetcher_, clock_,
-          [this](const std::vector<StoreItem>& items, bool after_outage) {
-            ApplyChanges(items, after_outage);
+          [this](const std::vector<StoreItem>& items, Duration outage_effects) {
+            ApplyChanges(items, outage_effects);
           }),
       caller_handler_(*this),
       readiness_handler_(
@@ -488,10 +488,11 @@
         ParseNumber(QueryValue(request_target, "era")),
         ParseNumber(QueryValue(request_target, "after"))};
     if (QueryValue(request_target, "format") == "binary") {
-      return {200, "application/msgpack",
-              EncodeReplicaBatch(
-                  reader.replica(), after,
-                  ParseNumbers(QueryValue(request_target, "bases")))};
+      return {
+          200, "application/msgpack",
+          EncodeReplicaBatch(reader.replica(), after,
+                             ParseNumbers(QueryValue(request_target, "bases")),
+                             reader.OutageEffects(clock_.Now()))};
     }
     return {200, "application/json",
             deployment_.store_protocol().EncodeBatch(
@@ -951,7 +952,7 @@
 }
 
 void Router::Impl::ApplyChanges(const std::vector<StoreItem>& items,
-                                bool after_outage) {
+                                Duration outage_effects) {
   const TimePoint now = clock_.Now();
   for (const StoreItem& it : items) {
     const bool is_operator_key =
@@ -960,9 +961,8 @@
       messenger_.RecordOperatorChange(
           now, {operator_reader_.replica().era(), it.revision});
     }
-    const ChangeOrigin origin = it.is_restored ? ChangeOrigin::kRestore
-                                : after_outage ? ChangeOrigin::kAfterOutage
-                                               : ChangeOrigin::kWrite;
+    const ChangeOrigin origin = {
+        it.is_restored, it.is_restored ? kOutageRemovalGrace : outage_effects};
     FleetChange change = deployment_.DecodeChange(it);
     if (!it.is_restored &&
         !std::holds_alternative<ConfigurationWritten>(change)) {
@@ -987,7 +987,7 @@
                                       ChangeOrigin origin) {
   // Versions in between are not needed. One of an older copy does not replace
   // another.
-  if (origin != ChangeOrigin::kRestore || !queued_configuration_) {
+  if (!origin.is_restored || !queued_configuration_) {
     queued_configuration_ = std::move(written);
   }
   if (!is_decoding()) {
@@ -1022,7 +1022,7 @@
     } else {
       Apply(
           MalformedItem{decoded_.key, std::string(result->status().message())},
-          ChangeOrigin::kWrite);
+          ChangeOrigin());
     }
     if (queued_configuration_) {
       StartDecoding();
@@ -1073,7 +1073,7 @@
 }
 
 void Router::Impl::Apply(const ZoneChanged& change, ChangeOrigin origin) {
-  if (!change.is_evacuated && origin == ChangeOrigin::kRestore) {
+  if (!change.is_evacuated && origin.is_restored) {
     // The operators may have evacuated the zone after the copy was made.
     evacuation_ends_.try_emplace(change.zone,
                                  clock_.Now() + kOutageRemovalGrace);
@@ -1095,7 +1095,7 @@
   scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
   Log(LogLevel::kInfo,
       change.is_evacuated ? "zone evacuated" : "zone back in rotation",
-      {{"zone", change.zone}, {"restored", origin == ChangeOrigin::kRestore}});
+      {{"zone", change.zone}, {"restored", origin.is_restored}});
 }
 
 void Router::Impl::SettleRestore(TimePoint now) {
@@ -1108,7 +1108,7 @@
     }
     const std::string zone = it->first;
     it = evacuation_ends_.erase(it);
-    Apply(ZoneChanged{zone, false}, ChangeOrigin::kWrite);
+    Apply(ZoneChanged{zone, false}, ChangeOrigin());
   }
 }
 
@@ -1116,8 +1116,8 @@
   const TargetEntry& entry = change.entry;
   const TimePoint now = clock_.Now();
   TargetTable& targets = scheduler_.targets();
-  if (origin == ChangeOrigin::kRestore ? targets.ApplyRestoredEntry(now, entry)
-                                       : targets.ApplyEntry(now, entry)) {
+  if (origin.is_restored ? targets.ApplyRestoredEntry(now, entry)
+                         : targets.ApplyEntry(now, entry)) {
     Log(LogLevel::kInfo, "target added or updated",
         {{"target", entry.id},
          {"service", entry.service},
@@ -1126,16 +1126,16 @@
          {"draining", entry.is_draining},
          {"cold_ms", entry.cold_remaining.count() / 1000},
          {"incarnation", entry.incarnation},
-         {"restored", origin == ChangeOrigin::kRestore}});
+         {"restored", origin.is_restored}});
   }
 }
 
 void Router::Impl::Apply(const TargetRemoved& change, ChangeOrigin origin) {
-  const bool may_return = origin != ChangeOrigin::kWrite;
-  scheduler_.targets().ApplyRemoval(
-      clock_.Now(), change.id, may_return ? kOutageRemovalGrace : Duration(0));
+  scheduler_.targets().ApplyRemoval(clock_.Now(), change.id,
+                                    origin.outage_effects);
   Log(LogLevel::kInfo, "target removed",
-      {{"target", change.id}, {"after_outage", may_return}});
+      {{"target", change.id},
+       {"after_outage", origin.outage_effects > Duration(0)}});
 }
 
 void Router::Impl::Apply(const MalformedItem& change, ChangeOrigin origin) {
@@ -1146,7 +1146,7 @@
   if (change.key.starts_with(prefix)) {
     scheduler_.targets().ApplyRemoval(
         clock_.Now(), change.key.substr(prefix.size()),
-        origin == ChangeOrigin::kRestore ? kOutageRemovalGrace : Duration(0));
+        origin.is_restored ? origin.outage_effects : Duration(0));
   }
 }
 
