--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -77,6 +77,35 @@
   return {report.target_list_era, report.target_list_revision};
 }
 
+// A peer from which to copy a replica.
+struct CopySource {
+  std::string vm;
+  bool is_in_local_zone = false;
+  StorePosition position;
+};
+
+void AddUnique(const std::string& vm, std::vector<std::string>& vms) {
+  if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
+    vms.push_back(vm);
+  }
+}
+
+// Returns the peers, each once, the preferred one first.
+std::vector<std::string> RankedAddresses(std::vector<CopySource> sources) {
+  // Copying within the zone causes no traffic between zones.
+  std::stable_sort(sources.begin(), sources.end(),
+                   [](const CopySource& a, const CopySource& b) {
+                     return a.is_in_local_zone != b.is_in_local_zone
+                                ? a.is_in_local_zone
+                                : a.position > b.position;
+                   });
+  std::vector<std::string> vms;
+  for (const CopySource& it : sources) {
+    AddUnique(it.vm, vms);
+  }
+  return vms;
+}
+
 }  // namespace
 
 bool PeerTable::IsAlive(TimePoint now, const Peer& peer) const {
@@ -358,23 +387,15 @@
   return report;
 }
 
-std::optional<std::string> PeerTable::PeerWithNewerTargetList(
+std::vector<std::string> PeerTable::TargetListSources(
     TimePoint now, const StorePosition& local) const {
-  const PeerReport* newest = nullptr;
-  bool newest_is_in_local_zone = false;
+  std::vector<CopySource> sources;
   const auto consider = [&](const std::optional<PeerReport>& report,
                             TimePoint received_at) {
-    if (!report || now - received_at > kLivenessTimeout ||
-        TargetListPosition(*report) <= local) {
-      return;
-    }
-    // Fetching a replica within the zone causes no traffic between zones.
-    const bool is_in_local_zone = report->sender.zone == self_.zone;
-    if (newest == nullptr || (is_in_local_zone && !newest_is_in_local_zone) ||
-        (is_in_local_zone == newest_is_in_local_zone &&
-         TargetListPosition(*report) > TargetListPosition(*newest))) {
-      newest = &*report;
-      newest_is_in_local_zone = is_in_local_zone;
+    if (report && now - received_at <= kLivenessTimeout &&
+        TargetListPosition(*report) > local) {
+      sources.push_back({report->sender.vm, report->sender.zone == self_.zone,
+                         TargetListPosition(*report)});
     }
   };
   for (const auto& [vm, peer] : peers_) {
@@ -382,8 +403,7 @@
     consider(peer.zone_report, peer.zone_report_at);
   }
   consider(fleet_report_, fleet_report_at_);
-  return newest == nullptr ? std::nullopt
-                           : std::optional<std::string>(newest->sender.vm);
+  return RankedAddresses(std::move(sources));
 }
 
 void PeerTable::RecordOperatorChange(const StorePosition& position,
@@ -407,12 +427,7 @@
 std::vector<std::string> PeerTable::OperatorKeySources(
     TimePoint now, const OperatorKeysState& local,
     std::uint64_t local_revision) const {
-  struct Source {
-    std::string vm;
-    bool is_in_local_zone = false;
-    StorePosition content;
-  };
-  std::vector<Source> sources;
+  std::vector<CopySource> sources;
   const auto consider = [&](const std::optional<PeerReport>& report,
                             TimePoint received_at) {
     if (report && now - received_at <= kLivenessTimeout &&
@@ -428,28 +443,14 @@
     consider(peer.zone_report, peer.zone_report_at);
   }
   consider(fleet_report_, fleet_report_at_);
-  // Copying within the zone causes no traffic between zones.
-  std::stable_sort(
-      sources.begin(), sources.end(), [](const Source& a, const Source& b) {
-        return a.is_in_local_zone != b.is_in_local_zone ? a.is_in_local_zone
-                                                        : a.content > b.content;
-      });
-  std::vector<std::string> vms;
-  const auto add = [&vms](const std::string& vm) {
-    if (std::find(vms.begin(), vms.end(), vm) == vms.end()) {
-      vms.push_back(vm);
-    }
-  };
-  for (const Source& it : sources) {
-    add(it.vm);
-  }
+  std::vector<std::string> vms = RankedAddresses(std::move(sources));
   if (local.newest > local.content && UsesRelays(now)) {
     std::vector<RouterInfo> relays = OtherZoneRelays(now);
     std::stable_partition(
         relays.begin(), relays.end(),
         [this](const RouterInfo& it) { return it.region == self_.region; });
     for (const RouterInfo& it : relays) {
-      add(it.vm);
+      AddUnique(it.vm, vms);
     }
   }
   return vms;
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -74,10 +74,10 @@
   PeerReport FleetReportFor(TimePoint now, const std::string& vm,
                             const PeerReport& local_report) const;
 
-  // Address of a live peer whose replica of the target list is newer than
-  // `local`, or nullopt. Prefers peers of this zone, then the newest replica.
-  std::optional<std::string> PeerWithNewerTargetList(
-      TimePoint now, const StorePosition& local) const;
+  // Returns live peers whose replica of the target list is newer than `local`,
+  // those of this zone first, then by the position of the replica.
+  std::vector<std::string> TargetListSources(TimePoint now,
+                                             const StorePosition& local) const;
   // Records that some router has the operators' change of this position.
   void RecordOperatorChange(const StorePosition& position, TimePoint known_at);
   // Returns what this router reports of the operators' keys if the last change
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -320,5 +320,25 @@
   }
 }
 
+TEST_CASE("The target list is copied from the zone's peers first") {
+  PeerTable table(MakeRouterInfo("10.0.0.1", "a"));
+  const auto apply = [&table](const char* vm, const char* zone,
+                              std::uint64_t revision) {
+    PeerReport report = MakeReport(MakeRouterInfo(vm, zone), 1, 0);
+    report.target_list_era = 1;
+    report.target_list_revision = revision;
+    table.ApplyReport(kStart, report);
+  };
+  apply("10.0.0.2", "a", 6);
+  apply("10.0.0.3", "a", 7);
+  apply("10.0.1.1", "b", 9);
+  apply("10.0.0.4", "a", 5);
+  CHECK(table.TargetListSources(kStart, {1, 5}) ==
+        std::vector<std::string>{"10.0.0.3", "10.0.0.2", "10.0.1.1"});
+  // A revision of a later era is larger.
+  CHECK(table.TargetListSources(kStart, {2, 1}).empty());
+  CHECK(table.TargetListSources(kStart + seconds(5), {1, 5}).empty());
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -342,7 +342,8 @@
                                      const FetchResult& result) {
   if (result.status != 200) {
     ++peer_failures_;
-    if (options_.logs_changes) {
+    // One line for each series if the prefix changes often.
+    if (options_.logs_changes || peer_failures_ == 1) {
       Log(LogLevel::kWarning, "request to a peer failed",
           {{"prefix", options_.prefix},
            {"peer", peer},
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -76,6 +76,9 @@
 // store itself, whatever its role.
 constexpr Duration kMaxOperatorReplicaLag = milliseconds(1000);
 constexpr Duration kOperatorPeerRequestInterval = milliseconds(100);
+// A router that could not copy a newer target list from its peers for this long
+// reads the store itself, whatever its role.
+constexpr Duration kMaxTargetListLag = milliseconds(1000);
 // Routes that are parsed in one turn of the event loop.
 constexpr std::size_t kRoutesPerDecodingStep = 256;
 // A router that has started is not ready before its copy of the operators' keys
@@ -273,6 +276,8 @@
   void TickReaders(TimePoint now);
   void TickOperatorReader(TimePoint now, bool reads_store,
                           Duration takeover_delay);
+  void TickTargetListReader(TimePoint now, bool reads_store,
+                            Duration takeover_delay);
   OperatorKeysState LocalOperatorKeys(TimePoint now) const;
   // Exports, and logs at intervals, for how long a change has been missing.
   void ReportLag(TimePoint now, const OperatorKeysState& keys,
@@ -349,6 +354,8 @@
   TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
   bool is_operator_replica_behind_ = false;
+  // Since when a peer has a newer target list than this router.
+  std::optional<TimePoint> target_list_behind_since_;
   // When the replica of the operators' keys was last known to be current.
   TimePoint operator_replica_verified_at_;
   TimePoint next_behind_log_at_;
@@ -843,22 +850,42 @@
       kTakeoverDelayPerRank *
       std::clamp(rank - kRoutersReadingStorePerZone, 0, kMaxTakeoverRanks);
   TickOperatorReader(now, reads_store, takeover_delay);
+  TickTargetListReader(now, reads_store, takeover_delay);
+  SettleRestore(now);
+  plane_.target_list_read_at = target_list_reader_.updated_at();
+}
+
+void Router::Impl::TickTargetListReader(TimePoint now, bool reads_store,
+                                        Duration takeover_delay) {
   const bool is_target_list_stale =
       target_list_reader_.is_failing() ||
       !target_list_reader_.replica().is_loaded() ||
       now - target_list_reader_.updated_at() >
           kTargetListStaleAfter + takeover_delay;
-  SettleRestore(now);
-  plane_.target_list_read_at = target_list_reader_.updated_at();
-  std::vector<std::string> target_list_peers;
-  if (is_target_list_stale || !reads_store) {
-    if (const auto vm = peers.PeerWithNewerTargetList(
-            now, target_list_reader_.replica().position())) {
-      target_list_peers.push_back(ControlAddressOf(*vm));
-    }
+  std::vector<std::string> sources = messenger_.peers().TargetListSources(
+      now, target_list_reader_.replica().position());
+  if (sources.empty()) {
+    target_list_behind_since_.reset();
+  } else if (!target_list_behind_since_) {
+    target_list_behind_since_ = now;
   }
-  target_list_reader_.Tick(now, target_list_peers,
-                           reads_store || is_target_list_stale);
+  // Peers go on to newer positions, so each update counts as catching up.
+  const Duration behind_for =
+      target_list_behind_since_
+          ? now - std::max(*target_list_behind_since_,
+                           target_list_reader_.updated_at())
+          : Duration(0);
+  metrics_.SetGauge("corianderpost_target_list_behind_seconds",
+                    std::chrono::duration<double>(behind_for).count());
+  if (reads_store && !is_target_list_stale) {
+    sources.clear();
+  }
+  for (std::string& it : sources) {
+    it = ControlAddressOf(it);
+  }
+  target_list_reader_.Tick(
+      now, sources,
+      reads_store || is_target_list_stale || behind_for > kMaxTargetListLag);
 }
 
 OperatorKeysState Router::Impl::LocalOperatorKeys(TimePoint now) const {
--- a/tests/fleet/rate_limit_fleet_test.cc
+++ b/tests/fleet/rate_limit_fleet_test.cc
@@ -56,8 +56,9 @@
   fleet.Start();
   // Router 0 gets half of the requests, router 1 a quarter, and so on.
   TimePoint next = fleet.Now();
+  double requests_per_second = kRequestsPerSecond;
   const auto load = [&](TimePoint now) {
-    std::exponential_distribution<double> gap(kRequestsPerSecond);
+    std::exponential_distribution<double> gap(requests_per_second);
     std::geometric_distribution<std::size_t> router(0.5);
     for (; next <= now;
          next += Duration(static_cast<std::int64_t>(1e6 * gap(random)))) {
@@ -85,6 +86,9 @@
   for (const auto& it : fleet.engines()) {
     it->extra_headers.clear();
   }
+  // Prompts have homes, which some engines have few of. With this load, each
+  // engine is asked for much more than its former limit.
+  requests_per_second *= 2;
   fleet.PlayFor(seconds(5), load);
 
   double used = 0;
