--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -142,6 +142,11 @@
 bool TargetTable::ApplyRestoredEntry(TimePoint now, const TargetEntry& entry) {
   const auto departure = departures_.find(entry.id);
   const TargetState* target = Find(entry.id);
+  if (target != nullptr && entry.is_draining &&
+      entry.incarnation == target->entry.incarnation) {
+    // A drain doesn't end, so this router has missed it.
+    return ApplyEntry(now, entry);
+  }
   const std::int64_t known_incarnation =
       target != nullptr                ? target->entry.incarnation
       : departure != departures_.end() ? departure->second.incarnation
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -69,6 +69,15 @@
   CHECK(table.Find("removed") != nullptr);
 }
 
+TEST_CASE("A restored entry shows a drain that this router has missed") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  table.ApplyEntry(kStart, entry);
+  entry.is_draining = true;
+  CHECK(table.ApplyRestoredEntry(kStart, entry));
+  CHECK_FALSE(table.IsInRotation(kStart, *table.Find("t")));
+}
+
 TEST_CASE("A restored entry adds what was not known before") {
   TargetTable table;
   CHECK(table.ApplyRestoredEntry(kStart, MakeEntry("unknown")));
--- a/tests/fleet/restored_store_fleet_test.cc
+++ b/tests/fleet/restored_store_fleet_test.cc
@@ -1,5 +1,6 @@
 // Plays a store that comes back from an older copy, under load.
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include "fleet/engine_fleet.h"
 #include "fleet/random_load.h"
@@ -134,6 +135,24 @@
   }
 }
 
+TEST_CASE("A router that was paused beside a restore learns of a drain") {
+  EngineFleet fleet(222, 6, kEngines, kCustomers);
+  fleet.Start();
+  RandomLoad load = MakeLoad(fleet, 6);
+  fleet.PlayFor(seconds(2), std::ref(load));
+  fleet.routers()[2]->Signal(SIGSTOP);
+  fleet.PublishEngine(0, /*is_draining=*/true);
+  const TimePoint acknowledged_at = fleet.Now();
+  const Store::Copy copy = fleet.store().MakeCopy();
+  fleet.PublishConfiguration(2, 1);
+  RestoreStore(fleet, load, copy);
+  fleet.routers()[2]->Signal(SIGCONT);
+  fleet.PlayFor(seconds(5), std::ref(load));
+  CHECK(ArrivalsAfter(*fleet.engines()[0], acknowledged_at + kDrainBound,
+                      fleet.Now()) == 0);
+  CHECK(load.Count("HTTP/1.1 200", acknowledged_at + kDrainBound) > 0);
+}
+
 TEST_CASE("Engines that a restored store has forgotten stay in use") {
   constexpr double kMinServed = 0.95;
   EngineFleet fleet(214, 6, kEngines, kCustomers);
