--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -200,8 +200,12 @@
   const StorePosition former = replica_.position();
   std::vector<StoreItem> changes = replica_.ApplySnapshot(snapshot);
   if (is_new_era) {
-    ++restore_count_;
     outage_effects_until_ = clock_.Now() + kOutageSettlingTime;
+  }
+  // A replica without an era is replaced even if it only lacks the era.
+  if (is_new_era &&
+      (former.era != 0 || replica_.revision() < former.revision)) {
+    ++restore_count_;
     nlohmann::json retained = nlohmann::json::array();
     for (const auto& [key, item] : replica_.retained()) {
       if (retained.size() < kMaxLoggedKeys) {
@@ -324,15 +328,12 @@
 
 bool StoreReader::IsNews(const StoreBatch& batch) const {
   if (!replica_.is_loaded()) {
-    return batch.is_snapshot;
+    // A peer that has just started has nothing yet.
+    return batch.is_snapshot && batch.store_revision > 0;
   }
   if (replica_.IsOfNewEra(batch)) {
     return batch.is_snapshot;
   }
-  if (replica_.era() == 0 && batch.era != 0) {
-    // The replica was copied from a peer of an earlier version.
-    return batch.is_snapshot;
-  }
   // A peer of an earlier version states no era. It may be of a former one.
   return batch.era == replica_.era() &&
          batch.store_revision > replica_.revision();
@@ -370,8 +371,9 @@
     RecordPeerUpdate(*batch);
     changes = batch->is_snapshot ? ApplySnapshot(*batch)
                                  : replica_.ApplyChanges(*batch);
-    // A watch can continue from the revision of a loaded replica.
-    needs_snapshot_ = needs_snapshot_ && !replica_.is_loaded();
+    // A watch can continue from the position of the replica if its era is
+    // known.
+    needs_snapshot_ = needs_snapshot_ && replica_.era() == 0;
     if (replica_.era() != old_era) {
       // The pending watch waits for what follows a revision of the former era.
       RestartWatch();
--- a/src/peers/store_replica.cc
+++ b/src/peers/store_replica.cc
@@ -50,11 +50,9 @@
 }
 
 bool StoreReplica::IsOfNewEra(const StoreBatch& batch) const {
-  if (!is_loaded_ || batch.era <= era_) {
-    return false;
-  }
   // A replica that was copied from a peer of an earlier version knows no era.
-  return era_ != 0 || batch.store_revision < revision_;
+  // It may be of a former one, whatever its revision.
+  return is_loaded_ && batch.era > era_;
 }
 
 bool StoreReplica::IsOlder(const StoreBatch& batch) const {
@@ -162,10 +160,9 @@
 
 std::vector<StoreItem> StoreReplica::ApplyChanges(const StoreBatch& batch) {
   std::vector<StoreItem> changes;
-  if (batch.era != 0 && era_ != 0 && batch.era != era_) {
+  if (batch.era != 0 && batch.era != era_) {
     return changes;
   }
-  era_ = std::max(era_, batch.era);
   for (const StoreItem& it : batch.items) {
     if (ApplyItem(it)) {
       changes.push_back(it);
--- a/src/peers/store_replica.h
+++ b/src/peers/store_replica.h
@@ -27,8 +27,9 @@
   // Whether the batch is of an earlier position than the replica. A batch that
   // states no era counts as one of the replica's era.
   bool IsOlder(const StoreBatch& batch) const;
-  // Whether the store was restored since the replica was updated, so that only
-  // a snapshot can be applied.
+  // Whether the store was restored since the replica was updated, or may have
+  // been because the replica knows no era, so that only a snapshot can be
+  // applied.
   bool IsOfNewEra(const StoreBatch& batch) const;
   // Applies a snapshot: all items as of `batch.store_revision`. Ignores it if
   // it is older than the replica. Returns the changes; items missing from the
