--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -32,6 +32,9 @@
 // and at least for the minimum.
 constexpr int kGapTimeoutFactor = 3;
 constexpr Duration kMinGapTimeout = milliseconds(1200);
+// While no other target has room for the request of a stalled attempt, one is
+// looked for again after this time.
+constexpr Duration kStallRetryInterval = milliseconds(250);
 // No retry is started with less time than this left.
 constexpr Duration kMinAttemptTime = milliseconds(60);
 // Callers retry at other routers, which have headroom unless the load is high
@@ -250,6 +253,7 @@
   splitter_ = EventSplitter();
   is_resuming_ = has_stream_begun_;
   attempt_events_ = 0;
+  stalled_at_.reset();
   ForwardedContext context;
   context.remaining = RemainingTime(now);
   context.target_id = assignment.target_id;
@@ -739,7 +743,8 @@
         {{"target", assignment_ ? assignment_->target_id : ""},
          {"timeout", is_timed_out},
          {"events", events_forwarded_}});
-    EndAttempt(events_forwarded_ == 0 && attempts_ > 0 && !has_loop_lagged_
+    EndAttempt(events_forwarded_ == 0 && attempts_ > 0 && !has_loop_lagged_ &&
+                       !stalled_at_
                    ? AttemptOutcome::kStalled
                    : AttemptOutcome::kCancelled);
     if (has_stream_begun_) {
@@ -758,12 +763,45 @@
   if (!route.IsSafeToRetry() || attempts_ >= route.max_attempts) {
     return;
   }
-  Log(LogLevel::kWarning, "attempt stalled",
-      {{"target", assignment_->target_id},
-       {"predicted_ms", ToMilliseconds(assignment_->predicted)},
-       {"events", events_forwarded_}});
-  EndAttempt(AttemptOutcome::kStalled);
-  RetryOrFail(true, "the target stalled");
+  HandleStall(now);
+}
+
+bool Exchange::MayStillComplete() const {
+  return has_send_started_ && response_kind_ != ResponseKind::kNotExecuted &&
+         response_kind_ != ResponseKind::kUnusable;
+}
+
+void Exchange::HandleStall(TimePoint now) {
+  if (!stalled_at_ || *stalled_at_ < last_progress_at_) {
+    Log(LogLevel::kWarning, "attempt stalled",
+        {{"target", assignment_->target_id},
+         {"predicted_ms", ToMilliseconds(assignment_->predicted)},
+         {"events", events_forwarded_}});
+    stalled_at_ = now;
+    next_stall_retry_at_ = now;
+    plane_.scheduler.RecordStall(now, *assignment_);
+  }
+  if (!MayStillComplete()) {
+    EndAttempt(AttemptOutcome::kCancelled);
+    RetryOrFail(true, "the target stalled");
+    return;
+  }
+  if (now < next_stall_retry_at_) {
+    return;
+  }
+  next_stall_retry_at_ = now + kStallRetryInterval;
+  scheduled_.remaining = RemainingTime(now);
+  if (scheduled_.remaining <= kMinAttemptTime) {
+    return;
+  }
+  // The target may only be slow, so the attempt goes on until another target
+  // takes the request.
+  const Decision decision = plane_.scheduler.Place(now, scheduled_);
+  if (const auto* next = std::get_if<Assignment>(&decision)) {
+    EndAttempt(AttemptOutcome::kCancelled);
+    may_have_executed_ = true;
+    SendTo(*next);
+  }
 }
 
 }  // namespace corianderpost
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -140,6 +140,11 @@
   Duration RemainingTime(TimePoint now) const;
   // Time without progress after which the attempt counts as stalled.
   Duration StallTimeout() const;
+  // Continues at another target if one has room. Otherwise the attempt goes on,
+  // unless nothing can come of it.
+  void HandleStall(TimePoint now);
+  // Whether the current attempt may still give the caller its response.
+  bool MayStillComplete() const;
   bool ShouldCloseConnection() const;
   void Log(internal::LogLevel level, const char* message,
            std::vector<internal::LogField> fields);
@@ -189,6 +194,10 @@
   // Last time that the attempt started, began to send, or received bytes, plus
   // the lag of the event loop since then.
   TimePoint last_progress_at_;
+  // When the current attempt was last found to have stalled, and when to look
+  // for another target next.
+  std::optional<TimePoint> stalled_at_;
+  TimePoint next_stall_retry_at_;
   // The event loop lagged during the current attempt.
   bool has_loop_lagged_ = false;
   ResponseKind response_kind_ = ResponseKind::kNone;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -715,6 +715,13 @@
   return crash_id;
 }
 
+void Scheduler::RecordStall(TimePoint now, const Assignment& assignment) {
+  if (TargetState* target = targets_.Find(assignment.target_id);
+      target != nullptr) {
+    targets_.RecordOutcome(now, *target, AttemptOutcome::kStalled);
+  }
+}
+
 void Scheduler::ConfirmCrash(TimePoint now, const std::string& target_id) {
   if (const TargetState* target = targets_.Find(target_id); target != nullptr) {
     suspects_.ConfirmCrash(now,
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -220,6 +220,9 @@
   // crash is returned; otherwise zero.
   std::uint64_t RecordBreak(TimePoint now, const Assignment& assignment,
                             const ScheduledRequest& request);
+  // Records that an attempt has stalled, as evidence of the target's health.
+  // The reservation stays.
+  void RecordStall(TimePoint now, const Assignment& assignment);
   // Records that a peer could not connect to a target.
   void ConfirmCrash(TimePoint now, const std::string& target_id);
   // Confirms crashes of targets that were seen to end. Call regularly.
