--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -72,7 +72,7 @@
   void HandleCallerDisconnected();
   void HandleOutputFlushed();
   // Ends the request at the caller's deadline or the route's timeout, and
-  // retries an attempt that has stalled.
+  // retries an attempt that has stalled if another target has room.
   void Tick(TimePoint now);
   // Call before `Tick` if the event loop ran `lag` late: the responses of that
   // time have not been read yet, so it does not count as time without progress.
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -119,7 +119,8 @@
   bool IsNews(const StoreBatch& batch) const;
   // Records that the replica was brought up to date.
   void RecordUpdate(TimePoint now);
-  // Records what a peer's batch tells of an outage of the store.
+  // As `RecordUpdate`, with a batch of a peer, which tells of an outage of the
+  // store.
   void RecordPeerUpdate(const StoreBatch& batch);
   // As `RecordUpdate`, after a response of the store itself.
   void RecordStoreResponse();
