--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -224,9 +224,8 @@
   // state.
   bool ApplyEntry(TimePoint now, const TargetEntry& entry);
   // As `ApplyEntry`, for an entry of an older copy from which the store was
-  // restored. Has no effect on an incarnation of the target that was known
-  // before, unless the entry shows that it drains, or that was replaced or
-  // removed since.
+  // restored. Has no effect on an incarnation that was replaced or removed
+  // since, nor on the known one unless the entry shows that it drains.
   bool ApplyRestoredEntry(TimePoint now, const TargetEntry& entry);
   // Removes a target from rotation after `grace`, or at once if `grace` is zero
   // or the target is draining. A new entry within `grace` cancels the removal.
--- a/tests/fleet/target_list_fleet_test.cc
+++ b/tests/fleet/target_list_fleet_test.cc
@@ -76,8 +76,7 @@
   PlayWithoutReaders(219, SIGKILL);
 }
 
-// A late router must not take its own silence for an outage of the store, in
-// which entries may have lapsed.
+// Silence at a late router is no outage of the store.
 TEST_CASE(
     "A target that drained and left while a router was late gets no requests") {
   EngineFleet fleet(220, kRouters, kEngines, kCustomers);
