Decode and log software versions and the ids of resumed requests

The hypotheses on streams of two versions can't be told apart, because the router ignores a target's version and the Resumes header. Both are decoded now. `target added or updated` shows the version, and `request ended` shows last_event_id and resumes of a request that resumes a stream. The types that the fix needs (VersionId, StreamDirectory, required_version) are declared but not used: which target serves a request does not change.

--- a/include/corianderpost/ids.h
+++ b/include/corianderpost/ids.h
@@ -57,6 +57,33 @@
 // Identifies one run of a router process on a VM; a restart changes it.
 using Incarnation = std::uint64_t;
 
+// Identifies a version of the targets' software by the 64-bit hash of its name.
+// A value type. Versions have no order.
+class VersionId {
+ public:
+  // The id of a target that states no version.
+  constexpr VersionId() = default;
+  constexpr explicit VersionId(std::uint64_t value) : value_(value) {}
+  // Returns the id of the version `name`; unknown if `name` is empty.
+  static VersionId FromName(std::string_view name) {
+    return name.empty() ? VersionId()
+                        : VersionId(XXH64(name.data(), name.size(), 0));
+  }
+  constexpr std::uint64_t value() const { return value_; }
+  constexpr bool is_known() const { return value_ != 0; }
+  // Returns whether both versions are known and the same. Two unknown versions
+  // may differ.
+  constexpr bool IsSame(VersionId other) const {
+    return is_known() && value_ == other.value_;
+  }
+  // Compares the ids as values: two unknown ones are equal.
+  friend constexpr auto operator<=>(const VersionId&,
+                                    const VersionId&) = default;
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
 // Returns the weight of `node` for `item` in rendezvous hashing: the node with
 // the highest weight gets the item.
 inline std::uint64_t RendezvousWeight(std::uint32_t node, std::uint32_t item) {
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -656,6 +656,10 @@
       {"list_age_ms",
        ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
       {"configuration", configuration_ ? configuration_->version() : 0}};
+  if (!meta_.last_event_id.empty()) {
+    fields.push_back({"last_event_id", meta_.last_event_id});
+    fields.push_back({"resumes", meta_.resumed_request_id});
+  }
   if (blamed_) {
     fields.push_back({"blamed", ToString(blamed_->trait)});
     fields.push_back({"crashes", blamed_->crash_ids});
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -11,6 +11,7 @@
 #include "dataplane/caller.h"
 #include "dataplane/event_splitter.h"
 #include "dataplane/rejection_tally.h"
+#include "dataplane/stream_directory.h"
 #include "dataplane/upstream.h"
 #include "decisions/processor_admission.h"
 #include "decisions/scheduler.h"
@@ -55,6 +56,8 @@
   // Called with the id of a target to which no connection could be made, so
   // that peers learn of it. May be empty.
   std::function<void(const std::string&)> on_unreachable = {};
+  // Knows which software version began a stream. Null if nothing knows.
+  StreamDirectory* stream_directory = nullptr;
 };
 
 // One request and its response. Not thread-safe: use on the event loop thread
--- /dev/null
+++ b/src/dataplane/stream_directory.h
@@ -0,0 +1,116 @@
+// Finds the software version that began a stream. Versions write different
+// texts, so a stream may only continue at the version that began it.
+#ifndef CORIANDERPOST_DATAPLANE_STREAM_DIRECTORY_H_
+#define CORIANDERPOST_DATAPLANE_STREAM_DIRECTORY_H_
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+#include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
+
+namespace corianderpost {
+
+// Identifies a stream by its customer and the id of the request that received
+// its first event. Callers choose request ids, so the customer is part of the
+// key: the streams of one customer can't be confused with those of another.
+struct StreamKey {
+  std::uint64_t value = 0;
+
+  static StreamKey Of(CustomerId customer, std::string_view request_id) {
+    return {XXH64(request_id.data(), request_id.size(), customer.value())};
+  }
+  friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
+};
+
+// A stream of which a caller gets the first event.
+struct BegunStream {
+  StreamKey key;
+  CustomerId customer;
+  ServiceId service;
+  // The run of a target that wrote the event, and its software version as far
+  // as known when the attempt was sent.
+  TargetId target;
+  std::int64_t incarnation = 0;
+  VersionId version;
+  friend bool operator==(const BegunStream&, const BegunStream&) = default;
+};
+
+// How the version that began a stream is known.
+enum class OriginEvidence {
+  // It is not: no router that replied has a record, and several versions may
+  // have begun the stream.
+  kNone,
+  // Records contradict each other, or the version of the target that began the
+  // stream is not certain.
+  kConflict,
+  // A record of this router, or of a peer.
+  kLocalRecord,
+  kPeerRecord,
+  // No record, but the service has had only one version since the stream may
+  // have begun.
+  kOnlyVersion,
+};
+
+inline std::string_view ToString(OriginEvidence evidence) {
+  switch (evidence) {
+    case OriginEvidence::kNone:
+      return "none";
+    case OriginEvidence::kConflict:
+      return "conflict";
+    case OriginEvidence::kLocalRecord:
+      return "local_record";
+    case OriginEvidence::kPeerRecord:
+      return "peer_record";
+    case OriginEvidence::kOnlyVersion:
+      return "only_version";
+  }
+  return "unknown";
+}
+
+// What is known of the version that began a stream.
+struct StreamOrigin {
+  OriginEvidence evidence = OriginEvidence::kNone;
+  // The service and version that began the stream; the version is unknown if
+  // the evidence is `kNone` or `kConflict`.
+  ServiceId service;
+  VersionId version;
+  // Age of the record; for `kOnlyVersion`, time since another version, if any,
+  // was last in use or this router's knowledge begins.
+  Duration age{0};
+  friend bool operator==(const StreamOrigin&, const StreamOrigin&) = default;
+};
+
+// Which stream a caller resumes.
+struct StreamQuery {
+  // Zero if the caller did not state a valid id; only `kOnlyVersion` can then
+  // be found.
+  StreamKey key;
+  // Service that the request would go to if there is no record.
+  ServiceId service;
+  // The stream began at most this long ago.
+  Duration max_age{0};
+  friend bool operator==(const StreamQuery&, const StreamQuery&) = default;
+};
+
+// Not thread-safe: use on the event loop thread only.
+class StreamDirectory {
+ public:
+  using OriginCallback = std::function<void(const StreamOrigin&)>;
+
+  virtual ~StreamDirectory() = default;
+  // Records a stream, so that this router and its peers find its origin later.
+  // Call before the first event is sent to the caller.
+  virtual void RecordBegun(const BegunStream& stream) = 0;
+  // Finds the version that began a stream. Calls `callback` once, during the
+  // call or within a fraction of a second.
+  virtual void FindOrigin(const StreamQuery& query,
+                          OriginCallback callback) = 0;
+};
+
+}  // namespace corianderpost
+
+#endif  // CORIANDERPOST_DATAPLANE_STREAM_DIRECTORY_H_
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -154,6 +154,8 @@
       return "rate_limited";
     case RejectionReason::kPaused:
       return "paused";
+    case RejectionReason::kVersionGone:
+      return "version_gone";
   }
   return "unknown";
 }
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "corianderpost/clock.h"
+#include "corianderpost/ids.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/link_budget.h"
@@ -66,6 +67,9 @@
   Duration elapsed_before_arrival{0};
   // Ids of the targets that the request was already sent to.
   std::vector<std::string> tried_targets;
+  // Set if the request continues a stream: the software version that began it.
+  // Only targets of this version may serve the request; none if it is unknown.
+  std::optional<VersionId> required_version = std::nullopt;
 };
 
 enum class RejectionReason {
@@ -78,6 +82,9 @@
   kRateLimited,
   // All targets have asked this router for a pause.
   kPaused,
+  // The request continues a stream, and no target of the version that began it
+  // is in rotation.
+  kVersionGone,
 };
 
 std::string_view ToString(RejectionReason reason);
@@ -124,6 +131,8 @@
   std::string target_id;
   std::string address;
   std::int64_t incarnation = 0;
+  // Software version of the target.
+  VersionId version;
   // Prompt tokens that the target is expected to prefill.
   double prefill_tokens = 0;
   // KV cache that the request is expected to use, in tokens.
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -105,6 +105,7 @@
   const bool is_changed = is_new || is_restarted || has_new_address ||
                           !target.is_listed ||
                           target.entry.zone != entry.zone ||
+                          target.entry.version != entry.version ||
                           target.entry.is_draining != entry.is_draining ||
                           target.entry.service != entry.service;
   if (is_restarted) {
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -32,6 +32,9 @@
   // Id of the last event that the caller received, if it resumes a stream;
   // otherwise empty.
   std::string last_event_id;
+  // If the caller resumes a stream, the id of its request that received the
+  // first event; empty if it states none or an invalid one.
+  std::string resumed_request_id;
   std::string model;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
--- a/src/model/target.h
+++ b/src/model/target.h
@@ -16,6 +16,8 @@
   // "IP:port".
   std::string address;
   std::string zone;
+  // Version of the target's software; empty if the entry states none.
+  std::string version;
   bool is_draining = false;
   // Requests processed at the same time. For model engines the scheduler uses
   // `EngineProfile::slots` instead.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -1150,6 +1150,7 @@
          {"service", entry.service},
          {"address", entry.address},
          {"zone", entry.zone},
+         {"version", entry.version},
          {"draining", entry.is_draining},
          {"cold_ms", entry.cold_remaining.count() / 1000},
          {"incarnation", entry.incarnation},
