Log and count each connection that ends with a request unanswered

Callers saw requests that got neither an answer nor a refusal, and the log of the router could not say why: a connection closed by a timer, by the connection limit, in a drain or at the exit left no line, and a close by the caller looked like a failed write.

Each close while a request is unread, half read, unanswered or not completely written now names its reason. It is counted in corianderpost_unanswered_closes_total{reason,stage} and, unless the caller left during the response (which has its line), logged once as `connection closed with an unanswered request` with the request's id as far as it was read. At the exit, connections are closed explicitly for this. Which connections are closed, and when, does not change.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -40,8 +40,51 @@
   return ec == http::error::body_limit ? 413 : 400;
 }
 
+bool IsClosedByPeer(const boost::system::error_code& ec) {
+  return ec == asio::error::eof || ec == asio::error::connection_reset ||
+         ec == asio::error::broken_pipe;
+}
+
 }  // namespace
 
+std::string_view ToString(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::kCallerClosed:
+      return "caller_closed";
+    case CloseReason::kConnectionError:
+      return "connection_error";
+    case CloseReason::kResponseCut:
+      return "response_cut";
+    case CloseReason::kDeadline:
+      return "deadline";
+    case CloseReason::kIdleTimeout:
+      return "idle_timeout";
+    case CloseReason::kLingerTimeout:
+      return "linger_timeout";
+    case CloseReason::kConnectionLimit:
+      return "connection_limit";
+    case CloseReason::kDraining:
+      return "draining";
+    case CloseReason::kExit:
+      break;
+  }
+  return "exit";
+}
+
+std::string_view ToString(RequestStage stage) {
+  switch (stage) {
+    case RequestStage::kUnread:
+      return "unread";
+    case RequestStage::kReading:
+      return "reading";
+    case RequestStage::kResponding:
+      return "responding";
+    case RequestStage::kWriting:
+      break;
+  }
+  return "writing";
+}
+
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
                                    CallerHandler& handler, const Clock& clock)
     : socket_(std::move(socket)),
@@ -83,11 +126,7 @@
     return;
   }
   if (ec) {
-    const bool was_responding = state_ == State::kResponding;
-    Close();
-    if (was_responding) {
-      handler_.OnCallerDisconnected(*this);
-    }
+    HandleSocketError(ec);
     return;
   }
   if (state_ == State::kLingering) {
@@ -135,10 +174,11 @@
     return;
   }
   if (HasDisconnected()) {
-    Close();
+    Close(CloseReason::kCallerClosed);
     return;
   }
   state_ = State::kResponding;
+  request_id_.clear();
   wants_close_ = !parser_->get().keep_alive();
   ReceivedRequest request{parser_->release(), first_byte_at_};
   parser_.reset();
@@ -197,11 +237,7 @@
         self->is_write_pending_ = false;
         self->output_in_flight_.clear();
         if (ec) {
-          const bool was_responding = self->state_ == State::kResponding;
-          self->Close();
-          if (was_responding) {
-            self->handler_.OnCallerDisconnected(*self);
-          }
+          self->HandleSocketError(ec);
           return;
         }
         self->Flush();
@@ -246,7 +282,7 @@
 void CallerConnection::BeginLinger() {
   if (!has_unread_input_ && input_.empty()) {
     // No unread input, so closing the socket doesn't send a reset.
-    Close();
+    Close(CloseReason::kLingerTimeout);
     return;
   }
   state_ = State::kLingering;
@@ -256,15 +292,66 @@
   AwaitRead();
 }
 
-void CallerConnection::Abort() { Close(); }
+void CallerConnection::Abort(CloseReason reason) { Close(reason); }
 
-void CallerConnection::CloseIfIdle() {
+void CallerConnection::CloseIfIdle(CloseReason reason) {
   if (is_idle()) {
-    Close();
+    Close(reason);
+  }
+}
+
+void CallerConnection::HandleSocketError(const boost::system::error_code& ec) {
+  if (!socket_.is_open()) {
+    return;
   }
+  const bool was_responding = state_ == State::kResponding;
+  Close(IsClosedByPeer(ec) ? CloseReason::kCallerClosed
+                           : CloseReason::kConnectionError);
+  if (was_responding) {
+    handler_.OnCallerDisconnected(*this);
+  }
+}
+
+void CallerConnection::ReportUnanswered(CloseReason reason) {
+  UnansweredClose close;
+  close.reason = reason;
+  close.unwritten_bytes = buffered();
+  switch (state_) {
+    case State::kIdle:
+    case State::kLingering: {
+      boost::system::error_code ignored;
+      if (close.unwritten_bytes > 0) {
+        close.stage = RequestStage::kWriting;
+        close.request_id = request_id_;
+      } else if (state_ == State::kLingering ||
+                 (input_.empty() && socket_.available(ignored) == 0)) {
+        return;
+      }
+      break;
+    }
+    case State::kReading:
+      close.stage = RequestStage::kReading;
+      if (parser_ && parser_->is_header_done()) {
+        close.header = &parser_->get();
+      }
+      break;
+    case State::kResponding:
+      close.stage = RequestStage::kResponding;
+      close.request_id = request_id_;
+      break;
+    case State::kClosed:
+      return;
+  }
+  if (close.stage != RequestStage::kUnread) {
+    close.age = clock_.Now() - first_byte_at_;
+  }
+  handler_.OnUnansweredClose(close);
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(CloseReason reason) {
+  if (socket_.is_open()) {
+    ReportUnanswered(reason);
+  }
   state_ = State::kClosed;
   boost::system::error_code ignored;
   socket_.close(ignored);
@@ -274,8 +361,8 @@
   const CallerLimits& limits = handler_.Limits();
   switch (state_) {
     case State::kIdle:
-      if (now - idle_since_ >= limits.idle_timeout && is_idle()) {
-        Close();
+      if (now - idle_since_ >= limits.idle_timeout) {
+        CloseIfIdle(CloseReason::kIdleTimeout);
       }
       break;
     case State::kReading: {
@@ -289,7 +376,7 @@
     }
     case State::kLingering:
       if (now >= linger_deadline_) {
-        Close();
+        Close(CloseReason::kLingerTimeout);
       }
       break;
     case State::kResponding:
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "corianderpost/clock.h"
@@ -25,6 +26,52 @@
   TimePoint first_byte_at;
 };
 
+// Why a connection ended with a request unanswered. Only `kCallerClosed` is the
+// caller's doing.
+enum class CloseReason {
+  kCallerClosed,
+  // A read or write failed for another reason, for example since sent data
+  // stayed unacknowledged.
+  kConnectionError,
+  // A response that had begun could not be continued.
+  kResponseCut,
+  kDeadline,
+  kIdleTimeout,
+  // The response was not written in time.
+  kLingerTimeout,
+  kConnectionLimit,
+  kDraining,
+  // The process exits.
+  kExit,
+};
+std::string_view ToString(CloseReason reason);
+
+// How far a request was handled when its connection ended.
+enum class RequestStage {
+  // Bytes are waiting in the socket.
+  kUnread,
+  // Some of the request was read.
+  kReading,
+  kResponding,
+  // The response is complete, but not written to the socket.
+  kWriting,
+};
+std::string_view ToString(RequestStage stage);
+
+// The end of a connection whose request is unanswered.
+struct UnansweredClose {
+  CloseReason reason = CloseReason::kCallerClosed;
+  RequestStage stage = RequestStage::kUnread;
+  // Id of the request whose response is unfinished; else empty.
+  std::string_view request_id;
+  // Header of a request that was read in part; null before it is complete.
+  const boost::beast::http::fields* header = nullptr;
+  // Response bytes that were not written to the socket.
+  std::size_t unwritten_bytes = 0;
+  // Time since the request's first byte was read; zero if none was.
+  Duration age{0};
+};
+
 // Receives the events of caller connections. All calls are made on the event
 // loop thread.
 class CallerHandler {
@@ -46,6 +93,11 @@
   // A request was rejected with `status` because it was malformed, too large or
   // too slow. `reason` is for logs.
   virtual void OnBadRequest(int status, const std::string& reason) = 0;
+  // A connection ends with a request unanswered. The views in `close` are valid
+  // during the call.
+  virtual void OnUnansweredClose(const UnansweredClose& close) {
+    static_cast<void>(close);
+  }
 };
 
 // One caller's connection. Requests that a caller pipelines are buffered until
@@ -68,10 +120,14 @@
   void FinishResponse(bool close_connection);
   // Closes the connection in the middle of a response, so that the caller
   // detects that the response is truncated.
-  void Abort();
+  void Abort(CloseReason reason = CloseReason::kResponseCut);
   // Closes the connection if it has no request in progress and no buffered
   // output.
-  void CloseIfIdle();
+  void CloseIfIdle(CloseReason reason);
+  // Closes the connection whatever its state, since the process exits.
+  void CloseForExit() { Close(CloseReason::kExit); }
+  // Names the request in progress in `UnansweredClose`.
+  void SetRequestId(std::string id) { request_id_ = std::move(id); }
   // Applies the read, idle and linger timeouts.
   void Tick(TimePoint now);
 
@@ -117,7 +173,11 @@
   // Writes the buffered output unless a write is in progress.
   void Flush();
   void BeginLinger();
-  void Close();
+  void Close(CloseReason reason);
+  // Calls the handler if a request is unanswered.
+  void ReportUnanswered(CloseReason reason);
+  // Closes the connection after a failed read or write.
+  void HandleSocketError(const boost::system::error_code& ec);
 
   boost::asio::ip::tcp::socket socket_;
   CallerHandler& handler_;
@@ -132,6 +192,7 @@
   TimePoint first_byte_at_;
   TimePoint idle_since_;
   TimePoint linger_deadline_;
+  std::string request_id_;
   std::string input_;
   std::string output_;
   // Output of the write in progress.
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -709,7 +709,7 @@
   // A 503 would be wrong here: the stream has begun, or the target may have
   // executed the request.
   if (has_stream_begun_ || has_send_started_) {
-    caller_->Abort();
+    caller_->Abort(CloseReason::kDraining);
     Finish("cut_for_shutdown");
     return;
   }
@@ -752,7 +752,7 @@
                    ? AttemptOutcome::kStalled
                    : AttemptOutcome::kCancelled);
     if (has_stream_begun_) {
-      caller_->Abort();
+      caller_->Abort(CloseReason::kDeadline);
       Finish("cut_at_deadline");
     } else {
       SendLocalReply(may_have_reached_target ? 504 : 503,
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -87,6 +87,8 @@
   void AbortForShutdown();
 
   bool is_done() const { return is_done_; }
+  // Empty if the request has none, or was rejected before it was decoded.
+  const std::string& request_id() const { return meta_.request_id; }
   CallerConnection& caller() { return *caller_; }
 
   void OnSendStarted() override;
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -138,7 +138,7 @@
                       return a->idle_since() < b->idle_since();
                     });
   for (std::size_t i = 0; i < n; ++i) {
-    idle[i]->CloseIfIdle();
+    idle[i]->CloseIfIdle(CloseReason::kConnectionLimit);
   }
   std::erase_if(connections_, [](const auto& it) { return !it->is_open(); });
   internal::Log(internal::LogLevel::kWarning,
@@ -160,7 +160,13 @@
 
 void Listener::CloseIdle() {
   for (const auto& it : connections_) {
-    it->CloseIfIdle();
+    it->CloseIfIdle(CloseReason::kDraining);
+  }
+}
+
+void Listener::CloseForExit() {
+  for (const auto& it : connections_) {
+    it->CloseForExit();
   }
 }
 
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -33,6 +33,8 @@
   void Tick(TimePoint now);
   // Closes all idle connections.
   void CloseIdle();
+  // Closes all connections, since the process exits.
+  void CloseForExit();
   std::size_t size() const { return connections_.size(); }
   // Returns for how long connections have been waiting to be accepted; zero if
   // none is waiting.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -186,6 +186,7 @@
                                                  std::move(request));
       router_.exchanges_[caller.get()] = exchange;
       exchange->Start();
+      caller->SetRequestId(exchange->request_id());
     }
     void OnCallerDisconnected(CallerConnection& caller) override {
       if (const auto it = router_.exchanges_.find(&caller);
@@ -213,6 +214,9 @@
       Log(LogLevel::kWarning, "bad request from a caller",
           {{"status", status}, {"reason", reason}});
     }
+    void OnUnansweredClose(const UnansweredClose& close) override {
+      router_.RecordUnansweredClose(close);
+    }
 
    private:
     Impl& router_;
@@ -269,6 +273,7 @@
   TextReply HandleReadiness();
   TextReply HandleControl(const HttpRequest& request);
   bool IsReady() const;
+  void RecordUnansweredClose(const UnansweredClose& close);
 
   void ScheduleTick();
   void Tick();
@@ -508,6 +513,28 @@
   return {404, "text/plain", "not found\n"};
 }
 
+void Router::Impl::RecordUnansweredClose(const UnansweredClose& close) {
+  metrics_.IncrementCounter("corianderpost_unanswered_closes_total",
+                            "reason=\"" + std::string(ToString(close.reason)) +
+                                "\",stage=\"" +
+                                std::string(ToString(close.stage)) + "\"");
+  // A caller that leaves during the response has a line in `request ended`.
+  if (close.reason == CloseReason::kCallerClosed &&
+      close.stage == RequestStage::kResponding) {
+    return;
+  }
+  Log(LogLevel::kWarning, "connection closed with an unanswered request",
+      {{"request",
+        close.header != nullptr
+            ? deployment_.dialect().DecodeRequest(*close.header).request_id
+            : std::string(close.request_id)},
+       {"reason", ToString(close.reason)},
+       {"stage", ToString(close.stage)},
+       {"unwritten_bytes", close.unwritten_bytes},
+       {"age_ms",
+        std::chrono::duration_cast<milliseconds>(close.age).count()}});
+}
+
 void Router::Impl::Run() {
   Log(LogLevel::kInfo, "router started",
       {{"vm", settings_.vm},
@@ -519,6 +546,7 @@
   ScheduleTick();
   Tick();
   loop_.run();
+  caller_listener_.CloseForExit();
   Log(LogLevel::kInfo, "router stopped", {{"vm", settings_.vm}});
 }
 
