Show in tests that streams hold events of two software versions

No test played several versions, nor callers that resume a stream.

Engines of the fleet tests now have a version, which is in their entry and in each event they write. They can be added, removed, restarted with a newer version, and break off their streams. Callers resume a broken stream at another router with Last-Event-Id and Resumes, and each call records who wrote each event, over all its tries. Cause, from reading: a router doesn't compare versions, neither when it retries nor when a caller resumes.

--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cstdlib>
 #include <filesystem>
 
 #include "dataplane/event_splitter.h"
@@ -20,12 +21,12 @@
 constexpr char kHost[] = "fleet.example";
 constexpr char kService[] = "assistant";
 constexpr double kTokensPerSecond = 4e6;
-constexpr int kEvents = 4;
-constexpr auto kEventInterval = milliseconds(20);
 // Time from the arrival of a request to the start of its answer.
 constexpr auto kStartDelay = milliseconds(60);
-constexpr Duration kDownTime = milliseconds(1500);
+// Time that a caller waits in all tries together, and the least that it must
+// have left for another try.
 constexpr Duration kCallerTimeout = seconds(4);
+constexpr Duration kMinTryTime = milliseconds(100);
 // Interval of the loop that plays a fleet.
 constexpr auto kStepInterval = milliseconds(2);
 // Throttled routers run once in each slice. A slice is shorter than the lag of
@@ -51,6 +52,62 @@
   return folder.string();
 }
 
+int ParseStatus(const std::string& response) {
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  return response.starts_with(kVersion)
+             ? std::atoi(response.c_str() + kVersion.size())
+             : 0;
+}
+
+struct DecodedBody {
+  std::string text;
+  bool is_complete = false;
+};
+
+// Decodes the chunked body of a response that may be cut off anywhere.
+DecodedBody DecodeChunks(const std::string& response) {
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  DecodedBody body;
+  std::size_t position = response.find(kHeadEnd);
+  if (position == std::string::npos) {
+    return body;
+  }
+  position += kHeadEnd.size();
+  for (std::size_t line_end = response.find("\r\n", position);
+       line_end != std::string::npos;
+       line_end = response.find("\r\n", position)) {
+    const std::size_t size =
+        std::strtoul(response.c_str() + position, nullptr, 16);
+    if (size == 0) {
+      body.is_complete =
+          std::string_view(response).substr(position) == kLastChunk;
+      break;
+    }
+    body.text.append(response, line_end + 2, size);
+    position = line_end + 2 + size + 2;
+    if (position > response.size()) {
+      break;
+    }
+  }
+  return body;
+}
+
+std::vector<CallEvent> ParseEvents(const std::string& text) {
+  constexpr std::string_view kData = "\ndata: ";
+  std::vector<CallEvent> events;
+  for (const StreamEvent& it : EventSplitter().Feed(text)) {
+    CallEvent event;
+    event.number = ParseEventNumber(it.id).value_or(0);
+    const std::size_t data = it.text.find(kData);
+    if (data != std::string::npos) {
+      const std::size_t begin = data + kData.size();
+      event.writer = it.text.substr(begin, it.text.find('\n', begin) - begin);
+    }
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
 }  // namespace
 
 Engine::Engine(asio::io_context& loop, std::string address,
@@ -111,19 +168,39 @@
   if (!caller->is_open()) {
     return;
   }
-  if (number > kEvents) {
+  if (number > stream.events) {
     caller->Write(std::string(kLastChunk));
     caller->FinishResponse(false);
     return;
   }
-  caller->Write(FormatChunk("id: " + std::to_string(number) + "\ndata: x\n\n"));
-  RunAfter(loop_, kEventInterval,
+  caller->Write(FormatChunk("id: " + std::to_string(number) +
+                            "\ndata: " + writer() + "\n\n"));
+  RunAfter(loop_, stream.interval,
            [this, caller, number] { SendEventsFrom(caller, number + 1); });
 }
 
-void Engine::Crash() {
+std::string Engine::writer() const {
+  return version.empty() ? address_ + "/" + std::to_string(incarnation_)
+                         : version;
+}
+
+void Engine::BreakStreams() {
+  for (const auto& it : open_) {
+    if (const auto caller = it.lock();
+        caller && caller->is_open() && !caller->is_idle()) {
+      caller->Abort();
+    }
+  }
+}
+
+void Engine::Stop() {
+  Crash();
+  restart_at_ = TimePoint::max();
+}
+
+void Engine::Crash(Duration down_time) {
   ++incarnation_;
-  restart_at_ = clock_.Now() + kDownTime;
+  restart_at_ = clock_.Now() + down_time;
   for (const auto& it : open_) {
     if (const auto caller = it.lock(); caller && caller->is_open()) {
       caller->Abort();
@@ -152,7 +229,9 @@
   std::shared_ptr<EngineCall> call;
   tcp::socket socket;
   asio::steady_timer timer;
+  std::string path;
   std::string request;
+  bool has_caller_left = false;
   std::array<char, 4096> buffer{};
 };
 
@@ -174,6 +253,47 @@
   }
 }
 
+void EngineFleet::SetResumePolicy(const ResumePolicy& policy) {
+  resume_policy_ = policy;
+  random_.seed(policy.seed);
+}
+
+void EngineFleet::SetStreamShape(const StreamShape& stream) {
+  stream_ = stream;
+  for (const auto& it : engines_) {
+    it->stream = stream;
+  }
+}
+
+std::size_t EngineFleet::AddEngine(const std::string& version) {
+  const std::size_t index = engines_.size();
+  engines_.push_back(std::make_unique<Engine>(
+      loop_, network_.Address(1, kTargetPort + static_cast<int>(index)),
+      deployment_, clock_));
+  engines_[index]->version = version;
+  engines_[index]->stream = stream_;
+  listed_incarnations_.push_back(0);
+  return index;
+}
+
+void EngineFleet::RemoveEngine(std::size_t index) {
+  store_.Remove(platform::StandinEntryKey("t" + std::to_string(index)));
+  engines_[index]->Stop();
+}
+
+void EngineFleet::BreakCallerConnections(double share) {
+  std::erase_if(open_calls_, [](const auto& it) { return it.expired(); });
+  for (const auto& it : open_calls_) {
+    const auto open = it.lock();
+    if (open && !open->call->response.empty() &&
+        std::uniform_real_distribution<double>(0, 1)(random_) < share) {
+      open->has_caller_left = true;
+      boost::system::error_code ignored;
+      open->socket.close(ignored);
+    }
+  }
+}
+
 void EngineFleet::PublishAllEngines() {
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     if (engines_[i]->is_running()) {
@@ -192,6 +312,7 @@
   entry.service = kService;
   entry.address = network_.Address(1, kTargetPort + static_cast<int>(index));
   entry.zone = index % 2 == 0 ? "a" : "b";
+  entry.version = engines_[index]->version;
   entry.slots = 128;
   entry.incarnation = engines_[index]->incarnation();
   listed_incarnations_[index] = entry.incarnation;
@@ -259,23 +380,114 @@
   }
 }
 
+void EngineFleet::PlayUntilCallsEnd() {
+  const auto is_open = [](const auto& it) {
+    return it->tries.back().ended_at == TimePoint();
+  };
+  do {
+    PlayFor(2 * resume_policy_.max_delay);
+  } while (std::any_of(calls_.begin(), calls_.end(), is_open));
+}
+
 std::shared_ptr<const EngineCall> EngineFleet::Send(
     std::size_t router, const std::string& customer,
     std::vector<PromptPart> prompt, const std::string& path) {
-  auto open = std::make_shared<OpenCall>(loop_);
-  open->call = std::make_shared<EngineCall>(
+  auto call = std::make_shared<EngineCall>(
       EngineCall{clock_.Now(), {}, router, customer, std::move(prompt)});
-  calls_.push_back(open->call);
-  std::int64_t prompt_tokens = 0;
-  for (const PromptPart& it : open->call->prompt) {
-    prompt_tokens += it.tokens;
+  calls_.push_back(call);
+  SendTry(call, router, path + "x" + std::to_string(calls_.size()));
+  return call;
+}
+
+void EngineFleet::SendTry(const std::shared_ptr<EngineCall>& call,
+                          std::size_t router, const std::string& path) {
+  auto open = std::make_shared<OpenCall>(loop_);
+  open->call = call;
+  open->path = path;
+  platform::StandinRequest request = {
+      "GET",
+      path,
+      kHost,
+      "",
+      call->customer,
+      kCallerTimeout - (clock_.Now() - call->began_at),
+      0,
+      20,
+      call->prompt};
+  if (call->tries.empty()) {
+    request.request_id = "c" + std::to_string(calls_.size());
+  } else {
+    request.request_id = call->tries.front().request_id + "-" +
+                         std::to_string(call->tries.size());
+  }
+  for (const PromptPart& it : call->prompt) {
+    request.prompt_tokens += it.tokens;
   }
-  open->request = platform::FormatStandinRequest(
-      {"GET", path + "x" + std::to_string(calls_.size()), kHost,
-       "c" + std::to_string(calls_.size()), customer, kCallerTimeout,
-       prompt_tokens, 20, open->call->prompt});
+  for (const CallTry& it : call->tries) {
+    if (it.events.empty()) {
+      continue;
+    }
+    if (request.resumed_request_id.empty()) {
+      request.resumed_request_id = it.request_id;
+    }
+    request.last_event_id = std::to_string(it.events.back().number);
+  }
+  CallTry next;
+  next.request_id = request.request_id;
+  next.router = router;
+  next.router_pid = routers_[router]->pid();
+  next.began_at = clock_.Now();
+  call->tries.push_back(std::move(next));
+  call->router = router;
+  call->response.clear();
+  open->request = platform::FormatStandinRequest(request);
+  open_calls_.push_back(open);
   Start(open, routers_[router]->address());
-  return open->call;
+}
+
+void EngineFleet::EndTry(OpenCall& open) {
+  open.timer.cancel();
+  EngineCall& call = *open.call;
+  if (call.tries.empty()) {
+    return;
+  }
+  CallTry& last = call.tries.back();
+  last.ended_at = clock_.Now();
+  last.has_lost_router =
+      last.router_pid == 0 || routers_[last.router]->pid() != last.router_pid;
+  last.has_caller_left = open.has_caller_left;
+  last.status = ParseStatus(call.response);
+  if (last.status == 200) {
+    const DecodedBody body = DecodeChunks(call.response);
+    last.is_complete = body.is_complete;
+    last.events = ParseEvents(body.text);
+  }
+  const bool has_begun =
+      std::any_of(call.tries.begin(), call.tries.end(),
+                  [](const CallTry& it) { return !it.events.empty(); });
+  const bool is_refused =
+      last.status != 0 && last.status != 200 && !resume_policy_.retries_refused;
+  if (has_begun && !last.is_complete && !is_refused &&
+      call.tries.size() <=
+          static_cast<std::size_t>(resume_policy_.max_resumptions)) {
+    ResumeLater(open);
+  }
+}
+
+void EngineFleet::ResumeLater(const OpenCall& open) {
+  std::size_t router = random_() % (routers_.size() - 1);
+  router += router >= open.call->router ? 1 : 0;
+  const auto delay = std::chrono::duration_cast<milliseconds>(
+      Duration(static_cast<std::int64_t>(
+          random_() %
+          static_cast<std::uint64_t>(resume_policy_.max_delay.count()))));
+  if (clock_.Now() + delay + kMinTryTime - open.call->began_at >=
+      kCallerTimeout) {
+    return;
+  }
+  RunAfter(loop_, delay, [this, call = open.call, path = open.path, router] {
+    SendTry(call, router, path);
+  });
 }
 
 std::shared_ptr<const EngineCall> EngineFleet::SendReadinessCheck(
@@ -291,7 +503,8 @@
 
 void EngineFleet::Start(const std::shared_ptr<OpenCall>& open,
                         const std::string& address) {
-  open->timer.expires_after(kCallerTimeout);
+  open->timer.expires_after(kCallerTimeout -
+                            (clock_.Now() - open->call->began_at));
   open->timer.async_wait([open](boost::system::error_code ec) {
     if (!ec) {
       boost::system::error_code ignored;
@@ -301,7 +514,7 @@
   open->socket.async_connect(
       *ParseEndpoint(address), [this, open](boost::system::error_code ec) {
         if (ec) {
-          open->timer.cancel();
+          EndTry(*open);
           return;
         }
         asio::async_write(open->socket, asio::buffer(open->request),
@@ -319,7 +532,7 @@
           open->call->answered_at = clock_.Now();
         }
         if (ec) {
-          open->timer.cancel();
+          EndTry(*open);
         } else {
           Read(open);
         }
@@ -327,8 +540,14 @@
 }
 
 std::size_t EngineFleet::RouterOf(const Arrival& arrival) const {
-  // The id is "c" and the number of the call.
-  return calls_.at(std::stoul(arrival.request_id.substr(1)) - 1)->router;
+  // The id is "c" and the number of the call; tries after the first one add "-"
+  // and their number.
+  std::size_t end = 0;
+  const std::string number = arrival.request_id.substr(1);
+  const EngineCall& call = *calls_.at(std::stoul(number, &end) - 1);
+  return call.tries
+      .at(end == number.size() ? 0 : std::stoul(number.substr(end + 1)))
+      .router;
 }
 
 std::vector<TimePoint> EngineFleet::Crashes() const {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -4,6 +4,8 @@
 #ifndef CORIANDERPOST_TESTS_FLEET_ENGINE_FLEET_H_
 #define CORIANDERPOST_TESTS_FLEET_ENGINE_FLEET_H_
 
+#include <sys/types.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,6 +31,12 @@
   std::uint64_t crashing_part = 0;
 };
 
+// The events of each stream that an engine writes.
+struct StreamShape {
+  int events = 4;
+  std::chrono::milliseconds interval{20};
+};
+
 // An engine that answers with a stream of events. It crashes when it begins to
 // answer a prompt with a certain part, and starts again as a new incarnation.
 // Not thread-safe.
@@ -38,9 +46,13 @@
          const Deployment& deployment, const Clock& clock);
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  ReceivedRequest request) override;
-  // Closes all connections and stops listening until `Restart`.
-  void Crash();
+  // Closes all connections and stops listening. Restarts after `down_time`.
+  void Crash(Duration down_time = kDefaultDownTime);
+  // Like `Crash`, but without a restart.
+  void Stop();
   void Restart();
+  // Breaks off all responses in progress.
+  void BreakStreams();
   // Restarts the engine and releases closed connections when it is time.
   void Tick(TimePoint now);
 
@@ -49,6 +61,14 @@
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   const std::vector<TimePoint>& crashes() const { return crashes_; }
 
+  // Returns what the data of each event names: the version, or this run of the
+  // engine if its entry states no version.
+  std::string writer() const;
+
+  // Version of the software as stated in the engine's entry; empty if it states
+  // none. A new version takes a new run of the engine.
+  std::string version = "v1";
+  StreamShape stream;
   // Prompt parts that crash the engine.
   std::set<std::uint64_t> crashing_parts;
   // Header lines added to each response.
@@ -59,6 +79,8 @@
   std::string refusal_headers;
 
  private:
+  static constexpr Duration kDefaultDownTime = std::chrono::milliseconds(1500);
+
   void Begin(const std::shared_ptr<CallerConnection>& caller,
              const RequestMeta& meta, std::uint64_t crashing_part);
   void SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
@@ -75,15 +97,59 @@
   std::vector<TimePoint> crashes_;
 };
 
-// A caller's request and its result; there is no retry.
+// A complete event that a caller received.
+struct CallEvent {
+  // Zero if the event has no number.
+  std::int64_t number = 0;
+  // The `Engine::writer` that wrote it.
+  std::string writer;
+};
+
+// One request of a call.
+struct CallTry {
+  std::string request_id;
+  std::size_t router = 0;
+  // Process id of the router when the try began; zero if it was not running.
+  pid_t router_pid = 0;
+  TimePoint began_at;
+  // Zero until the connection has ended, like the following members.
+  TimePoint ended_at = {};
+  // The router process ended during the try.
+  bool has_lost_router = false;
+  // The caller's side closed the connection.
+  bool has_caller_left = false;
+  // Zero if no response arrived.
+  int status = 0;
+  std::vector<CallEvent> events = {};
+  // The last chunk arrived.
+  bool is_complete = false;
+};
+
+// How callers continue streams that were broken off.
+struct ResumePolicy {
+  // Number of tries after the first one that a call may have.
+  int max_resumptions = 0;
+  // Whether a caller tries again after its resumption was refused.
+  bool retries_refused = false;
+  // Each try begins this long at most after the last one has ended.
+  Duration max_delay = std::chrono::milliseconds(100);
+  std::uint64_t seed = 1;
+};
+
+// A caller's request and its result. If it resumes its stream, it has several
+// tries.
 struct EngineCall {
   TimePoint began_at;
   // When the last part of the response arrived.
   TimePoint answered_at = {};
+  // Router of the last try.
   std::size_t router = 0;
   std::string customer = {};
   std::vector<PromptPart> prompt = {};
+  // Response of the last try.
   std::string response = {};
+  // Empty for a readiness check.
+  std::vector<CallTry> tries = {};
 
   bool is_served() const {
     return response.starts_with("HTTP/1.1 200") &&
@@ -105,6 +171,8 @@
   // and may call `Send`.
   void PlayFor(Duration duration,
                const std::function<void(TimePoint)>& on_step = {});
+  // Plays until all calls have ended, so that none resumes its stream.
+  void PlayUntilCallsEnd();
   // Sends a request to a router. `path` selects the route; by default, that of
   // the first configuration.
   std::shared_ptr<const EngineCall> Send(std::size_t router,
@@ -113,6 +181,17 @@
                                          const std::string& path = "/stream/");
   // Asks a router whether it is ready.
   std::shared_ptr<const EngineCall> SendReadinessCheck(std::size_t router);
+  // Applies to the calls that begin later.
+  void SetResumePolicy(const ResumePolicy& policy);
+  // Closes a share of the callers' connections to streams that have begun and
+  // not ended.
+  void BreakCallerConnections(double share);
+  // Sets the streams of all engines, also of those that are added later.
+  void SetStreamShape(const StreamShape& stream);
+  // Adds an engine, which is in the target list soon after. Returns its index.
+  std::size_t AddEngine(const std::string& version);
+  // Removes the engine from the target list and stops it.
+  void RemoveEngine(std::size_t index);
   // Writes a version of the configuration with this many added routes.
   void PublishConfiguration(std::uint64_t version, int added_routes);
   // Writes the engine's entry of the target list again.
@@ -139,6 +218,13 @@
 
  private:
   struct OpenCall;
+  // Sends the next try of a call.
+  void SendTry(const std::shared_ptr<EngineCall>& call, std::size_t router,
+               const std::string& path);
+  // Records the result of the last try, and sends the next one if the policy
+  // allows one.
+  void EndTry(OpenCall& open);
+  void ResumeLater(const OpenCall& open);
   void Start(const std::shared_ptr<OpenCall>& open, const std::string& address);
   void Read(const std::shared_ptr<OpenCall>& open);
   void ApplyThrottle(TimePoint now);
@@ -155,6 +241,10 @@
   std::set<std::size_t> draining_engines_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::shared_ptr<EngineCall>> calls_;
+  std::vector<std::weak_ptr<OpenCall>> open_calls_;
+  ResumePolicy resume_policy_;
+  std::mt19937_64 random_;
+  StreamShape stream_;
   double run_fraction_ = 1;
   std::vector<bool> is_stopped_;
 };
