Let routers find the version that began a stream at any router

Streams held events of two software versions over a caller's tries: a router at which a stream was resumed could not know which version had begun it, because routers exchanged nothing about streams.

FleetStreamDirectory implements StreamDirectory. The answer is this router's own record, else the proof that the service had only one version, else a record (or the proof) of a peer, else none. Records are sent to two peers in other zones by rendezvous hashing, before the first event is passed on. Differences from the first design, each for a reason:

- Records are sent whenever this router can't prove the version, not only while there are two versions: also while the target list is out of date and after a start of the whole fleet.
Otherwise streams of a service with one version would be refused for a minute after each outage of the store.
- Up to three peers of each zone are asked instead of one, as the first may have started after the record was sent.
In a fleet of seven all are asked.
- A router asks two peers for their history when its own doesn't reach back far enough, instead of getting it in their first replies only: a lost datagram is made up for, and reports grow only while a service has several versions.
- A reply may carry the proof, for a router that is cut off from the store only.
- The messages have a decoder of their own (flat, fixed markers), since the general one recurses with the nesting of the input.

A record is uncertain if the list shows, at most 1.5 s late, that the target was restarted with another version before the stream began. Ruled out: comparing start times with wall clocks alone, since clocks may step.

Nothing calls the directory for requests yet, so which target serves a request does not change. The new tests test new code, so none of them failed before.

--- /dev/null
+++ b/src/peers/fleet_stream_directory.cc
@@ -0,0 +1,534 @@
+#include "peers/fleet_stream_directory.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
+
+#include "runtime/json_log.h"
+
+namespace corianderpost {
+namespace {
+
+using internal::Log;
+using internal::LogLevel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// About 7 MB.
+constexpr std::size_t kMaxRecords = 32'768;
+// Peers that remember a stream beside the router where it began.
+constexpr std::size_t kKeepers = 2;
+// Routers of each zone that are asked for a record. The first ones may have
+// started after the record was sent.
+constexpr std::size_t kAskedPerZone = 3;
+// Bounds the messages and the memory of one search, and the searches.
+constexpr std::size_t kMaxAsked = 32;
+constexpr std::size_t kMaxSearches = 4096;
+// Requests are sent again after the first time. A search ends after the second
+// one, whether all routers have replied or not.
+constexpr Duration kResendAfter = milliseconds(100);
+constexpr Duration kSearchTime = milliseconds(250);
+// How long the list of live routers is used.
+constexpr Duration kZonesMaxAge = milliseconds(100);
+// Records that were not sent before are sent at this rate, newest first.
+constexpr std::size_t kMaxBatchesPerTick = 8;
+// A router whose knowledge of the past reaches less far than this asks peers
+// for theirs.
+constexpr Duration kWantedCoverage = kStreamRetention + seconds(5);
+// The interval doubles with each request, as peers may not know more.
+constexpr Duration kMinHistoryInterval = milliseconds(250);
+constexpr Duration kMaxHistoryInterval = seconds(8);
+constexpr std::size_t kHistoryPeers = 2;
+constexpr Duration kHousekeepingInterval = milliseconds(250);
+// Bounds the memory for names in the log.
+constexpr std::size_t kMaxNames = 1024;
+
+std::uint32_t HashItem(const StreamKey& key) {
+  return static_cast<std::uint32_t>(key.value ^ (key.value >> 32));
+}
+
+}  // namespace
+
+FleetStreamDirectory::FleetStreamDirectory(RouterInfo self, const Clock& clock,
+                                           StreamPeers& peers,
+                                           internal::Metrics& metrics,
+                                           std::function<void()> on_new_version)
+    : self_(std::move(self)),
+      clock_(clock),
+      peers_(peers),
+      metrics_(metrics),
+      on_new_version_(std::move(on_new_version)),
+      records_(kMaxRecords),
+      next_request_id_(static_cast<std::uint32_t>(clock.WallMicros())),
+      history_interval_(kMinHistoryInterval) {}
+
+void FleetStreamDirectory::RefreshZones(TimePoint now) {
+  if (zones_refreshed_at_ != TimePoint::min() &&
+      now - zones_refreshed_at_ < kZonesMaxAge) {
+    return;
+  }
+  zones_refreshed_at_ = now;
+  live_peers_.clear();
+  std::vector<RouterInfo> routers = peers_.LiveRouters(now);
+  for (const RouterInfo& it : routers) {
+    live_peers_.push_back(it.vm);
+  }
+  routers.push_back(self_);
+  std::map<std::string, Zone> zones;
+  for (const RouterInfo& it : routers) {
+    Zone& zone = zones[it.zone];
+    zone.name = it.zone;
+    zone.is_in_local_region = it.region == self_.region;
+    zone.routers.push_back({it.vm, VmId::FromName(it.vm)});
+  }
+  zones_.clear();
+  for (auto& [name, zone] : zones) {
+    zone.id = VmId::FromName(name).value();
+    zones_.push_back(std::move(zone));
+  }
+}
+
+std::vector<std::string> FleetStreamDirectory::Candidates(
+    const Zone& zone, const StreamKey& key, std::size_t count) const {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  for (const Router& it : zone.routers) {
+    ranked.emplace_back(RendezvousWeight(it.id.value(), HashItem(key)), &it.vm);
+  }
+  const std::size_t n = std::min(count, ranked.size());
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+      ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<std::string> vms;
+  for (std::size_t i = 0; i < n; ++i) {
+    vms.push_back(*ranked[i].second);
+  }
+  return vms;
+}
+
+std::vector<std::string> FleetStreamDirectory::Keepers(
+    const StreamKey& key) const {
+  // Other zones before this one, those of this region first.
+  std::vector<const Zone*> ranked;
+  for (const Zone& it : zones_) {
+    ranked.push_back(&it);
+  }
+  const auto rank = [&](const Zone& zone) {
+    return std::tuple(zone.name != self_.zone, zone.is_in_local_region,
+                      RendezvousWeight(zone.id, HashItem(key)));
+  };
+  std::sort(ranked.begin(), ranked.end(),
+            [&](const Zone* a, const Zone* b) { return rank(*a) > rank(*b); });
+  std::vector<std::string> keepers;
+  for (const Zone* zone : ranked) {
+    const bool is_local = zone->name == self_.zone;
+    for (const std::string& it :
+         Candidates(*zone, key, is_local ? kKeepers + 1 : 1)) {
+      if (it != self_.vm && keepers.size() < kKeepers) {
+        keepers.push_back(it);
+      }
+    }
+  }
+  return keepers;
+}
+
+std::set<std::string> FleetStreamDirectory::PossibleKeepers(
+    const StreamKey& key) const {
+  std::vector<const Zone*> ranked;
+  for (const Zone& it : zones_) {
+    ranked.push_back(&it);
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const Zone* a, const Zone* b) {
+                     return a->is_in_local_region > b->is_in_local_region;
+                   });
+  std::set<std::string> keepers;
+  for (const Zone* zone : ranked) {
+    for (const std::string& it : Candidates(*zone, key, kAskedPerZone)) {
+      if (it != self_.vm && keepers.size() < kMaxAsked) {
+        keepers.insert(it);
+      }
+    }
+  }
+  return keepers;
+}
+
+void FleetStreamDirectory::Send(const std::string& vm,
+                                const StreamMessage& message) {
+  const std::string bytes = EncodeStreamMessage(message);
+  metrics_.IncrementCounter("corianderpost_stream_messages_total",
+                            "kind=\"" + std::string(KindOf(message)) + "\"");
+  metrics_.IncrementCounter("corianderpost_stream_message_bytes_total", "",
+                            bytes.size());
+  peers_.SendMessage(vm, bytes);
+}
+
+bool FleetStreamDirectory::IsProvable(TimePoint now, ServiceId service) const {
+  return history_.FindOnlyVersion(now, service, now - kStreamRetention)
+      .has_value();
+}
+
+void FleetStreamDirectory::RecordBegun(const BegunStream& stream) {
+  const TimePoint now = clock_.Now();
+  history_.RecordUse(now, stream.service, stream.version);
+  records_.Add(stream, now);
+  if (!stream.version.is_known()) {
+    return;
+  }
+  if (IsProvable(now, stream.service)) {
+    unsent_[stream.service].push_back({stream.key, now});
+    return;
+  }
+  RefreshZones(now);
+  for (const std::string& it : Keepers(stream.key)) {
+    Send(it, StreamBatch{{{stream, Duration(0)}}});
+  }
+}
+
+void FleetStreamDirectory::SendUnsent(TimePoint now) {
+  std::map<std::string, StreamBatch> batches;
+  std::size_t count = 0;
+  for (auto& [service, streams] : unsent_) {
+    if (streams.empty() || IsProvable(now, service)) {
+      continue;
+    }
+    RefreshZones(now);
+    while (!streams.empty() &&
+           count < kMaxBatchesPerTick * kMaxStreamsPerBatch) {
+      const StreamRecord* record = records_.Find(now, streams.back().key);
+      streams.pop_back();
+      if (record == nullptr || record->is_conflict) {
+        continue;
+      }
+      for (const std::string& it : Keepers(record->stream.key)) {
+        StreamBatch& batch = batches[it];
+        batch.streams.push_back({record->stream, now - record->begun_at});
+        ++count;
+        if (batch.streams.size() >= kMaxStreamsPerBatch) {
+          Send(it, std::exchange(batch, {}));
+        }
+      }
+    }
+  }
+  for (const auto& [vm, batch] : batches) {
+    if (!batch.streams.empty()) {
+      Send(vm, batch);
+    }
+  }
+}
+
+std::optional<StreamOrigin> FleetStreamDirectory::OriginFromRecord(
+    TimePoint now, const StreamQuery& query, OriginEvidence evidence) const {
+  const StreamRecord* record = records_.Find(now, query.key);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  const StreamOrigin conflict{OriginEvidence::kConflict, query.service,
+                              VersionId(), now - record->begun_at};
+  if (record->is_conflict) {
+    return conflict;
+  }
+  const BegunStream& stream = record->stream;
+  if (!stream.version.is_known()) {
+    return std::nullopt;
+  }
+  if (!history_.IsCertain(record->begun_at, stream.target, stream.incarnation,
+                          stream.version)) {
+    const auto proven = ProvenOrigin(now, stream.service, query.max_age);
+    return proven ? proven : conflict;
+  }
+  return StreamOrigin{evidence, stream.service, stream.version,
+                      now - record->begun_at};
+}
+
+std::optional<StreamOrigin> FleetStreamDirectory::ProvenOrigin(
+    TimePoint now, ServiceId service, Duration max_age) const {
+  const auto only = history_.FindOnlyVersion(now, service, now - max_age);
+  if (!only) {
+    return std::nullopt;
+  }
+  return StreamOrigin{OriginEvidence::kOnlyVersion, service, only->version,
+                      now - only->since};
+}
+
+StreamOrigin FleetStreamDirectory::OriginWithoutRecord(
+    TimePoint now, const StreamQuery& query) const {
+  const StreamOrigin none{OriginEvidence::kNone, query.service, VersionId(),
+                          Duration(0)};
+  return ProvenOrigin(now, query.service, query.max_age).value_or(none);
+}
+
+void FleetStreamDirectory::FindOrigin(const StreamQuery& query,
+                                      OriginCallback callback) {
+  const TimePoint now = clock_.Now();
+  std::optional<StreamOrigin> origin;
+  if (query.key.value != 0) {
+    origin = OriginFromRecord(now, query, OriginEvidence::kLocalRecord);
+  }
+  if (!origin) {
+    origin = ProvenOrigin(now, query.service, query.max_age);
+  }
+  if (origin) {
+    callback(*origin);
+    return;
+  }
+  Search search{
+      query, std::move(callback), {}, now + kResendAfter, now + kSearchTime};
+  if (query.key.value != 0 && searches_.size() < kMaxSearches) {
+    RefreshZones(now);
+    search.asked = PossibleKeepers(query.key);
+  }
+  if (search.asked.empty()) {
+    search.callback(OriginWithoutRecord(now, query));
+    return;
+  }
+  const std::uint32_t request_id = ++next_request_id_;
+  Ask(search, request_id);
+  searches_.insert_or_assign(request_id, std::move(search));
+}
+
+void FleetStreamDirectory::Ask(Search& search, std::uint32_t request_id) {
+  for (const std::string& it : search.asked) {
+    Send(it, OriginRequest{request_id, search.query.key, search.query.service,
+                           search.query.max_age});
+  }
+}
+
+void FleetStreamDirectory::EndSearch(std::uint32_t request_id,
+                                     const StreamOrigin& origin) {
+  // The callback may start another search.
+  auto search = searches_.extract(request_id);
+  search.mapped().callback(origin);
+}
+
+void FleetStreamDirectory::AddRecord(TimePoint now, const AgedStream& stream,
+                                     bool is_conflict) {
+  const Duration age = std::clamp(stream.age, Duration(0), kStreamRetention);
+  history_.MergeUse(now, {stream.stream.service, stream.stream.version, age});
+  records_.Add(stream.stream, now - age, is_conflict);
+}
+
+void FleetStreamDirectory::RecordTarget(TimePoint now,
+                                        const TargetEntry& entry) {
+  if (service_names_.size() < kMaxNames) {
+    service_names_.try_emplace(ServiceId::FromName(entry.service),
+                               entry.service);
+  }
+  if (version_names_.size() < kMaxNames) {
+    version_names_.try_emplace(VersionId::FromName(entry.version),
+                               entry.version);
+  }
+  history_.RecordTarget(now, clock_.WallMicros() / 1000, entry);
+}
+
+void FleetStreamDirectory::MergeUses(TimePoint now,
+                                     const std::vector<VersionUse>& uses) {
+  for (const VersionUse& it : uses) {
+    history_.MergeUse(now, it);
+  }
+}
+
+void FleetStreamDirectory::HandleMessage(TimePoint now, const std::string& from,
+                                         std::string_view bytes) {
+  const auto message = DecodeStreamMessage(bytes);
+  if (!message.ok()) {
+    metrics_.IncrementCounter("corianderpost_invalid_stream_messages_total",
+                              "");
+    Log(LogLevel::kWarning, "invalid stream message ignored",
+        {{"from", from}, {"reason", std::string(message.status().message())}});
+    return;
+  }
+  std::visit([&](const auto& it) { Handle(now, from, it); }, *message);
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const StreamBatch& batch) {
+  static_cast<void>(from);
+  for (const AgedStream& it : batch.streams) {
+    AddRecord(now, it, false);
+  }
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const OriginRequest& request) {
+  OriginReply reply;
+  reply.request_id = request.request_id;
+  if (const StreamRecord* record = records_.Find(now, request.key);
+      record != nullptr) {
+    reply.is_conflict = record->is_conflict;
+    reply.stream = {record->stream, now - record->begun_at};
+  }
+  if (const auto only = history_.FindOnlyVersion(now, request.service,
+                                                 now - request.max_age)) {
+    reply.only_version = only->version;
+    reply.only_version_age = now - only->since;
+  }
+  Send(from, reply);
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const OriginReply& reply) {
+  const auto it = searches_.find(reply.request_id);
+  if (it == searches_.end() || it->second.asked.erase(from) == 0) {
+    return;
+  }
+  const StreamQuery query = it->second.query;
+  if (reply.stream && reply.stream->stream.key == query.key) {
+    AddRecord(now, *reply.stream, reply.is_conflict);
+    if (const auto origin =
+            OriginFromRecord(now, query, OriginEvidence::kPeerRecord)) {
+      EndSearch(reply.request_id, *origin);
+      return;
+    }
+  }
+  if (reply.only_version.is_known() &&
+      !history_.HasOther(query.service, reply.only_version,
+                         now - query.max_age)) {
+    EndSearch(reply.request_id, {OriginEvidence::kOnlyVersion, query.service,
+                                 reply.only_version, reply.only_version_age});
+    return;
+  }
+  if (it->second.asked.empty()) {
+    EndSearch(reply.request_id, OriginWithoutRecord(now, query));
+  }
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const HistoryRequest& request) {
+  HistoryReply reply;
+  reply.request_id = request.request_id;
+  if (auto uses = history_.AllUses(now)) {
+    reply.coverage = history_.Coverage(now);
+    reply.uses = *std::move(uses);
+  }
+  Send(from, reply);
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const HistoryReply& reply) {
+  static_cast<void>(from);
+  if (reply.request_id != history_request_id_) {
+    return;
+  }
+  MergeUses(now, reply.uses);
+  history_.MergeCoverage(now, reply.coverage);
+}
+
+void FleetStreamDirectory::RequestHistory(TimePoint now) {
+  if (history_.Coverage(now) >= kWantedCoverage) {
+    history_interval_ = kMinHistoryInterval;
+    return;
+  }
+  if (now < next_history_request_at_ || !history_.IsFresh(now)) {
+    return;
+  }
+  RefreshZones(now);
+  if (live_peers_.empty()) {
+    return;
+  }
+  next_history_request_at_ = now + history_interval_;
+  history_interval_ = std::min(2 * history_interval_, kMaxHistoryInterval);
+  history_request_id_ = ++next_request_id_;
+  const std::size_t n = std::min(kHistoryPeers, live_peers_.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    // Others each time.
+    Send(live_peers_[(history_request_id_ * n + i) % live_peers_.size()],
+         HistoryRequest{history_request_id_});
+  }
+}
+
+void FleetStreamDirectory::Tick(TimePoint now) {
+  std::vector<std::uint32_t> ended;
+  for (auto& [request_id, search] : searches_) {
+    if (now >= search.ends_at) {
+      ended.push_back(request_id);
+    } else if (now >= search.resend_at) {
+      search.resend_at = TimePoint::max();
+      Ask(search, request_id);
+    }
+  }
+  for (const std::uint32_t request_id : ended) {
+    EndSearch(request_id,
+              OriginWithoutRecord(now, searches_.at(request_id).query));
+  }
+  LogVersions(now);
+  SendUnsent(now);
+  RequestHistory(now);
+  if (now < next_housekeeping_at_) {
+    return;
+  }
+  next_housekeeping_at_ = now + kHousekeepingInterval;
+  records_.Expire(now);
+  history_.Expire(now);
+  for (auto it = unsent_.begin(); it != unsent_.end();) {
+    std::deque<UnsentStream>& streams = it->second;
+    while (!streams.empty() &&
+           now - streams.front().begun_at > kStreamRetention) {
+      streams.pop_front();
+    }
+    it = streams.empty() ? unsent_.erase(it) : std::next(it);
+  }
+  metrics_.SetGauge("corianderpost_stream_records",
+                    static_cast<double>(records_.size()));
+  metrics_.IncrementCounter("corianderpost_stream_record_evictions_total", "",
+                            records_.eviction_count() - reported_evictions_);
+  reported_evictions_ = records_.eviction_count();
+}
+
+void FleetStreamDirectory::LogVersions(TimePoint now) {
+  std::map<ServiceId, std::set<VersionId>> mixed;
+  for (const VersionUse& it : history_.MixedUses(now)) {
+    mixed[it.service].insert(it.version);
+  }
+  if (mixed == mixed_) {
+    return;
+  }
+  bool has_new_version = false;
+  for (const auto& [service, versions] : mixed) {
+    const std::set<VersionId>& known = mixed_[service];
+    if (versions == known) {
+      continue;
+    }
+    has_new_version =
+        has_new_version || !std::includes(known.begin(), known.end(),
+                                          versions.begin(), versions.end());
+    nlohmann::json names = nlohmann::json::array();
+    for (const VersionId it : versions) {
+      names.push_back(NameOf(it));
+    }
+    Log(LogLevel::kInfo, "service has several software versions in use",
+        {{"service", NameOf(service)}, {"versions", std::move(names)}});
+  }
+  for (const auto& [service, versions] : mixed_) {
+    if (!mixed.contains(service)) {
+      nlohmann::json names = nlohmann::json::array();
+      for (const VersionUse& it : history_.UsesOf(now, service)) {
+        names.push_back(NameOf(it.version));
+      }
+      Log(LogLevel::kInfo, "service no longer has several software versions",
+          {{"service", NameOf(service)}, {"versions", std::move(names)}});
+    }
+  }
+  mixed_ = std::move(mixed);
+  if (has_new_version) {
+    on_new_version_();
+  }
+}
+
+std::string FleetStreamDirectory::NameOf(VersionId version) const {
+  if (!version.is_known()) {
+    return "";
+  }
+  const auto it = version_names_.find(version);
+  return it == version_names_.end() ? std::to_string(version.value())
+                                    : it->second;
+}
+
+std::string FleetStreamDirectory::NameOf(ServiceId service) const {
+  const auto it = service_names_.find(service);
+  return it == service_names_.end() ? std::to_string(service.value())
+                                    : it->second;
+}
+
+}  // namespace corianderpost
--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -89,7 +89,13 @@
       }
       return;
     }
-    auto report = DecodeReport({buffer.data(), n});
+    const std::string_view bytes(buffer.data(), n);
+    if (stream_directory_ != nullptr && IsStreamMessage(bytes)) {
+      stream_directory_->HandleMessage(clock_.Now(), from.address().to_string(),
+                                       bytes);
+      continue;
+    }
+    auto report = DecodeReport(bytes);
     if (!report.ok()) {
       Log(LogLevel::kWarning, "invalid peer report ignored",
           {{"from", from.address().to_string()},
@@ -125,6 +131,9 @@
            {"peer", report.sender.vm}});
     }
   }
+  if (stream_directory_ != nullptr) {
+    stream_directory_->MergeUses(now, report.version_uses);
+  }
   for (const std::string& it : report.unreachable_targets) {
     scheduler_.ConfirmCrash(now, it);
     TargetState* target = scheduler_.targets().Find(it);
@@ -188,7 +197,11 @@
 }
 
 void PeerMessenger::SendTo(const PeerReport& report, const std::string& vm) {
-  const std::string bytes = EncodeReport(report);
+  SendMessage(vm, EncodeReport(report));
+}
+
+void PeerMessenger::SendMessage(const std::string& vm,
+                                const std::string& bytes) {
   boost::system::error_code ec;
   const auto ip = asio::ip::make_address_v4(vm, ec);
   if (!ec) {
--- a/src/peers/peer_messenger.h
+++ b/src/peers/peer_messenger.h
@@ -14,13 +14,14 @@
 #include <string>
 
 #include "decisions/scheduler.h"
+#include "peers/fleet_stream_directory.h"
 #include "peers/peer_table.h"
 #include "runtime/metrics.h"
 
 namespace corianderpost {
 
 // Used from the event loop only.
-class PeerMessenger {
+class PeerMessenger final : public StreamPeers {
  public:
   // Sets the fields of a report that describe this router's store replicas.
   using AddReplicaState = std::function<void(TimePoint, PeerReport&)>;
@@ -33,6 +34,11 @@
                 Scheduler& scheduler, internal::Metrics& metrics,
                 AddReplicaState add_replica_state);
 
+  // Passes stream messages, and what reports say of software versions, to
+  // `directory`, which must outlive the messenger.
+  void SetStreamDirectory(FleetStreamDirectory& directory) {
+    stream_directory_ = &directory;
+  }
   // Starts receiving reports.
   void Start() { WaitForReports(); }
   // Sends the reports that are due and passes totals of the peers' reports to
@@ -47,6 +53,11 @@
     unreachable_recorded_at_[target_id] = now;
   }
 
+  std::vector<RouterInfo> LiveRouters(TimePoint now) const override {
+    return peers_.LivePeers(now);
+  }
+  void SendMessage(const std::string& vm, const std::string& bytes) override;
+
   const PeerTable& peers() const { return peers_; }
   // Records that this router has the operators' change of this position.
   void RecordOperatorChange(TimePoint now, const StorePosition& position) {
@@ -91,6 +102,7 @@
   internal::Metrics& metrics_;
   const AddReplicaState add_replica_state_;
   PeerTable peers_;
+  FleetStreamDirectory* stream_directory_ = nullptr;
   boost::asio::ip::udp::socket socket_;
   const std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -100,6 +100,18 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerVersionUse = 3;
+
+Json EncodeVersionUses(const std::vector<VersionUse>& uses) {
+  Json list = Json::array();
+  for (const VersionUse& it : uses) {
+    list.push_back(it.service.value());
+    list.push_back(it.version.value());
+    list.push_back(ToMillis(it.age));
+  }
+  return list;
+}
+
 // Encodes pairs of fingerprint and crash id, which routers without extensions
 // understand. They ignore an element after the last pair, so the extensions
 // follow there as a map by name.
@@ -122,6 +134,9 @@
     leaving.push_back(it.incarnation);
   }
   extensions["leaving"] = std::move(leaving);
+  if (!report.version_uses.empty()) {
+    extensions["versions"] = EncodeVersionUses(report.version_uses);
+  }
   if (report.operator_keys) {
     const OperatorKeysState& keys = *report.operator_keys;
     extensions["operator_keys"] = {
@@ -146,6 +161,22 @@
   }
 }
 
+void DecodeVersionUses(const Json& crashes, PeerReport& report) {
+  // Absent while each service has one version, and in reports of earlier
+  // versions.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("versions")) {
+    return;
+  }
+  const Json& uses = crashes.back().at("versions");
+  for (std::size_t i = 0; i + kFieldsPerVersionUse <= uses.size();
+       i += kFieldsPerVersionUse) {
+    report.version_uses.push_back(
+        {ServiceId(uses[i].get<std::uint32_t>()),
+         VersionId(uses[i + 1].get<std::uint64_t>()),
+         milliseconds(uses[i + 2].get<std::int64_t>())});
+  }
+}
+
 // Returns absent if the sender is of an earlier version.
 std::optional<OperatorKeysState> DecodeOperatorKeys(const Json& crashes) {
   if (crashes.size() % 2 == 0 || !crashes.back().contains("operator_keys")) {
@@ -317,6 +348,7 @@
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
     DecodeLeaving(json[10], report);
+    DecodeVersionUses(json[10], report);
     report.operator_keys = DecodeOperatorKeys(json[10]);
     if (report.operator_keys) {
       report.target_list_era =
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -15,6 +15,7 @@
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/target_table.h"
+#include "decisions/version_history.h"
 #include "model/store_batch.h"
 
 namespace corianderpost {
@@ -105,6 +106,8 @@
   std::vector<SuspectReport> suspects;
   std::vector<NamedRateLimit> rate_limits;
   std::vector<LeavingTarget> leaving_targets;
+  // Software versions of the services that have several in use.
+  std::vector<VersionUse> version_uses;
   // Ids of targets to which connections failed recently.
   std::vector<std::string> unreachable_targets;
   // Live routers known to the sender; omitted from some reports.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -50,6 +50,9 @@
       {TargetId::FromName("t"), 12.5, milliseconds(70)},
       {TargetId::FromName("u"), std::nullopt, milliseconds(80)}};
   report.unreachable_targets = {"i-1"};
+  report.version_uses = {
+      {ServiceId::FromName("chat"), VersionId::FromName("1.0"), Duration(0)},
+      {ServiceId::FromName("chat"), VersionId(), milliseconds(1500)}};
   report.link_use = 12'000;
   report.link_budget = 34'000;
   report.sent_at = 99;
@@ -97,6 +100,25 @@
   CHECK(decoded->rate_limits.empty());
 }
 
+TEST_CASE("A report without several versions has the former format") {
+  constexpr std::size_t kCrashesField = 10;
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
+  nlohmann::json json = nlohmann::json::from_msgpack(EncodeReport(report));
+  CHECK_FALSE(json[kCrashesField].back().contains("versions"));
+
+  report.version_uses = {
+      {ServiceId::FromName("chat"), VersionId::FromName("1.0"), Duration(0)}};
+  json = nlohmann::json::from_msgpack(EncodeReport(report));
+  REQUIRE(json[kCrashesField].back().contains("versions"));
+  // A former version ignores the name; its reports lack it.
+  json[kCrashesField].back().erase("versions");
+  const std::vector<std::uint8_t> former = nlohmann::json::to_msgpack(json);
+  const auto decoded = DecodeReport(std::string(former.begin(), former.end()));
+  REQUIRE(decoded.ok());
+  report.version_uses.clear();
+  CHECK(*decoded == report);
+}
+
 TEST_CASE("A peer that restarts at once counts as new") {
   PeerTable table(MakeRouterInfo("10.0.0.9", "a"));
   PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -15,6 +15,7 @@
 
 #include "dataplane/exchange.h"
 #include "dataplane/fetch.h"
+#include "peers/fleet_stream_directory.h"
 #include "peers/peer_messenger.h"
 #include "peers/replica_batch.h"
 #include "peers/store_reader.h"
@@ -40,6 +41,8 @@
 constexpr Duration kMaxOnTimeLag = milliseconds(40);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 constexpr Duration kSettingsCheckInterval = seconds(1);
+// Interval at which the versions of the known targets count as in use.
+constexpr Duration kTargetRecordInterval = milliseconds(500);
 // Interval of the log lines that summarise rejections and the share level.
 constexpr Duration kSummaryInterval = seconds(1);
 // Customers named in a line on rejections.
@@ -282,6 +285,7 @@
   // Exports, and logs at intervals, for how long a change has been missing.
   void ReportLag(TimePoint now, const OperatorKeysState& keys,
                  Duration behind_for);
+  void TickStreamDirectory(TimePoint now);
   void TickDrain(TimePoint now);
   void CheckLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
@@ -335,6 +339,7 @@
   Fetcher fetcher_;
   DataPlane plane_;
   PeerMessenger messenger_;
+  FleetStreamDirectory stream_directory_;
   StoreReader operator_reader_;
   StoreReader target_list_reader_;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges_;
@@ -350,6 +355,7 @@
   TimePoint tick_due_;
   OverloadDetector overload_detector_;
   TimePoint next_housekeeping_at_;
+  TimePoint next_target_record_at_;
   TimePoint next_settings_check_at_;
   TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
@@ -403,7 +409,10 @@
                  settings.peer_port, scheduler_, metrics_,
                  [this](TimePoint now, PeerReport& report) {
                    AddReplicaState(now, report);
+                   report.version_uses = stream_directory_.ReportedUses(now);
                  }),
+      stream_directory_(messenger_.peers().self(), clock_, messenger_, metrics_,
+                        [this] { messenger_.ReportAtNextTick(); }),
       operator_reader_(
           {deployment.operator_prefix(), settings.store_address,
            kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true,
@@ -433,6 +442,8 @@
                         clock_),
       tick_timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
+  plane_.stream_directory = &stream_directory_;
+  messenger_.SetStreamDirectory(stream_directory_);
   plane_.on_crash = [this] { messenger_.ReportAtNextTick(); };
   plane_.on_target_leaving = [this] { messenger_.ReportAtNextTick(); };
   plane_.on_unreachable = [this](const std::string& id) {
@@ -651,6 +662,8 @@
   TickExchanges(now);
   fetcher_.Tick(now);
   TickReaders(now);
+  // Before the messenger, so that a report on a new version is sent at once.
+  TickStreamDirectory(now);
   messenger_.Tick(now);
   if (now >= next_housekeeping_at_) {
     next_housekeeping_at_ = now + kHousekeepingInterval;
@@ -842,6 +855,19 @@
   }
 }
 
+void Router::Impl::TickStreamDirectory(TimePoint now) {
+  if (now >= next_target_record_at_) {
+    next_target_record_at_ = now + kTargetRecordInterval;
+    for (const auto& [id, target] : scheduler_.targets().targets()) {
+      stream_directory_.RecordTarget(now, target.entry);
+    }
+  }
+  if (target_list_reader_.replica().is_loaded()) {
+    stream_directory_.ConfirmList(target_list_reader_.updated_at());
+  }
+  stream_directory_.Tick(now);
+}
+
 void Router::Impl::TickReaders(TimePoint now) {
   const PeerTable& peers = messenger_.peers();
   const int rank = peers.UsesRelays(now) ? peers.LocalRelayRank(now) : 0;
@@ -1155,6 +1181,7 @@
          {"cold_ms", entry.cold_remaining.count() / 1000},
          {"incarnation", entry.incarnation},
          {"restored", origin.is_restored}});
+    stream_directory_.RecordTarget(now, entry);
   }
 }
 
