Keep a stream at the software version that began it

Callers got streams whose first events one software version of a service had written and the rest another one. The router continued a stream at any target of the service, in its own retries and when a caller resumed it, and what two versions write does not fit together.

Cause: placement did not know the version of targets.

A request that continues a stream is now placed only at targets of the version that began it. Unknown versions equal nothing, and the version of a target that may have restarted is unknown. A stream is broken off if the list later shows that a target which wrote a part of it runs another version. A resumption asks the StreamDirectory before anything is sent, and is refused with 503 and a short Retry-After without certainty: what is not known can't be guessed. Without a directory all resumptions of callers are refused; the router's own retries need none. Without an id in Resumes, a resumption on a route to several services is refused too, since any of them may have begun the stream.

Continued streams are not rejected for the customer's share, and their limit on the time to the first event is half of what the caller still waits: only some targets can serve them. Demand and share are still charged, since a target does the work again and a caller could otherwise avoid its share by resuming. Placement of new streams is unchanged. With all targets of a version in rotation but tried or in doubt, the reason is no_target, not version_gone.

stream resumed, stream not resumed and stream not continued log the verdict with what it was based on; two counters count the verdicts.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -40,6 +40,11 @@
 // Callers retry at other routers, which have headroom unless the load is high
 // everywhere.
 constexpr Duration kSaturatedRetryAfter = milliseconds(100);
+// A stream that can't be resumed has to begin again, which needs no wait.
+constexpr Duration kNotResumableRetryAfter = milliseconds(100);
+// A resumed stream of a route without a timeout began at most this long ago,
+// unless callers are known to wait longer.
+constexpr Duration kDefaultMaxStreamAge = seconds(30);
 // Reading from the target pauses while more output than this is buffered for a
 // slow caller. Also the maximum size of one event.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
@@ -98,6 +103,41 @@
   return ids;
 }
 
+// Verdict on a stream for which a target was found.
+constexpr std::string_view kPlacedVerdict = "placed";
+
+// Returns the part of the route's requests that goes to `service`, or null if
+// none goes there.
+const TrafficShare* FindShare(const Route& route, ServiceId service) {
+  for (const TrafficShare& it : route.split) {
+    if (it.weight > 0 && ServiceId::FromName(it.service) == service) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+bool HasSeveralServices(const Route& route) {
+  return std::count_if(route.split.begin(), route.split.end(),
+                       [](const TrafficShare& it) { return it.weight > 0; }) >
+         1;
+}
+
+// Returns the name of a version for the log, or its id if no target has it;
+// empty if it is unknown.
+std::string NameOf(TargetTable& targets, const std::string& service,
+                   VersionId version) {
+  if (!version.is_known()) {
+    return "";
+  }
+  const std::string name = targets.NameOfVersion(service, version);
+  return name.empty() ? absl::StrFormat("%016x", version.value()) : name;
+}
+
+CustomerId CustomerIdOf(const ScheduledRequest& request) {
+  return request.customer == nullptr ? CustomerId() : request.customer->id;
+}
+
 std::string TargetIdOf(const Assignment& assignment) {
   return assignment.target_id;
 }
@@ -141,9 +181,8 @@
     scheduled_.customer = configuration_->FindCustomerByKey(
         plane_.dialect.DecodeApiKey(request_));
   }
-  const CustomerId customer_id =
-      scheduled_.customer == nullptr ? CustomerId() : scheduled_.customer->id;
-  if (!plane_.processor_admission.TryAdmit(plane_.clock.Now(), customer_id)) {
+  if (!plane_.processor_admission.TryAdmit(plane_.clock.Now(),
+                                           CustomerIdOf(scheduled_))) {
     // Rejects the request with as little work as possible. It has no line in
     // the log, and its demand is recorded by the router that gets its retry.
     is_log_suppressed_ = true;
@@ -173,8 +212,12 @@
     SendLocalReply(503, "the deadline has passed", Duration(0));
     return;
   }
-  const std::string& id = meta_.request_id;
-  scheduled_.service = PickService(*route, XXH64(id.data(), id.size(), 1));
+  is_resumption_ = IsResumableStream() && !meta_.last_event_id.empty();
+  // A resumed stream belongs to the service that its first request went to.
+  scheduled_.service =
+      ServiceFor(is_resumption_ && !meta_.resumed_request_id.empty()
+                     ? meta_.resumed_request_id
+                     : meta_.request_id);
   scheduled_.prompt = meta_.prompt;
   scheduled_.prompt_tokens = meta_.prompt_tokens;
   scheduled_.max_output_tokens = meta_.max_output_tokens;
@@ -199,14 +242,176 @@
     SendLocalReply(503, "this router is stopping", milliseconds(1));
     return;
   }
+  if (is_resumption_) {
+    FindOrigin();
+  } else {
+    Dispatch();
+  }
+}
+
+bool Exchange::IsResumableStream() const {
+  return scheduled_.route->kind == RequestKind::kStreaming &&
+         scheduled_.route->is_resumable;
+}
+
+const std::string& Exchange::ServiceFor(const std::string& request_id) const {
+  return PickService(*scheduled_.route,
+                     XXH64(request_id.data(), request_id.size(), 1));
+}
+
+void Exchange::FindOrigin() {
+  const std::string& id = meta_.resumed_request_id;
+  if (plane_.stream_directory == nullptr ||
+      (id.empty() && HasSeveralServices(*scheduled_.route))) {
+    HandleOrigin({});
+    return;
+  }
+  StreamQuery query;
+  query.key =
+      id.empty() ? StreamKey() : StreamKey::Of(CustomerIdOf(scheduled_), id);
+  query.service = ServiceId::FromName(scheduled_.service);
+  query.max_age = std::max(
+      route_timeout_ > Duration(0) ? route_timeout_ : kDefaultMaxStreamAge,
+      plane_.max_caller_timeout_by_route[scheduled_.route->name]);
+  awaits_origin_ = true;
+  plane_.stream_directory->FindOrigin(
+      query, [self = weak_from_this()](const StreamOrigin& origin) {
+        const std::shared_ptr<Exchange> exchange = self.lock();
+        if (exchange && !exchange->is_done_ &&
+            std::exchange(exchange->awaits_origin_, false)) {
+          exchange->HandleOrigin(origin);
+        }
+      });
+}
+
+void Exchange::HandleOrigin(const StreamOrigin& origin) {
+  origin_ = origin;
+  if (plane_.rejects_all || plane_.rejects_streaming) {
+    SendLocalReply(503, "this router is stopping", milliseconds(1));
+    return;
+  }
+  if (origin.evidence == OriginEvidence::kNone ||
+      origin.evidence == OriginEvidence::kConflict ||
+      !origin.version.is_known()) {
+    SendLocalReply(503, "origin_unknown", kNotResumableRetryAfter);
+    return;
+  }
+  const TrafficShare* share = FindShare(*scheduled_.route, origin.service);
+  if (share == nullptr) {
+    SendLocalReply(503, "service_gone", kNotResumableRetryAfter);
+    return;
+  }
+  scheduled_.service = share->service;
+  scheduled_.required_version = origin.version;
   Dispatch();
 }
 
-void Exchange::Dispatch() {
-  const TimePoint now = plane_.clock.Now();
+void Exchange::ReportResumption(std::string_view verdict) {
+  if (!is_resumption_ || std::exchange(is_resumption_reported_, true)) {
+    return;
+  }
+  const std::string_view evidence =
+      origin_ ? ToString(origin_->evidence) : "pending";
+  plane_.metrics.IncrementCounter(
+      "corianderpost_stream_resumptions_total",
+      absl::StrFormat("evidence=\"%s\",verdict=\"%s\"", evidence, verdict));
+  const bool is_resumed = verdict == kPlacedVerdict;
+  const LogLevel level = is_resumed ? LogLevel::kInfo : LogLevel::kWarning;
+  if (!internal::ShouldLog(level)) {
+    return;
+  }
+  const VersionId version = origin_ ? origin_->version : VersionId();
+  TargetTable& targets = plane_.scheduler.targets();
+  const VersionCounts counts =
+      targets.CountVersions(plane_.clock.Now(), scheduled_.service, version);
+  Log(level, is_resumed ? "stream resumed" : "stream not resumed",
+      {{"resumes", meta_.resumed_request_id},
+       {"last_event_id", meta_.last_event_id},
+       {"verdict", verdict},
+       {"evidence", evidence},
+       {"known_for_ms", origin_ ? ToMilliseconds(origin_->age) : 0},
+       {"service", scheduled_.service},
+       {"version", NameOf(targets, scheduled_.service, version)},
+       {"targets_of_version", counts.same},
+       {"other_targets", counts.other}});
+}
+
+void Exchange::ReportStreamRetry(std::string_view verdict) {
+  plane_.metrics.IncrementCounter("corianderpost_stream_retries_total",
+                                  absl::StrFormat("verdict=\"%s\"", verdict));
+  if (verdict == kPlacedVerdict) {
+    return;
+  }
+  const VersionId version = scheduled_.required_version.value_or(VersionId());
+  TargetTable& targets = plane_.scheduler.targets();
+  const VersionCounts counts =
+      targets.CountVersions(plane_.clock.Now(), scheduled_.service, version);
+  Log(LogLevel::kWarning, "stream not continued",
+      {{"verdict", verdict},
+       {"events", events_forwarded_},
+       {"service", scheduled_.service},
+       {"version", NameOf(targets, scheduled_.service, version)},
+       {"targets_of_version", counts.same},
+       {"other_targets", counts.other}});
+}
+
+void Exchange::RecordStreamBegun() {
+  if (!scheduled_.required_version) {
+    const bool is_in_doubt = plane_.scheduler.targets().IsVersionInDoubt(
+        assignment_->target_id, assignment_->incarnation, assignment_->version);
+    scheduled_.required_version =
+        is_in_doubt ? VersionId() : assignment_->version;
+  }
+  if (plane_.stream_directory == nullptr) {
+    return;
+  }
+  BegunStream stream;
+  stream.customer = CustomerIdOf(scheduled_);
+  stream.key = StreamKey::Of(stream.customer, meta_.request_id);
+  stream.service = ServiceId::FromName(scheduled_.service);
+  stream.target = TargetId::FromName(assignment_->target_id);
+  stream.incarnation = assignment_->incarnation;
+  stream.version = *scheduled_.required_version;
+  plane_.stream_directory->RecordBegun(stream);
+  // The stream may break again. Its caller then names the same request as now,
+  // or this one.
+  if (is_resumption_ && !meta_.resumed_request_id.empty() &&
+      meta_.resumed_request_id != meta_.request_id) {
+    stream.key = StreamKey::Of(stream.customer, meta_.resumed_request_id);
+    plane_.stream_directory->RecordBegun(stream);
+  }
+}
+
+bool Exchange::MayContinue() const {
+  if (!has_stream_begun_ || !IsResumableStream()) {
+    return true;
+  }
+  const VersionId version = scheduled_.required_version.value_or(VersionId());
+  return version.is_known() &&
+         std::none_of(stream_writers_.begin(), stream_writers_.end(),
+                      [&](const StreamWriter& it) {
+                        return plane_.scheduler.targets().IsVersionInDoubt(
+                            it.target_id, it.incarnation, version);
+                      });
+}
+
+Decision Exchange::Place(TimePoint now) {
   scheduled_.remaining = RemainingTime(now);
-  const Decision decision = plane_.scheduler.Place(now, scheduled_);
-  if (const auto* rejection = std::get_if<Rejection>(&decision)) {
+  scheduled_.waited_for_event =
+      now - (has_stream_begun_ ? last_event_at_ : first_byte_at_);
+  return plane_.scheduler.Place(now, scheduled_);
+}
+
+void Exchange::Dispatch() {
+  const Decision decision = Place(plane_.clock.Now());
+  const auto* rejection = std::get_if<Rejection>(&decision);
+  const std::string_view verdict =
+      rejection == nullptr ? kPlacedVerdict : ToString(rejection->reason);
+  if (has_stream_begun_) {
+    ReportStreamRetry(verdict);
+  }
+  ReportResumption(verdict);
+  if (rejection != nullptr) {
     Reject(*rejection);
     return;
   }
@@ -433,9 +638,32 @@
     RetryOrFail(true, "wrong event");
     return;
   }
+  // A connection outlives no restart of the target: if the target's entry shows
+  // one, the new run writes these events.
+  if ((is_resuming_ || is_resumption_) && scheduled_.required_version &&
+      plane_.scheduler.targets().IsVersionInDoubt(
+          assignment_->target_id, assignment_->incarnation,
+          *scheduled_.required_version)) {
+    Log(LogLevel::kWarning, "target of a resumed stream has another version",
+        {{"target", assignment_->target_id},
+         {"incarnation", assignment_->incarnation}});
+    EndAttempt(AttemptOutcome::kCancelled);
+    RetryOrFail(true, "wrong version");
+    return;
+  }
   plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_,
                                     scheduled_);
   std::string out;
+  if (IsResumableStream()) {
+    if (!has_stream_begun_) {
+      RecordStreamBegun();
+    }
+    if (attempt_events_ == 0) {
+      stream_writers_.push_back(
+          {assignment_->target_id, assignment_->incarnation});
+    }
+  }
+  last_event_at_ = last_progress_at_;
   if (!has_stream_begun_) {
     has_stream_begun_ = true;
     first_event_latency_ = last_progress_at_ - first_byte_at_;
@@ -499,9 +727,8 @@
   if (is_error && scheduled_.route->kind == RequestKind::kIdempotent &&
       attempts_ < scheduled_.route->max_attempts) {
     const TimePoint now = plane_.clock.Now();
-    scheduled_.remaining = RemainingTime(now);
-    if (scheduled_.remaining > kMinAttemptTime) {
-      const Decision decision = plane_.scheduler.Place(now, scheduled_);
+    if (RemainingTime(now) > kMinAttemptTime) {
+      const Decision decision = Place(now);
       if (const auto* next = std::get_if<Assignment>(&decision)) {
         may_have_executed_ = true;
         SendTo(*next);
@@ -569,7 +796,12 @@
       !may_have_executed_ || scheduled_.route->IsSafeToRetry();
   const bool has_attempts =
       attempts_ < scheduled_.route->max_attempts || !has_send_started_;
-  if (may_retry && has_attempts && RemainingTime(now) > kMinAttemptTime) {
+  const bool may_continue = MayContinue();
+  if (!may_continue) {
+    ReportStreamRetry("version_in_doubt");
+  }
+  if (may_retry && may_continue && has_attempts &&
+      RemainingTime(now) > kMinAttemptTime) {
     if (!has_send_started_) {
       // Nothing was sent, so this doesn't count as an attempt. The target stays
       // in `tried_targets` and is not selected again.
@@ -618,6 +850,7 @@
     return;
   }
   is_done_ = true;
+  ReportResumption(outcome);
   const Duration elapsed = plane_.clock.Now() - first_byte_at_;
   plane_.metrics.IncrementCounter("corianderpost_requests_total",
                                   "status=\"" + std::to_string(status_) + "\"");
@@ -794,14 +1027,16 @@
     return;
   }
   next_stall_retry_at_ = now + kStallRetryInterval;
-  scheduled_.remaining = RemainingTime(now);
-  if (scheduled_.remaining <= kMinAttemptTime) {
+  if (RemainingTime(now) <= kMinAttemptTime || !MayContinue()) {
     return;
   }
   // The target may only be slow, so the attempt goes on until another target
   // takes the request.
-  const Decision decision = plane_.scheduler.Place(now, scheduled_);
+  const Decision decision = Place(now);
   if (const auto* next = std::get_if<Assignment>(&decision)) {
+    if (has_stream_begun_) {
+      ReportStreamRetry(kPlacedVerdict);
+    }
     EndAttempt(AttemptOutcome::kCancelled);
     may_have_executed_ = true;
     SendTo(*next);
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -108,8 +108,29 @@
     kUnusable,
   };
 
-  // Asks the scheduler for a target and starts an attempt, or ends the request
-  // if there is none.
+  // Returns whether an interrupted stream of the route may continue.
+  bool IsResumableStream() const;
+  // Returns the service that a request with this id is sent to.
+  const std::string& ServiceFor(const std::string& request_id) const;
+  // Asks which version began the stream that the caller resumes, and continues
+  // with `HandleOrigin`.
+  void FindOrigin();
+  // Continues the stream at the version that began it, or rejects the request.
+  void HandleOrigin(const StreamOrigin& origin);
+  // Logs and counts, once, whether the stream that the caller resumes goes on.
+  void ReportResumption(std::string_view verdict);
+  // Counts a retry in the middle of a stream, and logs it if it is not made.
+  void ReportStreamRetry(std::string_view verdict);
+  // Records which target and version wrote the stream. Call before its first
+  // event is forwarded.
+  void RecordStreamBegun();
+  // Returns whether the stream may continue at another target: no event was
+  // forwarded yet, or it is certain which version wrote them.
+  bool MayContinue() const;
+  // Asks the scheduler for a target.
+  Decision Place(TimePoint now);
+  // Places the request and starts an attempt, or ends the request if there is
+  // no target.
   void Dispatch();
   // Starts an attempt.
   void SendTo(const Assignment& assignment);
@@ -209,8 +230,25 @@
   EventSplitter splitter_;
   // The response head and at least one event were sent to the caller.
   bool has_stream_begun_ = false;
-  // The current attempt continues a stream that an earlier one began.
+  // The current attempt continues a stream that an earlier one of this request
+  // began.
   bool is_resuming_ = false;
+  // The caller resumes a stream of an earlier request.
+  bool is_resumption_ = false;
+  // The caller resumes a stream, and the version that began it is being looked
+  // up.
+  bool awaits_origin_ = false;
+  // Set once the origin of the stream that the caller resumes is known.
+  std::optional<StreamOrigin> origin_;
+  bool is_resumption_reported_ = false;
+  // Runs of targets whose events were forwarded.
+  struct StreamWriter {
+    std::string target_id;
+    std::int64_t incarnation = 0;
+  };
+  std::vector<StreamWriter> stream_writers_;
+  // When the last event was forwarded.
+  TimePoint last_event_at_;
   // Events of the current attempt that were forwarded.
   std::uint64_t attempt_events_ = 0;
   // Id of the last event forwarded to the caller; before that, the caller's own
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -35,6 +35,14 @@
 // Fraction that queueing may use of the latency limit computed from the
 // service's shortest latency goal; the rest is for the request's own prefill.
 constexpr double kQueueingFraction = 0.7;
+// Callers abandon a stream if no event arrives for the longest of a fixed time
+// and multiples of the route's latency goal and gap goal.
+constexpr double kMinAbandonSeconds = 2.0;
+constexpr double kAbandonLatencyGoals = 4.0;
+constexpr double kAbandonGapGoals = 8.0;
+// Fraction of the time until then that the predicted time to the first event of
+// a continued stream may use.
+constexpr double kContinuationFraction = 0.5;
 // Used for routes without a latency goal.
 constexpr double kDefaultLatencyGoalSeconds = 1.0;
 // Fraction of an engine's KV cache that requests in flight may reserve.
@@ -128,6 +136,16 @@
   return count == 0 ? 0.0 : sum / count;
 }
 
+// Returns the latency limit of a request that continues a stream.
+double ContinuationLimitSeconds(const ScheduledRequest& request) {
+  const double abandon_seconds =
+      std::max({kMinAbandonSeconds,
+                kAbandonLatencyGoals * Seconds(request.route->latency_goal),
+                kAbandonGapGoals * Seconds(request.route->gap_goal)});
+  return kContinuationFraction *
+         (abandon_seconds - Seconds(request.waited_for_event));
+}
+
 CustomerId CustomerOf(const ScheduledRequest& request) {
   return request.customer == nullptr ? CustomerId() : request.customer->id;
 }
@@ -231,6 +249,12 @@
           allows(request.customer->allowed_regions));
 }
 
+bool Scheduler::HasRequiredVersion(const ScheduledRequest& request,
+                                   const TargetState& target) {
+  return !request.required_version ||
+         request.required_version->IsSame(TargetTable::VersionOf(target));
+}
+
 std::vector<TargetState*> Scheduler::UsableTargets(
     TimePoint now, const ScheduledRequest& request) {
   std::vector<TargetState*> in_rotation;
@@ -238,6 +262,7 @@
   for (TargetState* it : targets_.OfService(request.service)) {
     if (!targets_.IsInRotation(now, *it) || TargetTable::IsPaused(now, *it) ||
         !IsAllowedRegion(request, it->region) ||
+        !HasRequiredVersion(request, *it) ||
         Contains(request.tried_targets, it->entry.id)) {
       continue;
     }
@@ -460,8 +485,10 @@
   }
   // Checked before any target is evaluated, so that rejecting a flood of
   // requests is cheap.
+  const bool is_continuation = request.required_version.has_value();
+  // A stream that continues was within its customer's share when it began.
   const bool has_share_credit =
-      !is_engine || request.customer == nullptr ||
+      !is_engine || request.customer == nullptr || is_continuation ||
       fair_share_.HasCredit(now, request.customer->id);
   if (!has_share_credit &&
       !fair_share_.MayUseSpareCapacity(now, request.customer->id)) {
@@ -506,12 +533,21 @@
   const double goal_fraction = !has_share_credit   ? kOverShareGoalFraction
                                : is_large_customer ? kLargeCustomerGoalFraction
                                                    : kGoalFraction;
-  const double limit_seconds = goal_seconds * goal_fraction;
+  const double new_limit_seconds = goal_seconds * goal_fraction;
+  const double limit_seconds =
+      is_continuation
+          ? std::max(new_limit_seconds, ContinuationLimitSeconds(request))
+          : new_limit_seconds;
   // All requests of a service share a target's queue. If the queue were longer
   // than the shortest latency goal allows, requests with that goal would be
-  // rejected.
-  const double queueing_limit_seconds =
+  // rejected. A continued stream may queue longer: only the targets of its
+  // version can serve it, while new streams can go to others.
+  const double new_queueing_limit_seconds =
       kQueueingFraction * goal_fraction * ShortestLatencyGoal(request.service);
+  const double queueing_limit_seconds =
+      is_continuation ? std::max(new_queueing_limit_seconds,
+                                 kQueueingFraction * limit_seconds)
+                      : new_queueing_limit_seconds;
   double best_seconds = 0;
   double best_local_seconds = std::numeric_limits<double>::infinity();
   double local_queueing_seconds = std::numeric_limits<double>::infinity();
@@ -526,8 +562,8 @@
                                     ? kLargeBodySpillFraction
                                     : kSmallBodySpillFraction;
   const bool is_local_region_busy =
-      best_local_seconds > spill_fraction * limit_seconds ||
-      local_queueing_seconds > spill_fraction * queueing_limit_seconds;
+      best_local_seconds > spill_fraction * new_limit_seconds ||
+      local_queueing_seconds > spill_fraction * new_queueing_limit_seconds;
   const bool fits_link_budget = FitsLinkBudget(now, request.body_bytes);
   ExcludedTargets excluded;
   // This router's part of the limits that are used up, in requests per second.
@@ -604,13 +640,24 @@
 Rejection Scheduler::RejectWithoutTarget(TimePoint now,
                                          const ScheduledRequest& request) {
   TimePoint first_pause_ends = TimePoint::max();
+  bool is_version_gone = request.required_version.has_value();
   for (const TargetState* it : targets_.OfService(request.service)) {
-    if (targets_.IsInRotation(now, *it) && TargetTable::IsPaused(now, *it) &&
-        IsAllowedRegion(request, it->region) &&
+    if (!targets_.IsInRotation(now, *it) ||
+        !IsAllowedRegion(request, it->region)) {
+      continue;
+    }
+    // A target that may have restarted counts until its entry shows another
+    // version.
+    is_version_gone =
+        is_version_gone && !request.required_version->IsSame(it->version);
+    if (TargetTable::IsPaused(now, *it) && HasRequiredVersion(request, *it) &&
         !Contains(request.tried_targets, it->entry.id)) {
       first_pause_ends = std::min(first_pause_ends, it->paused_until);
     }
   }
+  if (is_version_gone) {
+    return {RejectionReason::kVersionGone, kMinRetryAfter, Duration(0), 0};
+  }
   if (first_pause_ends == TimePoint::max()) {
     return {RejectionReason::kNoTarget, kNoTargetRetryAfter, Duration(0), 0};
   }
@@ -678,6 +725,7 @@
   assignment.target_id = target.entry.id;
   assignment.address = target.entry.address;
   assignment.incarnation = target.entry.incarnation;
+  assignment.version = TargetTable::VersionOf(target);
   assignment.prefill_tokens = candidate.prefill_tokens;
   assignment.kv_cache_tokens = candidate.kv_cache_tokens;
   assignment.predicted_from_load =
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -70,6 +70,9 @@
   // Set if the request continues a stream: the software version that began it.
   // Only targets of this version may serve the request; none if it is unknown.
   std::optional<VersionId> required_version = std::nullopt;
+  // Set with `required_version`: time that the caller has waited for the next
+  // event, as far as known.
+  Duration waited_for_event{0};
 };
 
 enum class RejectionReason {
@@ -131,7 +134,8 @@
   std::string target_id;
   std::string address;
   std::int64_t incarnation = 0;
-  // Software version of the target.
+  // Software version of the target when it was chosen; see
+  // `TargetTable::VersionOf`.
   VersionId version;
   // Prompt tokens that the target is expected to prefill.
   double prefill_tokens = 0;
@@ -273,11 +277,14 @@
   };
 
   // Returns the targets of the request's service that are in rotation, in an
-  // allowed region and not tried yet. Leaves out those that are ejected and
-  // half-open ones with a probe in flight, unless none would be left, and
-  // always those that have asked for a pause.
+  // allowed region, of the required version and not tried yet. Leaves out those
+  // that are ejected and half-open ones with a probe in flight, unless none
+  // would be left, and always those that have asked for a pause.
   std::vector<TargetState*> UsableTargets(TimePoint now,
                                           const ScheduledRequest& request);
+  // Returns whether the target has the version that the request requires.
+  static bool HasRequiredVersion(const ScheduledRequest& request,
+                                 const TargetState& target);
   // Returns a rejection because no target is usable.
   Rejection RejectWithoutTarget(TimePoint now, const ScheduledRequest& request);
   static bool IsAllowedRegion(const ScheduledRequest& request,
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -520,6 +520,184 @@
   CHECK(ChosenTarget(fixture.scheduler().Place(kStart, request)) == "t1");
 }
 
+// Sets the software version of a target.
+void SetVersion(Scheduler& scheduler, const std::string& target_id,
+                const std::string& version) {
+  TargetEntry entry = scheduler.targets().Find(target_id)->entry;
+  entry.version = version;
+  scheduler.targets().ApplyEntry(kStart, entry);
+}
+
+ScheduledRequest Continuation(ScheduledRequest request,
+                              const std::string& version) {
+  request.required_version = VersionId::FromName(version);
+  return request;
+}
+
+RejectionReason ReasonOf(const Decision& decision) {
+  REQUIRE(std::holds_alternative<Rejection>(decision));
+  return std::get<Rejection>(decision).reason;
+}
+
+TEST_CASE("A stream continues only at targets of its version") {
+  Fixture fixture({"a", "a", "b", "c", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  SetVersion(scheduler, "t1", "v2");
+  SetVersion(scheduler, "t2", "v3");
+  SetVersion(scheduler, "t3", "v2");
+  std::set<std::string> used;
+  for (std::uint64_t prefix_id = 1; prefix_id <= 20; ++prefix_id) {
+    const Decision decision = scheduler.Place(
+        kStart, Continuation(fixture.Request("small", prefix_id, 10), "v2"));
+    REQUIRE(std::holds_alternative<Assignment>(decision));
+    const auto& assignment = std::get<Assignment>(decision);
+    CHECK(assignment.version == VersionId::FromName("v2"));
+    used.insert(assignment.target_id);
+    scheduler.Finish(kStart, assignment, AttemptOutcome::kCompleted);
+  }
+  used.erase("t1");
+  used.erase("t3");
+  CHECK(used.empty());
+}
+
+TEST_CASE("A stream is rejected at once if its version is gone") {
+  Fixture fixture({"a", "a", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  SetVersion(scheduler, "t1", "v2");
+  const ScheduledRequest request = fixture.Request("small", 42, 10);
+  for (const char* version : {"v3", ""}) {
+    INFO("version ", version);
+    CHECK(ReasonOf(scheduler.Place(kStart, Continuation(request, version))) ==
+          RejectionReason::kVersionGone);
+  }
+  TargetEntry draining = scheduler.targets().Find("t0")->entry;
+  draining.is_draining = true;
+  scheduler.targets().ApplyEntry(kStart, draining);
+  const Decision decision =
+      scheduler.Place(kStart, Continuation(request, "v1"));
+  CHECK(ReasonOf(decision) == RejectionReason::kVersionGone);
+  CHECK(std::get<Rejection>(decision).retry_after > Duration(0));
+  CHECK(std::get<Rejection>(decision).retry_after <= milliseconds(500));
+}
+
+TEST_CASE("A stream does not continue at a target that may have restarted") {
+  Fixture fixture({"a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  scheduler.targets().RecordPeerFailure(kStart, "t0");
+  const ScheduledRequest request = fixture.Request("small", 42, 10);
+  // Its version may still serve.
+  CHECK(ReasonOf(scheduler.Place(kStart, Continuation(request, "v1"))) ==
+        RejectionReason::kNoTarget);
+  const Decision decision = scheduler.Place(kStart, request);
+  REQUIRE(std::holds_alternative<Assignment>(decision));
+  CHECK_FALSE(std::get<Assignment>(decision).version.is_known());
+}
+
+TEST_CASE("A stream waits for a target of its version that pauses") {
+  Fixture fixture({"a", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  SetVersion(scheduler, "t1", "v2");
+  const ScheduledRequest request = fixture.Request("small", 42, 10);
+  scheduler.targets().Find("t1")->paused_until = kStart + seconds(1);
+  CHECK(ReasonOf(scheduler.Place(kStart, Continuation(request, "v2"))) ==
+        RejectionReason::kPaused);
+  scheduler.targets().Find("t0")->paused_until = kStart + seconds(1);
+  scheduler.targets().Find("t1")->paused_until = kStart;
+  ScheduledRequest tried = Continuation(request, "v2");
+  tried.tried_targets = {"t1"};
+  CHECK(ReasonOf(scheduler.Place(kStart, tried)) == RejectionReason::kNoTarget);
+}
+
+TEST_CASE("A stream may wait longer for its version than one that begins") {
+  Fixture fixture({"a", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  SetVersion(scheduler, "t1", "v1");
+  scheduler.targets().SetPeerLoad(
+      kStart, {{TargetId::FromName("t0"), {100, 30'000, 0}},
+               {TargetId::FromName("t1"), {100, 30'000, 0}}});
+  const ScheduledRequest request = fixture.Request("small", 42, 100);
+  CHECK(ReasonOf(scheduler.Place(kStart, request)) ==
+        RejectionReason::kOverloaded);
+  ScheduledRequest continuation = Continuation(request, "v1");
+  CHECK(ChosenTarget(scheduler.Place(kStart, continuation)) != "");
+  // The caller abandons the stream before the next event.
+  continuation.waited_for_event = milliseconds(1800);
+  CHECK(ReasonOf(scheduler.Place(kStart, continuation)) ==
+        RejectionReason::kOverloaded);
+  continuation.waited_for_event = Duration(0);
+  continuation.remaining = milliseconds(300);
+  CHECK(ReasonOf(scheduler.Place(kStart, continuation)) ==
+        RejectionReason::kOverloaded);
+}
+
+TEST_CASE("A stream continues though its customer's share is used up") {
+  Fixture fixture({"a"}, 10'000);
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  const ScheduledRequest request = fixture.Request("large", 42, 10);
+  // The other customer's demand is not met at all.
+  TimePoint now = kStart;
+  Decision decision = scheduler.Place(now, request);
+  for (int i = 0; i < 1000 && std::holds_alternative<Assignment>(decision);
+       ++i) {
+    scheduler.Finish(now, std::get<Assignment>(decision),
+                     AttemptOutcome::kCompleted);
+    now += milliseconds(10);
+    scheduler.RecordRequest(now, request);
+    scheduler.RecordRequest(now, fixture.Request("small", 42, 100'000));
+    decision = scheduler.Place(now, request);
+  }
+  REQUIRE(ReasonOf(decision) == RejectionReason::kOverShare);
+  CHECK(ChosenTarget(scheduler.Place(now, Continuation(request, "v1"))) ==
+        "t0");
+}
+
+TEST_CASE("A stream that continues keeps to the retry budget") {
+  Fixture fixture({"a", "a"});
+  Scheduler& scheduler = fixture.scheduler();
+  SetVersion(scheduler, "t0", "v1");
+  SetVersion(scheduler, "t1", "v1");
+  ScheduledRequest retry = Continuation(fixture.Request("small", 42, 10), "v1");
+  retry.tried_targets = {"t0"};
+  Decision decision = scheduler.Place(kStart, retry);
+  int placed = 0;
+  for (; std::holds_alternative<Assignment>(decision) && placed < 1000;
+       ++placed) {
+    scheduler.Finish(kStart, std::get<Assignment>(decision),
+                     AttemptOutcome::kCompleted);
+    decision = scheduler.Place(kStart, retry);
+  }
+  // The slack of the budget in `WestOptions`.
+  CHECK(placed <= 50);
+  CHECK(ReasonOf(decision) == RejectionReason::kRetryBudget);
+}
+
+TEST_CASE("A stream that continues keeps to a cold target's rate limit") {
+  Fixture fixture({});
+  Scheduler& scheduler = fixture.scheduler();
+  TargetEntry cold = Fixture::Entry(0, "a");
+  cold.version = "v1";
+  cold.cold_remaining = seconds(30);
+  scheduler.targets().ApplyEntry(kStart, cold);
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const TimePoint now = kStart + milliseconds(i);
+    const Decision decision = scheduler.Place(
+        now, Continuation(fixture.Request("small", 42, 10), "v1"));
+    if (const auto* assignment = std::get_if<Assignment>(&decision)) {
+      ++sent;
+      scheduler.Finish(now, *assignment, AttemptOutcome::kCompleted);
+    }
+  }
+  CHECK(sent > 0);
+  CHECK(sent <= 20);
+}
+
 TEST_CASE("Scheduler rejects a request that crashed three targets") {
   Fixture fixture({"a", "b"});
   const ScheduledRequest request = fixture.Request("small", 42, 10);
@@ -550,10 +728,13 @@
 struct LoadSource {
   std::string customer;
   double requests_per_second = 0;
+  // Set if the requests continue streams of this version.
+  std::optional<VersionId> required_version = std::nullopt;
 };
 
 SimulationResult Simulate(const std::vector<LoadSource>& sources, int engines,
-                          double duration_seconds, std::uint64_t seed) {
+                          double duration_seconds, std::uint64_t seed,
+                          const std::vector<std::string>& versions = {}) {
   INFO("seed ", seed);
   // An engine prefills 60 tokens per millisecond; the configured throughput is
   // lower.
@@ -562,6 +743,9 @@
       std::vector<std::string>(static_cast<std::size_t>(engines), "a"),
       50'000.0 * engines);
   Scheduler& scheduler = fixture.scheduler();
+  for (std::size_t i = 0; i < versions.size(); ++i) {
+    SetVersion(scheduler, "t" + std::to_string(i), versions[i]);
+  }
   std::mt19937_64 random(seed);
   struct Event {
     double at_seconds = 0;
@@ -597,8 +781,9 @@
     std::exponential_distribution<double> gap(source.requests_per_second);
     events.push({event.at_seconds + gap(random), event.source, {}});
     const std::uint64_t prefix_id = 1 + random() % 30;
-    const ScheduledRequest request =
+    ScheduledRequest request =
         fixture.Request(source.customer, prefix_id, 2000);
+    request.required_version = source.required_version;
     scheduler.RecordRequest(now, request);
     ++result.offered;
     ++result.offered_by_customer[source.customer];
@@ -649,5 +834,21 @@
         0.4 * result.served_by_customer.at("large"));
 }
 
+TEST_CASE("Streams continue at two targets while new ones load all targets") {
+  for (const std::uint64_t seed : {4, 5, 6}) {
+    for (const double new_per_second : {60.0, 180.0, 360.0}) {
+      INFO("seed ", seed, ", new streams per second ", new_per_second);
+      const SimulationResult result = Simulate(
+          {{"large", new_per_second}, {"other", 20, VersionId::FromName("v1")}},
+          8, 20, seed, {"v2", "v1", "v2", "v2", "v1", "v2", "v2", "v2"});
+      const auto share = [&result](const char* customer) {
+        return static_cast<double>(result.served_by_customer.at(customer)) /
+               result.offered_by_customer.at(customer);
+      };
+      CHECK(share("other") >= 0.5 * share("large"));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -114,6 +114,7 @@
   target.id = TargetId::FromName(entry.id);
   target.entry = entry;
   if (is_changed) {
+    target.version = VersionId::FromName(entry.version);
     UpdateRegion(target);
     by_service_.clear();
   }
@@ -451,6 +452,36 @@
   return by_service_[service];
 }
 
+bool TargetTable::IsVersionInDoubt(const std::string& target_id,
+                                   std::int64_t incarnation,
+                                   VersionId version) {
+  const TargetState* target = Find(target_id);
+  return target != nullptr && target->entry.incarnation != incarnation &&
+         !target->version.IsSame(version);
+}
+
+VersionCounts TargetTable::CountVersions(TimePoint now,
+                                         const std::string& service,
+                                         VersionId version) {
+  VersionCounts counts;
+  for (const TargetState* it : OfService(service)) {
+    if (IsInRotation(now, *it)) {
+      ++(VersionOf(*it).IsSame(version) ? counts.same : counts.other);
+    }
+  }
+  return counts;
+}
+
+std::string TargetTable::NameOfVersion(const std::string& service,
+                                       VersionId version) {
+  for (const TargetState* it : OfService(service)) {
+    if (it->version.IsSame(version)) {
+      return it->entry.version;
+    }
+  }
+  return "";
+}
+
 bool TargetTable::IsInRotation(TimePoint now, const TargetState& target) const {
   return target.is_listed && now < target.removal_effective_at &&
          !target.entry.is_draining && !target.is_leaving &&
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -137,6 +137,8 @@
 struct TargetState {
   TargetId id;
   TargetEntry entry;
+  // Id of the entry's software version.
+  VersionId version;
   // Region of the entry's zone; empty if the zone is unknown.
   std::string region;
   bool is_in_local_region = false;
@@ -213,6 +215,14 @@
   double mean_response_seconds = 0.02;
 };
 
+// Numbers of targets in rotation.
+struct VersionCounts {
+  int same = 0;
+  // Of other versions, and of those whose version is not certain.
+  int other = 0;
+  friend bool operator==(const VersionCounts&, const VersionCounts&) = default;
+};
+
 // All targets known to this router. Not thread-safe.
 class TargetTable {
  public:
@@ -303,6 +313,23 @@
   bool IsCold(TimePoint now, const TargetState& target) const {
     return now < target.cold_until || target.may_be_cold;
   }
+  // Returns the software version of the target; unknown if its entry states
+  // none, or if it may have restarted, which its entry would not show yet.
+  static VersionId VersionOf(const TargetState& target) {
+    return target.may_be_cold ? VersionId() : target.version;
+  }
+  // Returns whether `version` may be wrong for what the given run of a target
+  // wrote: its entry now shows another run, with a version that is not the
+  // same.
+  bool IsVersionInDoubt(const std::string& target_id, std::int64_t incarnation,
+                        VersionId version);
+  // Counts the targets of a service that are in rotation by whether they have
+  // the version.
+  VersionCounts CountVersions(TimePoint now, const std::string& service,
+                              VersionId version);
+  // Returns the name of a version of the service's targets; empty if no target
+  // has it.
+  std::string NameOfVersion(const std::string& service, VersionId version);
 
  private:
   // Updates each target's slowness and ejects targets with too many failures,
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -179,6 +179,77 @@
   CHECK_FALSE(table.IsCold(kStart + milliseconds(1800), target));
 }
 
+TEST_CASE("The version of a target that may have restarted is unknown") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  TargetState& target = *table.Find("t");
+  const VersionId v1 = VersionId::FromName("v1");
+  CHECK(TargetTable::VersionOf(target) == v1);
+  table.RecordOutcome(kStart, target, AttemptOutcome::kConnectFailed);
+  CHECK_FALSE(TargetTable::VersionOf(target).is_known());
+  // Written before the failure.
+  table.ApplyEntry(kStart + milliseconds(500), entry);
+  CHECK_FALSE(TargetTable::VersionOf(target).is_known());
+  table.ApplyEntry(kStart + milliseconds(1800), entry);
+  CHECK(TargetTable::VersionOf(target) == v1);
+}
+
+TEST_CASE("The version of a target is that of its latest entry") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  entry.incarnation = 2;
+  entry.version = "v2";
+  table.ApplyEntry(kStart, entry);
+  CHECK(TargetTable::VersionOf(*table.Find("t")) == VersionId::FromName("v2"));
+  entry.version = "";
+  table.ApplyEntry(kStart, entry);
+  CHECK_FALSE(TargetTable::VersionOf(*table.Find("t")).is_known());
+}
+
+TEST_CASE("A target that restarted with another version leaves it in doubt") {
+  TargetTable table;
+  const VersionId v1 = VersionId::FromName("v1");
+  TargetEntry entry = MakeEntry("t");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  CHECK_FALSE(table.IsVersionInDoubt("t", 1, v1));
+  entry.incarnation = 2;
+  table.ApplyEntry(kStart, entry);
+  CHECK_FALSE(table.IsVersionInDoubt("t", 1, v1));
+  for (const char* version : {"v2", ""}) {
+    entry.version = version;
+    table.ApplyEntry(kStart, entry);
+    CHECK(table.IsVersionInDoubt("t", 1, v1));
+    CHECK_FALSE(table.IsVersionInDoubt("t", 2, v1));
+  }
+  CHECK_FALSE(table.IsVersionInDoubt("unknown", 1, v1));
+}
+
+TEST_CASE("TargetTable counts and names versions of targets in rotation") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("a");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  entry.id = "b";
+  table.ApplyEntry(kStart, entry);
+  entry.id = "c";
+  entry.version = "v2";
+  table.ApplyEntry(kStart, entry);
+  entry.id = "d";
+  entry.is_draining = true;
+  table.ApplyEntry(kStart, entry);
+  const VersionId v1 = VersionId::FromName("v1");
+  CHECK(table.CountVersions(kStart, "assistant", v1) == VersionCounts{2, 1});
+  CHECK(table.CountVersions(kStart, "assistant", VersionId()) ==
+        VersionCounts{0, 3});
+  CHECK(table.NameOfVersion("assistant", v1) == "v1");
+  CHECK(table.NameOfVersion("assistant", VersionId::FromName("v9")).empty());
+}
+
 TEST_CASE("TargetTable ejects a target that fails half of its requests") {
   TargetTable table;
   table.ApplyEntry(kStart, MakeEntry("t"));
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -163,6 +163,7 @@
     entry.service = kService;
     entry.address = network_.Address(1, kProxyPort + i);
     entry.zone = "a";
+    entry.version = "v1";
     entry.slots = 64;
     entry.is_draining = draining_targets_.contains(i);
     entry.incarnation = 1;
