Keep an idle connection whose next request waits to be read

Callers' requests on kept connections ended without an answer, beside a change of the configuration: a late event loop applies the idle timeout before it reads a request that arrived in time, and closing a socket with unread input resets it. A drain and the connection limit closed idle connections the same way.

An idle connection is now closed only if no input waits in its socket. What remains is a request that is still on the network when the router closes; it was not read, and callers may repeat it.

The test fails on the code before, at the idle timeout and in a drain (no answer to the second request).

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -299,7 +299,9 @@
 void CallerConnection::Abort(CloseReason reason) { Close(reason); }
 
 void CallerConnection::CloseIfIdle(CloseReason reason) {
-  if (is_idle()) {
+  boost::system::error_code ignored;
+  // A late tick may run before a request that arrived in time is read.
+  if (is_idle() && socket_.available(ignored) == 0) {
     Close(reason);
   }
 }
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -121,8 +121,8 @@
   // Closes the connection in the middle of a response, so that the caller
   // detects that the response is truncated.
   void Abort(CloseReason reason = CloseReason::kResponseCut);
-  // Closes the connection if it has no request in progress and no buffered
-  // output.
+  // Closes the connection if it has no request in progress, no unread input and
+  // no buffered output.
   void CloseIfIdle(CloseReason reason);
   // Closes the connection whatever its state, since the process exits.
   void CloseForExit() { Close(CloseReason::kExit); }
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -210,5 +210,19 @@
   CHECK(fixture.bad_requests == 0);
 }
 
+TEST_CASE("A request that waits to be read keeps an idle connection open") {
+  Fixture fixture;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1"));
+  fixture.ReadAll(caller);
+  Send(caller, Request("/2"));
+  SUBCASE("at the idle timeout") {
+    fixture.TickAfter(fixture.limits.idle_timeout);
+  }
+  SUBCASE("in a drain") { fixture.listener().CloseIdle(); }
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 200"));
+  CHECK(fixture.requests == "/1/2");
+}
+
 }  // namespace
 }  // namespace corianderpost
