Read pipelined requests that exceed the buffer to their end

A caller that sends its next request before the response to the last one got 408 for it once more than 64 KB of it had arrived: the connection is not read while so much is buffered, and nothing resumed the reading when the response was finished. The router took the request for one that was too slow, though the rest was in the socket.

The limit now applies only while a response is in progress. At other times the parser's own limits bound what is read.

Ruled out as the cause of requests without an answer: a 408 is one. The test fails on the code before (the second request never arrives).

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -103,7 +103,7 @@
 
 void CallerConnection::AwaitRead() {
   if (is_read_pending_ || !socket_.is_open() ||
-      input_.size() > kMaxPipelinedBytes) {
+      (state_ == State::kResponding && input_.size() > kMaxPipelinedBytes)) {
     return;
   }
   is_read_pending_ = true;
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -224,5 +224,21 @@
   CHECK(fixture.requests == "/1/2");
 }
 
+TEST_CASE("A pipelined request that exceeds the buffer is read completely") {
+  Fixture fixture;
+  fixture.answers = false;
+  tcp::socket caller = fixture.Connect();
+  const std::string large_body(300'000, 'x');
+  Send(caller, Request("/1") + Request("/2", "Content-Length: 300000\r\n") +
+                   large_body);
+  fixture.RunLoop();
+  fixture.answers = true;
+  fixture.last_caller->Write(FormatTextReply({200, "text/plain", "ok"}, false));
+  fixture.last_caller->FinishResponse(false);
+  fixture.ReadAll(caller);
+  REQUIRE(fixture.requests == "/1/2");
+  CHECK(fixture.last_body.size() == large_body.size());
+}
+
 }  // namespace
 }  // namespace corianderpost
