Write the last response of a connection to its end

A caller that read slowly got a truncated response if the response closed its connection (the caller asked for it, or the router was stopping): the time for which input is discarded after the last response, 1 s, began with the last byte from the target, not with the last byte written. The request counted as served.

Until then the connection is given up only if the caller accepts none of the output for 5 s, as a caller that has gone away silently would hold the memory otherwise. The bound of a stop is the grace period, as before.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -20,6 +20,11 @@
 constexpr Duration kTcpUserTimeout = seconds(5);
 // Time for which input is discarded after the last response.
 constexpr Duration kLingerTimeout = milliseconds(1000);
+// A connection that closes after its last response is given up if the caller
+// accepts none of the output for this long.
+constexpr Duration kWriteStallTimeout = seconds(5);
+// Maximum size of one write.
+constexpr std::size_t kWriteBytes = std::size_t{64} * 1024;
 // Time to receive a body, in addition to the header timeout.
 constexpr Duration kBodyTimeout = seconds(10);
 constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
@@ -236,6 +241,11 @@
   output_.clear();
   asio::async_write(
       socket_, asio::buffer(output_in_flight_),
+      [self = shared_from_this()](const boost::system::error_code& ec,
+                                  std::size_t) {
+        self->write_progress_at_ = self->clock_.Now();
+        return ec ? 0 : kWriteBytes;
+      },
       [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         self->is_write_pending_ = false;
         self->output_in_flight_.clear();
@@ -382,7 +392,8 @@
       break;
     }
     case State::kLingering:
-      if (now >= linger_deadline_) {
+      if (now >= (buffered() > 0 ? write_progress_at_ + kWriteStallTimeout
+                                 : linger_deadline_)) {
         Close(CloseReason::kLingerTimeout);
       }
       break;
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -196,6 +196,8 @@
   TimePoint idle_since_;
   // Longest idle timeout in force since `idle_since_`.
   Duration idle_timeout_;
+  // When output was last accepted by the socket.
+  TimePoint write_progress_at_;
   TimePoint linger_deadline_;
   std::string request_id_;
   std::string input_;
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -240,5 +240,42 @@
   CHECK(fixture.last_body.size() == large_body.size());
 }
 
+// Larger than the buffers of a loopback connection.
+constexpr std::size_t kLargeBodyBytes = std::size_t{24} << 20;
+
+TEST_CASE("A response to a slow caller is not cut when its connection closes") {
+  Fixture fixture;
+  fixture.body = std::string(kLargeBodyBytes, 'x');
+  fixture.closes = true;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1"));
+  fixture.RunLoop();
+  std::string response;
+  std::vector<char> buf(std::size_t{1} << 20);
+  for (int i = 0; i < 10; ++i) {
+    fixture.RunLoop();
+    fixture.TickAfter(milliseconds(600));
+    boost::system::error_code ec;
+    const std::size_t n = caller.read_some(asio::buffer(buf), ec);
+    response.append(buf.data(), n);
+  }
+  response += fixture.ReadAll(caller);
+  CHECK(response.size() > kLargeBodyBytes);
+  CHECK(fixture.unanswered == "");
+}
+
+TEST_CASE("A response that its caller does not read is given up") {
+  Fixture fixture;
+  fixture.body = std::string(kLargeBodyBytes, 'x');
+  fixture.closes = true;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1"));
+  for (int i = 0; i < 10; ++i) {
+    fixture.RunLoop();
+    fixture.TickAfter(milliseconds(600));
+  }
+  CHECK(fixture.unanswered == "linger_timeout writing /1;");
+}
+
 }  // namespace
 }  // namespace corianderpost
