--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -200,12 +200,12 @@
                  entry, static_cast<std::uint64_t>(entry.incarnation)));
 }
 
-void EngineFleet::PublishConfiguration(std::uint64_t version,
-                                       int added_routes) {
-  store_.Put(
-      platform::StandinConfigurationKey(),
-      platform::FormatStandinConfiguration(version, kHost, kService, customers_,
-                                           kTokensPerSecond, added_routes));
+void EngineFleet::PublishConfiguration(std::uint64_t version, int added_routes,
+                                       const platform::StandinRules& rules) {
+  store_.Put(platform::StandinConfigurationKey(),
+             platform::FormatStandinConfiguration(version, kHost, kService,
+                                                  customers_, kTokensPerSecond,
+                                                  added_routes, rules));
 }
 
 void EngineFleet::ApplyThrottle(TimePoint now) {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "platform/platform_deployment.h"
+#include "platform/standin_wire.h"
 #include "soak/router_process.h"
 #include "soak/standins.h"
 
@@ -114,7 +115,12 @@
   // Asks a router whether it is ready.
   std::shared_ptr<const EngineCall> SendReadinessCheck(std::size_t router);
   // Writes a version of the configuration with this many added routes.
-  void PublishConfiguration(std::uint64_t version, int added_routes);
+  void PublishConfiguration(std::uint64_t version, int added_routes,
+                            const platform::StandinRules& rules = {});
+  // The customers of the next version of the configuration.
+  void SetCustomers(std::vector<std::string> customers) {
+    customers_ = std::move(customers);
+  }
   // Writes the engine's entry of the target list again.
   void PublishEngine(std::size_t index, bool is_draining = false);
   // Writes all entries that are missing from the store or outdated in it, as
@@ -125,6 +131,7 @@
   void Throttle(double fraction) { run_fraction_ = fraction; }
 
   TimePoint Now() const { return clock_.Now(); }
+  boost::asio::io_context& loop() { return loop_; }
   std::vector<std::unique_ptr<Engine>>& engines() { return engines_; }
   std::vector<std::unique_ptr<RouterProcess>>& routers() { return routers_; }
   Store& store() { return store_; }
@@ -144,7 +151,7 @@
   void ApplyThrottle(TimePoint now);
 
   const LoopbackNetwork network_;
-  const std::vector<std::string> customers_;
+  std::vector<std::string> customers_;
   boost::asio::io_context loop_;
   SystemClock clock_;
   platform::PlatformDeployment deployment_;
