--- a/tests/fleet/kept_callers.cc
+++ b/tests/fleet/kept_callers.cc
@@ -158,7 +158,7 @@
   auto& parser = *caller->parser;
   caller->input.erase(0, parser.put(asio::buffer(caller->input), ec));
   if (parser.is_header_done()) {
-    caller->call->status = parser.get().result_int();
+    caller->call->status = static_cast<int>(parser.get().result_int());
   }
   if (!parser.is_done()) {
     return;
