--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -1,5 +1,6 @@
 #include "dataplane/caller.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -19,6 +20,11 @@
 constexpr Duration kTcpUserTimeout = seconds(5);
 // Time for which input is discarded after the last response.
 constexpr Duration kLingerTimeout = milliseconds(1000);
+// A connection that closes after its last response is given up if the caller
+// accepts none of the output for this long.
+constexpr Duration kWriteStallTimeout = seconds(5);
+// Maximum size of one write.
+constexpr std::size_t kWriteBytes = std::size_t{64} * 1024;
 // Time to receive a body, in addition to the header timeout.
 constexpr Duration kBodyTimeout = seconds(10);
 constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
@@ -90,7 +96,8 @@
     : socket_(std::move(socket)),
       handler_(handler),
       clock_(clock),
-      idle_since_(clock.Now()) {}
+      idle_since_(clock.Now()),
+      idle_timeout_(handler.Limits().idle_timeout) {}
 
 void CallerConnection::Start() {
   boost::system::error_code ignored;
@@ -101,7 +108,7 @@
 
 void CallerConnection::AwaitRead() {
   if (is_read_pending_ || !socket_.is_open() ||
-      input_.size() > kMaxPipelinedBytes) {
+      (state_ == State::kResponding && input_.size() > kMaxPipelinedBytes)) {
     return;
   }
   is_read_pending_ = true;
@@ -147,6 +154,7 @@
     state_ = State::kReading;
     first_byte_at_ = clock_.Now();
     const CallerLimits& limits = handler_.Limits();
+    header_timeout_ = limits.header_timeout;
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_->body_limit(limits.max_body_bytes);
@@ -233,6 +241,11 @@
   output_.clear();
   asio::async_write(
       socket_, asio::buffer(output_in_flight_),
+      [self = shared_from_this()](const boost::system::error_code& ec,
+                                  std::size_t) {
+        self->write_progress_at_ = self->clock_.Now();
+        return ec ? 0 : kWriteBytes;
+      },
       [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         self->is_write_pending_ = false;
         self->output_in_flight_.clear();
@@ -262,6 +275,7 @@
   }
   state_ = State::kIdle;
   idle_since_ = clock_.Now();
+  idle_timeout_ = handler_.Limits().idle_timeout;
   wants_close_ = false;
   if (!input_.empty()) {
     // Deferred, since the handler that finished this response may still be on
@@ -295,7 +309,9 @@
 void CallerConnection::Abort(CloseReason reason) { Close(reason); }
 
 void CallerConnection::CloseIfIdle(CloseReason reason) {
-  if (is_idle()) {
+  boost::system::error_code ignored;
+  // A late tick may run before a request that arrived in time is read.
+  if (is_idle() && socket_.available(ignored) == 0) {
     Close(reason);
   }
 }
@@ -361,21 +377,23 @@
   const CallerLimits& limits = handler_.Limits();
   switch (state_) {
     case State::kIdle:
-      if (now - idle_since_ >= limits.idle_timeout) {
+      idle_timeout_ = std::max(idle_timeout_, limits.idle_timeout);
+      if (now - idle_since_ >= idle_timeout_) {
         CloseIfIdle(CloseReason::kIdleTimeout);
       }
       break;
     case State::kReading: {
+      header_timeout_ = std::max(header_timeout_, limits.header_timeout);
       const bool is_header_done = parser_ && parser_->is_header_done();
       if (now - first_byte_at_ >=
-          limits.header_timeout +
-              (is_header_done ? kBodyTimeout : Duration(0))) {
+          header_timeout_ + (is_header_done ? kBodyTimeout : Duration(0))) {
         Reject(408, "the request took too long to arrive");
       }
       break;
     }
     case State::kLingering:
-      if (now >= linger_deadline_) {
+      if (now >= (buffered() > 0 ? write_progress_at_ + kWriteStallTimeout
+                                 : linger_deadline_)) {
         Close(CloseReason::kLingerTimeout);
       }
       break;
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -121,14 +121,16 @@
   // Closes the connection in the middle of a response, so that the caller
   // detects that the response is truncated.
   void Abort(CloseReason reason = CloseReason::kResponseCut);
-  // Closes the connection if it has no request in progress and no buffered
-  // output.
+  // Closes the connection if it has no request in progress, no unread input and
+  // no buffered output.
   void CloseIfIdle(CloseReason reason);
   // Closes the connection whatever its state, since the process exits.
   void CloseForExit() { Close(CloseReason::kExit); }
   // Names the request in progress in `UnansweredClose`.
   void SetRequestId(std::string id) { request_id_ = std::move(id); }
-  // Applies the read, idle and linger timeouts.
+  // Applies the read, idle and linger timeouts. Timeouts that get shorter apply
+  // to an idle connection from its next response on, and to no request that is
+  // being read: the caller may not know them yet.
   void Tick(TimePoint now);
 
   bool is_open() const { return socket_.is_open(); }
@@ -190,7 +192,12 @@
   // A response was sent before its request was read completely.
   bool has_unread_input_ = false;
   TimePoint first_byte_at_;
+  Duration header_timeout_{0};
   TimePoint idle_since_;
+  // Longest idle timeout in force since `idle_since_`.
+  Duration idle_timeout_;
+  // When output was last accepted by the socket.
+  TimePoint write_progress_at_;
   TimePoint linger_deadline_;
   std::string request_id_;
   std::string input_;
