Ask targets which streams they run after the whole fleet restarted

Cause: the routers had forgotten at which version a stream began, and nothing else was asked. Targets do know: they run on for seconds after their router is gone, and report the ids of their requests and their own start time. A router that has a target list but no history, its own or a peer's, asks targets for their runs once; two routers ask each target. A run counts only if it has made events and if the target's start time is that of its list entry. Records of runs are kept apart from those of routers, since they name no customer; they count only after all peers were asked, and if targets of two versions run the same request, none.

Ruled out: the store's history (heartbeats are no changes, so the age of a revision can't be proved), and answering by guess.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -269,6 +269,7 @@
   StreamQuery query;
   query.key =
       id.empty() ? StreamKey() : StreamKey::Of(CustomerIdOf(scheduled_), id);
+  query.run_key = id.empty() ? StreamKey() : StreamKey::OfRun(id);
   query.service = ServiceId::FromName(scheduled_.service);
   query.max_age = std::max(
       route_timeout_ > Duration(0) ? route_timeout_ : kDefaultMaxStreamAge,
--- a/src/dataplane/stream_directory.h
+++ b/src/dataplane/stream_directory.h
@@ -23,6 +23,12 @@
   static StreamKey Of(CustomerId customer, std::string_view request_id) {
     return {XXH64(request_id.data(), request_id.size(), customer.value())};
   }
+  // Returns the key of a run that a target reports, which names no customer.
+  static StreamKey OfRun(std::string_view request_id) {
+    // No customer has this seed.
+    constexpr std::uint64_t kSeed = std::uint64_t{1} << 32;
+    return {XXH64(request_id.data(), request_id.size(), kSeed)};
+  }
   friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
 };
 
@@ -50,6 +56,8 @@
   // A record of this router, or of a peer.
   kLocalRecord,
   kPeerRecord,
+  // No record, but a target was running the stream when the fleet started.
+  kTargetRun,
   // No record, but the service has had only one version since the stream may
   // have begun.
   kOnlyVersion,
@@ -65,6 +73,8 @@
       return "local_record";
     case OriginEvidence::kPeerRecord:
       return "peer_record";
+    case OriginEvidence::kTargetRun:
+      return "target_run";
     case OriginEvidence::kOnlyVersion:
       return "only_version";
   }
@@ -93,6 +103,8 @@
   ServiceId service;
   // The stream began at most this long ago.
   Duration max_age{0};
+  // Key of the stream in the reports of targets; zero if `key` is.
+  StreamKey run_key = {};
   friend bool operator==(const StreamQuery&, const StreamQuery&) = default;
 };
 
--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -22,6 +22,8 @@
 // Routers of each zone that are asked for a record. The first ones may have
 // started after the record was sent.
 constexpr std::size_t kAskedPerZone = 3;
+// Routers that ask a target for its runs.
+constexpr std::size_t kAskersPerTarget = 2;
 // Bounds the messages and the memory of one search, and the searches.
 constexpr std::size_t kMaxAsked = 32;
 constexpr std::size_t kMaxSearches = 4096;
@@ -133,8 +135,8 @@
   return keepers;
 }
 
-std::set<std::string> FleetStreamDirectory::PossibleKeepers(
-    const StreamKey& key) const {
+void FleetStreamDirectory::AddPossibleKeepers(
+    const StreamKey& key, std::set<std::string>& keepers) const {
   std::vector<const Zone*> ranked;
   for (const Zone& it : zones_) {
     ranked.push_back(&it);
@@ -143,15 +145,61 @@
                    [](const Zone* a, const Zone* b) {
                      return a->is_in_local_region > b->is_in_local_region;
                    });
-  std::set<std::string> keepers;
+  std::size_t added = 0;
   for (const Zone* zone : ranked) {
     for (const std::string& it : Candidates(*zone, key, kAskedPerZone)) {
-      if (it != self_.vm && keepers.size() < kMaxAsked) {
+      if (it != self_.vm && added < kMaxAsked) {
         keepers.insert(it);
+        ++added;
       }
     }
   }
-  return keepers;
+}
+
+bool FleetStreamDirectory::IsAsker(TimePoint now,
+                                   const std::string& target_id) {
+  RefreshZones(now);
+  const std::uint32_t target = TargetId::FromName(target_id).value();
+  const auto weight_of = [target](const std::string& vm) {
+    return RendezvousWeight(VmId::FromName(vm).value(), target);
+  };
+  const std::uint64_t own_weight = weight_of(self_.vm);
+  return static_cast<std::size_t>(
+             std::count_if(live_peers_.begin(), live_peers_.end(),
+                           [&](const std::string& it) {
+                             return weight_of(it) > own_weight;
+                           })) < kAskersPerTarget;
+}
+
+void FleetStreamDirectory::RecordRuns(
+    const TargetEntry& target, const std::vector<std::string>& request_ids) {
+  const TimePoint now = clock_.Now();
+  RefreshZones(now);
+  std::map<std::string, StreamBatch> batches;
+  for (const std::string& request_id : request_ids) {
+    const BegunStream stream = {StreamKey::OfRun(request_id),
+                                CustomerId(),
+                                ServiceId::FromName(target.service),
+                                TargetId::FromName(target.id),
+                                target.incarnation,
+                                VersionId::FromName(target.version)};
+    if (!stream.version.is_known()) {
+      continue;
+    }
+    records_.Add(stream, now);
+    for (const std::string& it : Keepers(stream.key)) {
+      StreamBatch& batch = batches[it];
+      batch.streams.push_back({stream, Duration(0)});
+      if (batch.streams.size() >= kMaxStreamsPerBatch) {
+        Send(it, std::exchange(batch, {}));
+      }
+    }
+  }
+  for (const auto& [vm, batch] : batches) {
+    if (!batch.streams.empty()) {
+      Send(vm, batch);
+    }
+  }
 }
 
 void FleetStreamDirectory::Send(const std::string& vm,
@@ -219,8 +267,9 @@
 }
 
 std::optional<StreamOrigin> FleetStreamDirectory::OriginFromRecord(
-    TimePoint now, const StreamQuery& query, OriginEvidence evidence) const {
-  const StreamRecord* record = records_.Find(now, query.key);
+    TimePoint now, const StreamKey& key, const StreamQuery& query,
+    OriginEvidence evidence) const {
+  const StreamRecord* record = records_.Find(now, key);
   if (record == nullptr) {
     return std::nullopt;
   }
@@ -256,7 +305,13 @@
     TimePoint now, const StreamQuery& query) const {
   const StreamOrigin none{OriginEvidence::kNone, query.service, VersionId(),
                           Duration(0)};
-  return ProvenOrigin(now, query.service, query.max_age).value_or(none);
+  if (const auto proven = ProvenOrigin(now, query.service, query.max_age)) {
+    return *proven;
+  }
+  // All peers were asked: targets that run the same request may have been asked
+  // by different routers.
+  return OriginFromRecord(now, query.run_key, query, OriginEvidence::kTargetRun)
+      .value_or(none);
 }
 
 void FleetStreamDirectory::FindOrigin(const StreamQuery& query,
@@ -264,7 +319,8 @@
   const TimePoint now = clock_.Now();
   std::optional<StreamOrigin> origin;
   if (query.key.value != 0) {
-    origin = OriginFromRecord(now, query, OriginEvidence::kLocalRecord);
+    origin =
+        OriginFromRecord(now, query.key, query, OriginEvidence::kLocalRecord);
   }
   if (!origin) {
     origin = ProvenOrigin(now, query.service, query.max_age);
@@ -277,7 +333,8 @@
       query, std::move(callback), {}, now + kResendAfter, now + kSearchTime};
   if (query.key.value != 0 && searches_.size() < kMaxSearches) {
     RefreshZones(now);
-    search.asked = PossibleKeepers(query.key);
+    AddPossibleKeepers(query.key, search.asked);
+    AddPossibleKeepers(query.run_key, search.asked);
   }
   if (search.asked.empty()) {
     search.callback(OriginWithoutRecord(now, query));
@@ -291,7 +348,7 @@
 void FleetStreamDirectory::Ask(Search& search, std::uint32_t request_id) {
   for (const std::string& it : search.asked) {
     Send(it, OriginRequest{request_id, search.query.key, search.query.service,
-                           search.query.max_age});
+                           search.query.max_age, search.query.run_key});
   }
 }
 
@@ -354,8 +411,11 @@
                                   const OriginRequest& request) {
   OriginReply reply;
   reply.request_id = request.request_id;
-  if (const StreamRecord* record = records_.Find(now, request.key);
-      record != nullptr) {
+  const StreamRecord* record = records_.Find(now, request.key);
+  if (record == nullptr) {
+    record = records_.Find(now, request.run_key);
+  }
+  if (record != nullptr) {
     reply.is_conflict = record->is_conflict;
     reply.stream = {record->stream, now - record->begun_at};
   }
@@ -374,10 +434,11 @@
     return;
   }
   const StreamQuery query = it->second.query;
-  if (reply.stream && reply.stream->stream.key == query.key) {
+  if (reply.stream && (reply.stream->stream.key == query.key ||
+                       reply.stream->stream.key == query.run_key)) {
     AddRecord(now, *reply.stream, reply.is_conflict);
-    if (const auto origin =
-            OriginFromRecord(now, query, OriginEvidence::kPeerRecord)) {
+    if (const auto origin = OriginFromRecord(now, query.key, query,
+                                             OriginEvidence::kPeerRecord)) {
       EndSearch(reply.request_id, *origin);
       return;
     }
--- a/src/peers/fleet_stream_directory.h
+++ b/src/peers/fleet_stream_directory.h
@@ -63,6 +63,17 @@
   void ConfirmList(TimePoint confirmed_at) {
     history_.ConfirmList(confirmed_at);
   }
+  // Whether neither this router nor a peer that it has heard from knows the
+  // past, so that streams of before can only be known from the targets.
+  bool LacksHistory(TimePoint now) const {
+    return history_.Coverage(now) == Duration(0);
+  }
+  // Whether this router is one of those that are to ask a target for its runs.
+  bool IsAsker(TimePoint now, const std::string& target_id);
+  // Records streams of which a target reports to have made events, and sends
+  // the records to peers.
+  void RecordRuns(const TargetEntry& target,
+                  const std::vector<std::string>& request_ids);
   // Applies the uses of versions in a peer's report.
   void MergeUses(TimePoint now, const std::vector<VersionUse>& uses);
   // Returns the uses of versions to be reported to peers; empty while each
@@ -111,8 +122,9 @@
                                       std::size_t count) const;
   // Returns the peers that are to remember a stream that began here.
   std::vector<std::string> Keepers(const StreamKey& key) const;
-  // Returns the peers that may have been chosen to remember a stream.
-  std::set<std::string> PossibleKeepers(const StreamKey& key) const;
+  // Adds the peers that may have been chosen to remember a stream.
+  void AddPossibleKeepers(const StreamKey& key,
+                          std::set<std::string>& keepers) const;
 
   void Send(const std::string& vm, const StreamMessage& message);
   // Whether peers can find the version that began a stream of the service
@@ -122,11 +134,13 @@
   void AddRecord(TimePoint now, const AgedStream& stream, bool is_conflict);
   // Returns what the record of `key`, if any, says; nullopt if it says nothing.
   std::optional<StreamOrigin> OriginFromRecord(TimePoint now,
+                                               const StreamKey& key,
                                                const StreamQuery& query,
                                                OriginEvidence evidence) const;
   std::optional<StreamOrigin> ProvenOrigin(TimePoint now, ServiceId service,
                                            Duration max_age) const;
-  // Returns the proven origin, or that there is none.
+  // Returns the proven origin, else that of the target that ran the stream, or
+  // that there is none.
   StreamOrigin OriginWithoutRecord(TimePoint now,
                                    const StreamQuery& query) const;
   void Ask(Search& search, std::uint32_t request_id);
--- a/src/peers/fleet_stream_directory_test.cc
+++ b/src/peers/fleet_stream_directory_test.cc
@@ -165,11 +165,12 @@
   }
   // Returns the origin that the router finds, and checks that it is found once.
   StreamOrigin FindOrigin(Node& node, const StreamKey& key,
-                          Duration max_age = kMaxAge) {
+                          Duration max_age = kMaxAge,
+                          const StreamKey& run_key = StreamKey()) {
     int calls = 0;
     StreamOrigin origin;
     const TimePoint started_at = clock.Now();
-    node.directory->FindOrigin({key, kService, max_age},
+    node.directory->FindOrigin({key, kService, max_age, run_key},
                                [&](const StreamOrigin& found) {
                                  ++calls;
                                  origin = found;
@@ -377,6 +378,86 @@
   CHECK(fleet.FindOrigin(*fleet.nodes[0], stream.key).version == kNew);
 }
 
+TEST_CASE("After all routers restarted a target's run names the version") {
+  Fleet fleet(3);
+  fleet.targets = MixedTargets();
+  fleet.Advance(seconds(1));
+  fleet.nodes[0]->directory->RecordRuns(fleet.targets[1], {"r"});
+  fleet.Deliver();
+  fleet.nodes[0]->is_alive = false;
+  fleet.Advance(seconds(2));
+  const StreamOrigin origin =
+      fleet.FindOrigin(*fleet.nodes[4], StreamKey::Of(kCustomer, "r"), kMaxAge,
+                       StreamKey::OfRun("r"));
+  CHECK(origin.evidence == OriginEvidence::kTargetRun);
+  CHECK(origin.version == kNew);
+}
+
+TEST_CASE("A router's record counts more than the run of a target") {
+  Fleet fleet(3);
+  fleet.targets = MixedTargets();
+  fleet.Advance(seconds(1));
+  Fleet::Node& node = *fleet.nodes[0];
+  fleet.Begin(node, MakeStream("r", kOld));
+  node.directory->RecordRuns(fleet.targets[1], {"r"});
+  const StreamOrigin origin = fleet.FindOrigin(
+      node, StreamKey::Of(kCustomer, "r"), kMaxAge, StreamKey::OfRun("r"));
+  CHECK(origin.evidence == OriginEvidence::kLocalRecord);
+  CHECK(origin.version == kOld);
+}
+
+TEST_CASE("Runs of one request at targets of two versions name none") {
+  Fleet fleet(3);
+  fleet.targets = MixedTargets();
+  fleet.Advance(seconds(1));
+  fleet.nodes[0]->directory->RecordRuns(fleet.targets[0], {"r"});
+  fleet.nodes[5]->directory->RecordRuns(fleet.targets[1], {"r"});
+  fleet.Deliver();
+  std::size_t conflicts = 0;
+  for (const auto& it : fleet.nodes) {
+    const StreamOrigin origin = fleet.FindOrigin(
+        *it, StreamKey::Of(kCustomer, "r"), kMaxAge, StreamKey::OfRun("r"));
+    conflicts += origin.evidence == OriginEvidence::kConflict ? 1 : 0;
+  }
+  CHECK(conflicts == fleet.nodes.size());
+}
+
+TEST_CASE("The run of a target without a version names none") {
+  Fleet fleet(1);
+  fleet.targets = {MakeEntry("t1", ""), MakeEntry("t2", "1.1")};
+  fleet.Advance(seconds(1));
+  fleet.nodes[0]->directory->RecordRuns(fleet.targets[0], {"r"});
+  CHECK(fleet
+            .FindOrigin(*fleet.nodes[0], StreamKey::Of(kCustomer, "r"), kMaxAge,
+                        StreamKey::OfRun("r"))
+            .evidence == OriginEvidence::kNone);
+}
+
+TEST_CASE("Two routers ask each target for its runs") {
+  Fleet fleet(3);
+  fleet.Advance(seconds(1));
+  for (int i = 0; i < 30; ++i) {
+    INFO("target ", i);
+    CHECK(std::count_if(fleet.nodes.begin(), fleet.nodes.end(),
+                        [&](const auto& it) {
+                          return it->directory->IsAsker(fleet.clock.Now(),
+                                                        std::to_string(i));
+                        }) == 2);
+  }
+}
+
+TEST_CASE("Only a router without any knowledge of the past lacks history") {
+  Fleet fleet(3);
+  fleet.targets = OldTargets();
+  fleet.Advance(milliseconds(100));
+  CHECK(fleet.nodes[0]->directory->LacksHistory(fleet.clock.Now()));
+  fleet.Advance(seconds(10));
+  CHECK_FALSE(fleet.nodes[0]->directory->LacksHistory(fleet.clock.Now()));
+  fleet.nodes[0]->Restart();
+  fleet.Advance(milliseconds(50));
+  CHECK_FALSE(fleet.nodes[0]->directory->LacksHistory(fleet.clock.Now()));
+}
+
 TEST_CASE("After all routers restarted new streams are found") {
   Fleet fleet(3);
   fleet.targets = OldTargets();
--- a/src/peers/stream_message.cc
+++ b/src/peers/stream_message.cc
@@ -151,11 +151,12 @@
 }
 
 std::string Encode(const StreamMessage& message, const OriginRequest& request) {
-  Writer out(message, 4);
+  Writer out(message, 5);
   out.Uint32(request.request_id);
   out.Uint64(request.key.value);
   out.Uint32(request.service.value());
   out.Time(request.max_age);
+  out.Uint64(request.run_key.value);
   return out.Take();
 }
 
@@ -232,6 +233,7 @@
       request.key = {in.Uint64()};
       request.service = ServiceId(in.Uint32());
       request.max_age = in.Time();
+      request.run_key = {in.Uint64()};
       return request;
     }
     case 2:
--- a/src/peers/stream_message.h
+++ b/src/peers/stream_message.h
@@ -39,6 +39,8 @@
   ServiceId service;
   // The stream began at most this long ago.
   Duration max_age{0};
+  // Key of the stream in the reports of targets.
+  StreamKey run_key;
   friend bool operator==(const OriginRequest&, const OriginRequest&) = default;
 };
 
--- a/src/peers/stream_message_test.cc
+++ b/src/peers/stream_message_test.cc
@@ -27,7 +27,7 @@
   return {
       StreamBatch{{MakeStream(1), MakeStream(UINT64_MAX)}},
       StreamBatch{},
-      OriginRequest{4, {77}, ServiceId::FromName("chat"), seconds(30)},
+      OriginRequest{4, {77}, ServiceId::FromName("chat"), seconds(30), {78}},
       OriginReply{5, false, VersionId(), Duration(0), std::nullopt},
       OriginReply{6, true, VersionId::FromName("1.0"), seconds(9),
                   MakeStream(3)},
--- a/src/router/deployment.h
+++ b/src/router/deployment.h
@@ -58,6 +58,15 @@
   std::string key;
 };
 
+// What a target reports of the requests that it runs.
+struct TargetRuns {
+  // Start time of the target in Unix milliseconds.
+  std::int64_t incarnation = 0;
+  // Ids of the streams of which it has made events.
+  std::vector<std::string> begun_streams;
+  friend bool operator==(const TargetRuns&, const TargetRuns&) = default;
+};
+
 // A change of one store item, decoded.
 using FleetChange =
     std::variant<ConfigurationWritten, ZoneChanged, TargetListed, TargetRemoved,
@@ -76,6 +85,11 @@
   // Decodes an item of the store, or its removal. Returns a MalformedItem if it
   // can't be decoded.
   virtual FleetChange DecodeChange(const StoreItem& item) const = 0;
+  // Path at which a target reports the requests that it runs.
+  virtual std::string target_runs_path() const = 0;
+  // Returns InvalidArgumentError if `body` is not such a report.
+  virtual absl::StatusOr<TargetRuns> DecodeTargetRuns(
+      std::string_view body) const = 0;
   // Starts to decode a version of the configuration. Decoding is faster if
   // `previous`, which may be null, has routes in common with it.
   virtual std::unique_ptr<ConfigurationDecoding> StartDecoding(
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -41,6 +41,11 @@
 constexpr Duration kMaxOnTimeLag = milliseconds(40);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 constexpr Duration kSettingsCheckInterval = seconds(1);
+// Time for peers to tell a router that has started what they know.
+constexpr Duration kPeerDiscoveryTime = milliseconds(75);
+// Bounds of asking targets for the streams that they run.
+constexpr Duration kRunsTimeout = milliseconds(500);
+constexpr std::size_t kMaxAskedTargets = 64;
 // Interval at which the versions of the known targets count as in use.
 constexpr Duration kTargetRecordInterval = milliseconds(500);
 // Interval of the log lines that summarise rejections and the share level.
@@ -286,6 +291,10 @@
   void ReportLag(TimePoint now, const OperatorKeysState& keys,
                  Duration behind_for);
   void TickStreamDirectory(TimePoint now);
+  // After a start of the whole fleet, asks targets for the streams that they
+  // still run for routers that have stopped.
+  void AskTargetsForRuns(TimePoint now);
+  void AskForRuns(const TargetEntry& entry);
   void TickDrain(TimePoint now);
   void CheckLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
@@ -356,6 +365,8 @@
   OverloadDetector overload_detector_;
   TimePoint next_housekeeping_at_;
   TimePoint next_target_record_at_;
+  std::optional<TimePoint> target_list_loaded_at_;
+  bool has_asked_for_runs_ = false;
   TimePoint next_settings_check_at_;
   TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
@@ -866,6 +877,63 @@
     stream_directory_.ConfirmList(target_list_reader_.updated_at());
   }
   stream_directory_.Tick(now);
+  AskTargetsForRuns(now);
+}
+
+void Router::Impl::AskTargetsForRuns(TimePoint now) {
+  if (has_asked_for_runs_ || !target_list_reader_.replica().is_loaded() ||
+      plane_.configuration == nullptr) {
+    return;
+  }
+  if (!target_list_loaded_at_) {
+    target_list_loaded_at_ = now;
+  }
+  if (now - *target_list_loaded_at_ < kPeerDiscoveryTime) {
+    return;
+  }
+  has_asked_for_runs_ = true;
+  if (!stream_directory_.LacksHistory(now)) {
+    return;
+  }
+  std::set<std::string> services;
+  for (const auto& route : plane_.configuration->routes()) {
+    if (route->kind == RequestKind::kStreaming && route->is_resumable) {
+      for (const TrafficShare& it : route->split) {
+        services.insert(it.service);
+      }
+    }
+  }
+  std::size_t count = 0;
+  for (const auto& [id, target] : scheduler_.targets().targets()) {
+    if (services.contains(target.entry.service) &&
+        stream_directory_.IsAsker(now, id) && count < kMaxAskedTargets) {
+      ++count;
+      AskForRuns(target.entry);
+    }
+  }
+  Log(LogLevel::kInfo, "asking targets which streams they run",
+      {{"targets", count}});
+}
+
+void Router::Impl::AskForRuns(const TargetEntry& entry) {
+  fetcher_.Get(entry.address, deployment_.target_runs_path(),
+               {kRunsTimeout, kRunsTimeout, kRunsTimeout},
+               [this, entry](const FetchResult& result) {
+                 const auto runs =
+                     result.status == 200
+                         ? deployment_.DecodeTargetRuns(result.body)
+                         : absl::UnavailableError("no report");
+                 // Another run of the target may have another version than its
+                 // entry.
+                 if (!runs.ok() || runs->incarnation != entry.incarnation) {
+                   return;
+                 }
+                 stream_directory_.RecordRuns(entry, runs->begun_streams);
+                 Log(LogLevel::kInfo, "target reports the streams that it runs",
+                     {{"target", entry.id},
+                      {"version", entry.version},
+                      {"streams", runs->begun_streams.size()}});
+               });
 }
 
 void Router::Impl::TickReaders(TimePoint now) {
