Show that paused routers join streams of software versions they missed

A router that stands still while a newer version enters service reads, when it goes on, requests that resume streams of that version before it has read the list. It must not take the versions it knows for all there are. The new case pauses two of six routers twice, each time while engines of a newer version start.

--- a/tests/fleet/software_version_fleet_test.cc
+++ b/tests/fleet/software_version_fleet_test.cc
@@ -1,6 +1,7 @@
 // Plays streams that break off and are resumed while engines of several
 // software versions serve.
 #include <doctest/doctest.h>
+#include <signal.h>
 
 #include <algorithm>
 #include <optional>
@@ -275,6 +276,31 @@
   CHECK(tally.resumptions.sent >= kMinResumptions);
 }
 
+TEST_CASE("Paused routers join no streams of a software version they missed") {
+  const std::uint64_t seed = 8;
+  Play play(254, 6, {"v1", "v1", "v1", "v1"}, seed);
+  play.Run(seconds(1));
+  for (int round = 0; round < 2; ++round) {
+    // Requests that arrive meanwhile are read when the routers run again.
+    for (std::size_t i = 0; i < 2; ++i) {
+      play.fleet.routers()[i]->Signal(SIGSTOP);
+    }
+    for (int i = 0; i < 4; ++i) {
+      play.fleet.AddEngine("v" + std::to_string(2 + round));
+    }
+    play.Run(seconds(2));
+    for (std::size_t i = 0; i < 2; ++i) {
+      play.fleet.routers()[i]->Signal(SIGCONT);
+    }
+    play.Run(seconds(1));
+  }
+  play.fleet.PlayUntilCallsEnd();
+  const Tally tally = TallyOf(play.fleet);
+  MESSAGE("seed ", seed, ": ", tally);
+  CheckOrder(tally);
+  CHECK(tally.resumptions.sent >= kMinResumptions);
+}
+
 TEST_CASE("Resumptions are refused at once when their software version left") {
   const std::uint64_t seed = 4;
   Play play(254, 6, {"v1", "v1", "v1", "v2", "v2", "v2"}, seed);
