Test that as many streams continue as new ones begin

Two targets of the version that began a stream serve beside six of another, and new streams ask up to 1.5 times the capacity, most of them of one customer above its share. The share of resumed streams that are placed must be at least half of the share of new ones. The former version of this test could not fail: its continued streams came from a customer within its share.

--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -721,6 +721,9 @@
   int on_time = 0;
   int late = 0;
   int rejected = 0;
+  // Of requests that continue streams.
+  int offered_to_continue = 0;
+  int continued = 0;
   std::map<std::string, int> served_by_customer;
   std::map<std::string, int> offered_by_customer;
 };
@@ -786,6 +789,7 @@
     request.required_version = source.required_version;
     scheduler.RecordRequest(now, request);
     ++result.offered;
+    result.offered_to_continue += request.required_version ? 1 : 0;
     ++result.offered_by_customer[source.customer];
     const Decision decision = scheduler.Place(now, request);
     const auto* assignment = std::get_if<Assignment>(&decision);
@@ -806,6 +810,7 @@
     // The latency goal of the fixture's route is 0.6 s.
     (first_event_seconds <= 0.6 ? result.on_time : result.late) += 1;
     ++result.served_by_customer[source.customer];
+    result.continued += request.required_version ? 1 : 0;
     events.push({free_at_seconds[engine], -1, *assignment});
   }
   return result;
@@ -839,13 +844,16 @@
     for (const double new_per_second : {60.0, 180.0, 360.0}) {
       INFO("seed ", seed, ", new streams per second ", new_per_second);
       const SimulationResult result = Simulate(
-          {{"large", new_per_second}, {"other", 20, VersionId::FromName("v1")}},
+          {{"large", new_per_second},
+           {"small", 20},
+           {"large", 40, VersionId::FromName("v1")}},
           8, 20, seed, {"v2", "v1", "v2", "v2", "v1", "v2", "v2", "v2"});
-      const auto share = [&result](const char* customer) {
-        return static_cast<double>(result.served_by_customer.at(customer)) /
-               result.offered_by_customer.at(customer);
+      const auto share = [](int served, int offered) {
+        return static_cast<double>(served) / offered;
       };
-      CHECK(share("other") >= 0.5 * share("large"));
+      CHECK(share(result.continued, result.offered_to_continue) >=
+            0.5 * share(result.on_time + result.late - result.continued,
+                        result.offered - result.offered_to_continue));
     }
   }
 }
