Let a stream continue where only a peer could not connect

No target had restarted: connections were reset, and each router that failed to connect told all others.

A target's version is now unknown only if this router saw the signs of a restart itself. What a peer saw makes the target the last choice for a stream that continues, and the evacuation of a zone says nothing of its versions. The bound stays 1.5 s after the last sign, which failures of peers no longer prolong. The router's list and the StreamDirectory still find a restart with another version later. Weighed: a restart that this router did not notice can join two versions until the list shows it, for up to 1.5 s, but only where no other target of the version has room.

New ones check what a peer's failure may and may not do; with the former rule these new checks fail.

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -40,6 +40,9 @@
 constexpr double kMinAbandonSeconds = 2.0;
 constexpr double kAbandonLatencyGoals = 4.0;
 constexpr double kAbandonGapGoals = 8.0;
+// Added to the cost of a target that a peer can't reach: it may have restarted
+// with another version.
+constexpr double kContinuationDoubtSeconds = 1.0;
 // Fraction of the time until then that the predicted time to the first event of
 // a continued stream may use.
 constexpr double kContinuationFraction = 0.5;
@@ -515,6 +518,9 @@
         it->is_in_local_region ? local_mean_tokens : remote_mean_tokens));
     Candidate& candidate = candidates.back();
     candidate.is_home = it == homes.of_fleet;
+    if (is_continuation && it->may_be_cold) {
+      candidate.cost += kContinuationDoubtSeconds;
+    }
     if (!is_region_home && UniformRandom() >= kSampleFraction) {
       candidate.cost += kUnsampledPenaltySeconds;
     }
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -138,6 +138,10 @@
       (target.may_be_cold && now - target.may_be_cold_since >= kMaxEntryLag)) {
     target.may_be_cold = false;
   }
+  if (is_restarted || (target.may_have_restarted &&
+                       now - target.may_have_restarted_since >= kMaxEntryLag)) {
+    target.may_have_restarted = false;
+  }
   return is_changed;
 }
 
@@ -243,6 +247,8 @@
     case AttemptOutcome::kConnectFailed:
       target.may_be_cold = true;
       target.may_be_cold_since = now;
+      target.may_have_restarted = true;
+      target.may_have_restarted_since = now;
       record(1);
       RecordEnd(target);
       Eject(now, target, EjectionCause::kConnectFailed);
@@ -256,6 +262,8 @@
       if (target.clustered_breaks >= kMinCrashBreaks) {
         target.may_be_cold = true;
         target.may_be_cold_since = now;
+        target.may_have_restarted = true;
+        target.may_have_restarted_since = now;
         RecordEnd(target);
         Eject(now, target, EjectionCause::kCrash);
       }
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -158,6 +158,10 @@
   // incarnation or was written after this time.
   TimePoint may_be_cold_since;
   bool may_be_cold = false;
+  // As above, but only set by what this router saw itself: often a peer can't
+  // connect though the target runs.
+  TimePoint may_have_restarted_since;
+  bool may_have_restarted = false;
 
   // Only `in_flight` and `kv_cache_tokens` are kept up to date here;
   // `TargetTable::LocalLoad` computes the other fields from the members below.
@@ -314,9 +318,10 @@
     return now < target.cold_until || target.may_be_cold;
   }
   // Returns the software version of the target; unknown if its entry states
-  // none, or if it may have restarted, which its entry would not show yet.
+  // none, or if this router saw signs of a restart that the entry would not
+  // show yet.
   static VersionId VersionOf(const TargetState& target) {
-    return target.may_be_cold ? VersionId() : target.version;
+    return target.may_have_restarted ? VersionId() : target.version;
   }
   // Returns whether `version` may be wrong for what the given run of a target
   // wrote: its entry now shows another run, with a version that is not the
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -192,10 +192,37 @@
   // Written before the failure.
   table.ApplyEntry(kStart + milliseconds(500), entry);
   CHECK_FALSE(TargetTable::VersionOf(target).is_known());
+  // Peers that can't connect don't prolong this.
+  table.RecordPeerFailure(kStart + milliseconds(1000), "t");
   table.ApplyEntry(kStart + milliseconds(1800), entry);
   CHECK(TargetTable::VersionOf(target) == v1);
 }
 
+TEST_CASE("A crash that this router saw makes a target's version unknown") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  TargetState& target = *table.Find("t");
+  for (int i = 0; i < 3; ++i) {
+    CHECK(TargetTable::VersionOf(target).is_known());
+    table.RecordOutcome(kStart, target, AttemptOutcome::kBroken);
+  }
+  CHECK_FALSE(TargetTable::VersionOf(target).is_known());
+  entry.incarnation = 2;
+  table.ApplyEntry(kStart + milliseconds(100), entry);
+  CHECK(TargetTable::VersionOf(target) == VersionId::FromName("v1"));
+}
+
+TEST_CASE("A target that a peer can't reach keeps its version") {
+  TargetTable table;
+  TargetEntry entry = MakeEntry("t");
+  entry.version = "v1";
+  table.ApplyEntry(kStart, entry);
+  table.RecordPeerFailure(kStart, "t");
+  CHECK(TargetTable::VersionOf(*table.Find("t")) == VersionId::FromName("v1"));
+}
+
 TEST_CASE("The version of a target is that of its latest entry") {
   TargetTable table;
   TargetEntry entry = MakeEntry("t");
