Share records only for as long as callers may resume a stream

A fleet that had just started shared a record of each stream for 65 s, also with one version, because the proof had to reach back 60 s, the time for which records are kept. The routes of the deployments let callers wait 12 s at most. The proof now has to reach back as far as the longest timeout of a resumable route, or of a caller, so that sharing ends 17 s after a start or 17 s after the last target of a version left.

The new case tests a setter that did not exist before.

--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -35,9 +35,9 @@
 constexpr Duration kZonesMaxAge = milliseconds(100);
 // Records that were not sent before are sent at this rate, newest first.
 constexpr std::size_t kMaxBatchesPerTick = 8;
-// A router whose knowledge of the past reaches less far than this asks peers
-// for theirs.
-constexpr Duration kWantedCoverage = kStreamRetention + seconds(5);
+// A router asks peers for their knowledge of the past while its own doesn't
+// reach back beyond the age of streams by this much.
+constexpr Duration kCoverageMargin = seconds(5);
 // The interval doubles with each request, as peers may not know more.
 constexpr Duration kMinHistoryInterval = milliseconds(250);
 constexpr Duration kMaxHistoryInterval = seconds(8);
@@ -213,7 +213,7 @@
 }
 
 bool FleetStreamDirectory::IsProvable(TimePoint now, ServiceId service) const {
-  return history_.FindOnlyVersion(now, service, now - kStreamRetention)
+  return history_.FindOnlyVersion(now, service, now - max_stream_age_)
       .has_value();
 }
 
@@ -477,7 +477,7 @@
 }
 
 void FleetStreamDirectory::RequestHistory(TimePoint now) {
-  if (history_.Coverage(now) >= kWantedCoverage) {
+  if (history_.Coverage(now) >= max_stream_age_ + kCoverageMargin) {
     history_interval_ = kMinHistoryInterval;
     return;
   }
--- a/src/peers/fleet_stream_directory.h
+++ b/src/peers/fleet_stream_directory.h
@@ -9,6 +9,7 @@
 #ifndef CORIANDERPOST_PEERS_FLEET_STREAM_DIRECTORY_H_
 #define CORIANDERPOST_PEERS_FLEET_STREAM_DIRECTORY_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -63,6 +64,11 @@
   void ConfirmList(TimePoint confirmed_at) {
     history_.ConfirmList(confirmed_at);
   }
+  // Sets the longest time after which a stream may be resumed: the proof of a
+  // version has to reach back that far, or streams are recorded at peers.
+  void SetMaxStreamAge(Duration max_age) {
+    max_stream_age_ = std::clamp(max_age, Duration(0), kStreamRetention);
+  }
   // Whether neither this router nor a peer that it has heard from knows the
   // past, so that streams of before can only be known from the targets.
   bool LacksHistory(TimePoint now) const {
@@ -164,6 +170,7 @@
   StreamPeers& peers_;
   internal::Metrics& metrics_;
   const std::function<void()> on_new_version_;
+  Duration max_stream_age_ = kStreamRetention;
   StreamRecords records_;
   VersionHistory history_;
   std::map<ServiceId, std::deque<UnsentStream>> unsent_;
--- a/src/peers/fleet_stream_directory_test.cc
+++ b/src/peers/fleet_stream_directory_test.cc
@@ -346,6 +346,22 @@
   CHECK(fleet.nodes[0]->directory->ReportedUses(fleet.clock.Now()).empty());
 }
 
+TEST_CASE("Records end once the proof reaches back as far as streams") {
+  Fleet fleet(3);
+  fleet.targets = OldTargets();
+  for (const auto& it : fleet.nodes) {
+    it->directory->SetMaxStreamAge(seconds(12));
+  }
+  fleet.Advance(seconds(10));
+  fleet.Begin(*fleet.nodes[0], MakeStream("a", kOld));
+  CHECK(fleet.nodes[0]->sent_messages > 0);
+  fleet.Advance(seconds(13));
+  const std::uint64_t sent = fleet.SentMessages();
+  fleet.Begin(*fleet.nodes[0], MakeStream("b", kOld));
+  fleet.Advance(seconds(1));
+  CHECK(fleet.SentMessages() == sent);
+}
+
 TEST_CASE("A router that restarts alone knows the past from its peers") {
   Fleet fleet(3);
   fleet.targets = OldTargets();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -295,6 +295,8 @@
   // still run for routers that have stopped.
   void AskTargetsForRuns(TimePoint now);
   void AskForRuns(const TargetEntry& entry);
+  // Returns the longest time after which callers may resume a stream.
+  Duration MaxStreamAge() const;
   void TickDrain(TimePoint now);
   void CheckLoad(TimePoint now);
   void CheckSuspension(TimePoint now);
@@ -872,6 +874,7 @@
     for (const auto& [id, target] : scheduler_.targets().targets()) {
       stream_directory_.RecordTarget(now, target.entry);
     }
+    stream_directory_.SetMaxStreamAge(MaxStreamAge());
   }
   if (target_list_reader_.replica().is_loaded()) {
     stream_directory_.ConfirmList(target_list_reader_.updated_at());
@@ -880,6 +883,27 @@
   AskTargetsForRuns(now);
 }
 
+Duration Router::Impl::MaxStreamAge() const {
+  if (plane_.configuration == nullptr) {
+    return kStreamRetention;
+  }
+  Duration max_age{0};
+  for (const auto& route : plane_.configuration->routes()) {
+    if (route->kind != RequestKind::kStreaming || !route->is_resumable) {
+      continue;
+    }
+    const auto caller_timeout =
+        plane_.max_caller_timeout_by_route.find(route->name);
+    max_age = std::max(
+        {max_age,
+         route->timeout > Duration(0) ? route->timeout : kStreamRetention,
+         caller_timeout == plane_.max_caller_timeout_by_route.end()
+             ? Duration(0)
+             : caller_timeout->second});
+  }
+  return max_age;
+}
+
 void Router::Impl::AskTargetsForRuns(TimePoint now) {
   if (has_asked_for_runs_ || !target_list_reader_.replica().is_loaded() ||
       plane_.configuration == nullptr) {
