Refuse peers' messages that are nested too deeply or hold odd numbers

A datagram or a copy of the store from a peer that consists of arrays inside each other ended the router: the MessagePack parser calls itself for each level and overflows the stack. Numbers such as 1e300 were converted to integers without a check, which is undefined and differs between x86-64 and arm64, and times near 2^63 overflowed when they were added to the clock.

One place now parses JSON and MessagePack with a bound on nesting, found by a pass without recursion, and converts numbers within bounds. The JSON parser and its destructor don't recurse and were ruled out; they only take memory for each level.

--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/status/status.h"
+#include "peers/checked_fields.h"
 
 namespace corianderpost {
 namespace {
@@ -18,6 +19,11 @@
 constexpr std::size_t kFieldsPerCustomer = 3;
 constexpr std::size_t kFieldsPerRouter = 5;
 
+// Larger counts are implausible.
+constexpr std::int64_t kMaxCount = 1'000'000;
+// Bound on times in microseconds by a sender's clock.
+constexpr std::int64_t kMaxMicros = kMaxExactInteger;
+
 // Fractional values are encoded as integers, in thousandths.
 constexpr double kFixedPointScale = 1000.0;
 
@@ -34,11 +40,10 @@
 }
 
 RouterInfo RouterInfoAt(const Json& list, std::size_t offset) {
-  return {list.at(offset).get<std::string>(),
-          list.at(offset + 1).get<std::string>(),
-          list.at(offset + 2).get<std::string>(),
-          list.at(offset + 3).get<int>(),
-          milliseconds(list.at(offset + 4).get<std::int64_t>())};
+  return {NameField(list.at(offset)), NameField(list.at(offset + 1)),
+          NameField(list.at(offset + 2)),
+          static_cast<int>(IntegerField(list.at(offset + 3), 0, kMaxCount)),
+          MillisecondsField(list.at(offset + 4))};
 }
 
 // Flags of one crash in a report.
@@ -141,8 +146,9 @@
   }
   const Json& leaving = crashes.back().at("leaving");
   for (std::size_t i = 0; i + 2 <= leaving.size(); i += 2) {
-    report.leaving_targets.push_back({TargetId(leaving[i].get<std::uint32_t>()),
-                                      leaving[i + 1].get<std::int64_t>()});
+    report.leaving_targets.push_back(
+        {TargetId(UnsignedField<std::uint32_t>(leaving[i])),
+         IntegerField(leaving[i + 1])});
   }
 }
 
@@ -153,11 +159,11 @@
   }
   const Json& keys = crashes.back().at("operator_keys");
   const auto number = [&keys](std::size_t i) {
-    return keys.at(i).get<std::uint64_t>();
+    return UnsignedField(keys.at(i));
   };
   return OperatorKeysState{{number(0), number(1)},
                            {number(2), number(3)},
-                           milliseconds(keys.at(4).get<std::int64_t>()),
+                           MillisecondsField(keys.at(4)),
                            number(5)};
 }
 
@@ -168,18 +174,18 @@
   const Json& limits = crashes.back().at("rate_limits");
   for (std::size_t i = 0; i + kFieldsPerRateLimit <= limits.size();
        i += kFieldsPerRateLimit) {
-    const double per_second = limits[i + 1].get<double>() / kFixedPointScale;
+    const double per_second = NumberField(limits[i + 1]) / kFixedPointScale;
     report.rate_limits.push_back(
-        {TargetId(limits[i].get<std::uint32_t>()),
+        {TargetId(UnsignedField<std::uint32_t>(limits[i])),
          per_second < 0 ? std::nullopt : std::optional<double>(per_second),
-         milliseconds(limits[i + 2].get<std::int64_t>())});
+         MillisecondsField(limits[i + 2])});
   }
   const Json& use = crashes.back().at("limit_use");
   for (std::size_t i = 0; i + kFieldsPerLimitUse <= use.size();
        i += kFieldsPerLimitUse) {
-    report.load[TargetId(use[i].get<std::uint32_t>())].limit_use = {
-        use[i + 1].get<double>() / kFixedPointScale,
-        use[i + 2].get<double>() / kFixedPointScale};
+    report.load[TargetId(UnsignedField<std::uint32_t>(use[i]))].limit_use = {
+        NumberField(use[i + 1]) / kFixedPointScale,
+        NumberField(use[i + 2]) / kFixedPointScale};
   }
 }
 
@@ -189,11 +195,11 @@
   if (crashes.size() % 2 == 0) {
     for (std::size_t i = 0; i + 2 <= crashes.size(); i += 2) {
       suspects.push_back(
-          {{RequestTrait::Kind::kRequest, crashes[i].get<std::uint64_t>()},
+          {{RequestTrait::Kind::kRequest, UnsignedField(crashes[i])},
            kBasicSuspectRetention,
            false,
-           {{crashes[i + 1].get<std::uint64_t>(), Duration(0), CustomerId(),
-             false, false}}});
+           {{UnsignedField(crashes[i + 1]), Duration(0), CustomerId(), false,
+             false}}});
     }
     return suspects;
   }
@@ -201,20 +207,22 @@
   for (std::size_t i = 0; i + kFieldsPerSuspect <= list.size();
        i += kFieldsPerSuspect) {
     SuspectReport suspect;
-    suspect.trait = {list[i].get<int>() == 0 ? RequestTrait::Kind::kRequest
-                                             : RequestTrait::Kind::kPromptPart,
-                     list[i + 1].get<std::uint64_t>()};
-    suspect.time_to_live = milliseconds(list[i + 2].get<std::int64_t>());
+    suspect.trait = {IntegerField(list[i]) == 0
+                         ? RequestTrait::Kind::kRequest
+                         : RequestTrait::Kind::kPromptPart,
+                     UnsignedField(list[i + 1])};
+    suspect.time_to_live = MillisecondsField(list[i + 2]);
     suspect.was_answered = list[i + 3].get<bool>();
     const Json& fields = list[i + 4];
     for (std::size_t j = 0; j + kFieldsPerCrash <= fields.size();
          j += kFieldsPerCrash) {
-      const auto flags = fields[j + 3].get<unsigned>();
+      const auto flags = UnsignedField<unsigned>(fields[j + 3]);
       CrashEvidence crash;
-      crash.crash_id = fields[j].get<std::uint64_t>();
-      crash.age = milliseconds(fields[j + 1].get<std::int64_t>());
+      crash.crash_id = UnsignedField(fields[j]);
+      crash.age = MillisecondsField(fields[j + 1]);
       if ((flags & kSeveralCustomersFlag) == 0) {
-        crash.customer = CustomerId(fields[j + 2].get<std::uint32_t>());
+        crash.customer =
+            CustomerId(UnsignedField<std::uint32_t>(fields[j + 2]));
       }
       crash.is_confirmed = (flags & kConfirmedFlag) != 0;
       crash.is_refuted = (flags & kRefutedFlag) != 0;
@@ -276,7 +284,7 @@
 }
 
 absl::StatusOr<PeerReport> DecodeReport(std::string_view bytes) {
-  const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  const Json json = ParseMessagePack(bytes);
   if (!json.is_array() || json.size() != kFieldCount ||
       json[0] != kFormatVersion) {
     return absl::InvalidArgumentError(
@@ -284,26 +292,26 @@
   }
   try {
     PeerReport report;
-    const int scope = json[1].get<int>();
-    if (scope < 0 || scope > static_cast<int>(ReportScope::kFleet)) {
+    const std::int64_t scope = IntegerField(json[1]);
+    if (scope < 0 || scope > static_cast<std::int64_t>(ReportScope::kFleet)) {
       return absl::InvalidArgumentError("unknown report scope");
     }
     report.scope = static_cast<ReportScope>(scope);
     report.sender = RouterInfoAt(json[2], 0);
-    report.incarnation = json[3].get<std::uint64_t>();
-    report.sequence = json[4].get<std::uint64_t>();
-    report.operator_revision = json[5].get<std::uint64_t>();
-    report.target_list_revision = json[6].get<std::uint64_t>();
-    report.operator_replica_age = milliseconds(json[7].get<std::int64_t>());
+    report.incarnation = UnsignedField(json[3]);
+    report.sequence = UnsignedField(json[4]);
+    report.operator_revision = UnsignedField(json[5]);
+    report.target_list_revision = UnsignedField(json[6]);
+    report.operator_replica_age = MillisecondsField(json[7]);
     for (std::size_t i = 0; i + kFieldsPerTarget <= json[8].size();
          i += kFieldsPerTarget) {
       const auto scaled = [&json, i](std::size_t field) {
-        return json[8][i + field].get<double>() / kFixedPointScale;
+        return NumberField(json[8][i + field]) / kFixedPointScale;
       };
-      report.load[TargetId(json[8][i].get<std::uint32_t>())] = {
-          json[8][i + 1].get<int>(),
-          json[8][i + 2].get<double>(),
-          json[8][i + 3].get<double>(),
+      report.load[TargetId(UnsignedField<std::uint32_t>(json[8][i]))] = {
+          static_cast<int>(IntegerField(json[8][i + 1], 0, kMaxCount)),
+          NumberField(json[8][i + 2]),
+          NumberField(json[8][i + 3]),
           scaled(4),
           scaled(5),
           scaled(6),
@@ -311,8 +319,9 @@
     }
     for (std::size_t i = 0; i + kFieldsPerCustomer <= json[9].size();
          i += kFieldsPerCustomer) {
-      report.customer_rates[CustomerId(json[9][i].get<std::uint32_t>())] = {
-          json[9][i + 1].get<double>(), json[9][i + 2].get<double>()};
+      report.customer_rates[CustomerId(
+          UnsignedField<std::uint32_t>(json[9][i]))] = {
+          NumberField(json[9][i + 1]), NumberField(json[9][i + 2])};
     }
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
@@ -320,21 +329,23 @@
     report.operator_keys = DecodeOperatorKeys(json[10]);
     if (report.operator_keys) {
       report.target_list_era =
-          json[10].back().at("target_list_era").get<std::uint64_t>();
+          UnsignedField(json[10].back().at("target_list_era"));
     }
     report.unreachable_targets = json[11].get<std::vector<std::string>>();
     for (std::size_t i = 0; i + kFieldsPerRouter <= json[12].size();
          i += kFieldsPerRouter) {
       report.live_routers.push_back(RouterInfoAt(json[12], i));
     }
-    report.link_use = json[13].get<double>();
-    report.link_budget = json[14].get<double>();
-    report.sent_at = json[15].get<std::int64_t>();
-    report.echoed_sent_at = json[16].get<std::int64_t>();
-    report.echo_delay = Duration(json[17].get<std::int64_t>());
+    report.link_use = NumberField(json[13]);
+    report.link_budget = NumberField(json[14]);
+    report.sent_at = IntegerField(json[15], 0, kMaxMicros);
+    report.echoed_sent_at = IntegerField(json[16], 0, kMaxMicros);
+    report.echo_delay = Duration(IntegerField(json[17], 0, kMaxMicros));
     return report;
   } catch (const Json::exception& ex) {
     return absl::InvalidArgumentError(ex.what());
+  } catch (const FieldError& ex) {
+    return absl::InvalidArgumentError(ex.what());
   }
 }
 
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -122,6 +123,34 @@
   }
 }
 
+TEST_CASE("DecodeReport rejects a report that is nested too deeply") {
+  CHECK_FALSE(DecodeReport(std::string(60'000, '\x91')).ok());
+}
+
+TEST_CASE("DecodeReport rejects numbers that are out of range") {
+  const std::string encoded =
+      EncodeReport(MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3));
+  using Json = nlohmann::json;
+  const auto is_accepted = [&encoded](std::size_t field, const Json& value) {
+    Json json = Json::from_msgpack(encoded);
+    json[field] = value;
+    const std::vector<std::uint8_t> bytes = Json::to_msgpack(json);
+    return DecodeReport(std::string(bytes.begin(), bytes.end())).ok();
+  };
+  // All fields with a single number.
+  for (const std::size_t field : {1, 3, 4, 5, 6, 7, 13, 14, 15, 16, 17}) {
+    INFO("field ", field);
+    CHECK(is_accepted(field, 1));
+    CHECK_FALSE(is_accepted(field, 1e300));
+    CHECK_FALSE(is_accepted(field, std::numeric_limits<double>::quiet_NaN()));
+    CHECK_FALSE(is_accepted(field, "1"));
+  }
+  for (const std::size_t field : {15, 16, 17}) {
+    CHECK_FALSE(is_accepted(field, std::numeric_limits<std::int64_t>::max()));
+    CHECK_FALSE(is_accepted(field, -1));
+  }
+}
+
 TEST_CASE("PeerTable ignores an older report of the same incarnation") {
   PeerTable table(MakeRouterInfo("10.0.0.1", "a"));
   table.ApplyReport(kStart, MakeReport(MakeRouterInfo("10.0.0.2", "a"), 5, 4));
--- a/src/peers/replica_batch.cc
+++ b/src/peers/replica_batch.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/status/status.h"
+#include "peers/checked_fields.h"
 
 namespace corianderpost {
 namespace {
@@ -52,14 +53,14 @@
 
 ValueDelta DecodeDelta(const Json& json) {
   ValueDelta delta;
-  delta.base_hash = json.at(kBaseField).get<std::uint64_t>();
-  delta.result_hash = json.at(kResultField).get<std::uint64_t>();
+  delta.base_hash = UnsignedField(json.at(kBaseField));
+  delta.result_hash = UnsignedField(json.at(kResultField));
   for (const Json& it : json.at(kPartsField)) {
     if (it.is_binary()) {
       delta.parts.emplace_back(FromBinary(it));
     } else {
-      delta.parts.emplace_back(CopiedRange{it.at(0).get<std::uint64_t>(),
-                                           it.at(1).get<std::uint64_t>()});
+      delta.parts.emplace_back(
+          CopiedRange{UnsignedField(it.at(0)), UnsignedField(it.at(1))});
     }
   }
   return delta;
@@ -87,7 +88,7 @@
                                      const StoreReplica& replica) {
   StoreItem item;
   item.key = FromBinary(json.at(kKeyField));
-  item.revision = json.at(kRevisionField).get<std::uint64_t>();
+  item.revision = UnsignedField(json.at(kRevisionField));
   if (json.contains(kValueField)) {
     item.value = FromBinary(json.at(kValueField));
     return item;
@@ -154,17 +155,16 @@
 
 absl::StatusOr<StoreBatch> DecodeReplicaBatch(std::string_view bytes,
                                               const StoreReplica& replica) {
-  const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  const Json json = ParseMessagePack(bytes);
   if (!json.is_object()) {
     return absl::InvalidArgumentError("replica batch is not a MessagePack map");
   }
   try {
     StoreBatch batch;
-    batch.store_revision = json.at(kRevisionField).get<std::uint64_t>();
-    batch.era = json.at(kEraField).get<std::uint64_t>();
+    batch.store_revision = UnsignedField(json.at(kRevisionField));
+    batch.era = UnsignedField(json.at(kEraField));
     batch.is_snapshot = json.at(kSnapshotField).get<bool>();
-    batch.outage_effects = std::chrono::milliseconds(
-        json.at(kOutageEffectsField).get<std::int64_t>());
+    batch.outage_effects = MillisecondsField(json.at(kOutageEffectsField));
     for (auto status :
          {DecodeItems(json.at(kItemsField), replica, batch.items),
           DecodeItems(json.at(kRetainedField), replica, batch.retained)}) {
@@ -175,6 +175,8 @@
     return batch;
   } catch (const Json::exception& ex) {
     return absl::InvalidArgumentError(ex.what());
+  } catch (const FieldError& ex) {
+    return absl::InvalidArgumentError(ex.what());
   }
 }
 
--- a/src/peers/replica_batch_test.cc
+++ b/src/peers/replica_batch_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+#include <nlohmann/json.hpp>
+
 namespace corianderpost {
 namespace {
 
@@ -39,6 +42,37 @@
   CHECK(snapshot->items.size() == 2);
 }
 
+TEST_CASE("A replica batch that is nested too deeply is refused") {
+  CHECK_FALSE(
+      DecodeReplicaBatch(std::string(200'000, '\x91'), StoreReplica()).ok());
+}
+
+TEST_CASE("A replica batch with numbers out of range is refused or bounded") {
+  using Json = nlohmann::json;
+  const auto decode = [](const char* name, const Json& value) {
+    Json json = {{"revision", 1},
+                 {"era", 1},
+                 {"snapshot", true},
+                 {"items", Json::array()},
+                 {"retained", Json::array()},
+                 {"outage_effects", 5}};
+    json[name] = value;
+    const std::vector<std::uint8_t> bytes = Json::to_msgpack(json);
+    return DecodeReplicaBatch(std::string(bytes.begin(), bytes.end()),
+                              StoreReplica());
+  };
+  CHECK(decode("era", 2).ok());
+  for (const Json& value : {Json(-1), Json(1e300), Json(0.5)}) {
+    CHECK_FALSE(decode("revision", value).ok());
+    CHECK_FALSE(decode("era", value).ok());
+  }
+  CHECK_FALSE(decode("outage_effects", 1e300).ok());
+  const auto batch =
+      decode("outage_effects", std::numeric_limits<std::int64_t>::max());
+  REQUIRE(batch.ok());
+  CHECK(*batch->outage_effects > Duration(0));
+}
+
 TEST_CASE("A small change of a large value is sent as a delta") {
   StoreReplica source;
   StoreReplica receiver;
