--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -47,18 +47,33 @@
     return std::nullopt;
   }
   boost::system::error_code ec;
-  const auto ip =
-      asio::ip::make_address_v4(std::string(address.substr(0, colon)), ec);
+  const std::string_view host = address.substr(0, colon);
+  const auto ip = asio::ip::make_address_v4(std::string(host), ec);
   std::uint16_t port = 0;
   const std::string_view digits = address.substr(colon + 1);
   const auto [end, parse_ec] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (ec || parse_ec != std::errc() || end != digits.data() + digits.size()) {
+  // The system's parser ends at a NUL.
+  if (ec || host.find('\0') != std::string_view::npos ||
+      parse_ec != std::errc() || end != digits.data() + digits.size()) {
     return std::nullopt;
   }
   return asio::ip::tcp::endpoint(ip, port);
 }
 
+std::optional<asio::ip::tcp::endpoint> ParseRemoteEndpoint(
+    std::string_view address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint || endpoint->port() == 0) {
+    return std::nullopt;
+  }
+  const asio::ip::address_v4 ip = endpoint->address().to_v4();
+  return ip.is_unspecified() || ip.is_multicast() ||
+                 ip == asio::ip::address_v4::broadcast()
+             ? std::nullopt
+             : endpoint;
+}
+
 void ConfigureSocket(asio::ip::tcp::socket& socket, Duration user_timeout) {
   // Errors are ignored: without these options the connection still works, but
   // is slower to send and to detect failures.
@@ -112,7 +127,7 @@
 }
 
 void UpstreamConnection::Connect() {
-  const auto endpoint = ParseEndpoint(address_);
+  const auto endpoint = ParseRemoteEndpoint(address_);
   boost::system::error_code ec;
   if (endpoint) {
     socket_.open(asio::ip::tcp::v4(), ec);
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -174,6 +174,10 @@
 // Parses an address of the form "IPv4:port"; nullopt if it is malformed.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
     std::string_view address);
+// The same for an address to connect to: port 0 and addresses that are no
+// single host's are refused too.
+std::optional<boost::asio::ip::tcp::endpoint> ParseRemoteEndpoint(
+    std::string_view address);
 
 // Sets TCP_NODELAY, and closes the connection when sent data stays
 // unacknowledged for `user_timeout` (TCP_USER_TIMEOUT). Errors are ignored.
