Bound the log and the work for thousands of malformed store items

Each malformed entry wrote a log line with every heartbeat, and the removal of each unknown entry another one; thousands of them used up the log's rate limit of 250 lines per second, so that other lines were dropped. Each key below the evacuations copied the whole set of zones, which takes quadratic time for a page of them.

Eight malformed items per second have a line of their own, the others are counted in a summary line and in corianderpost_malformed_store_items_total. The removal of an entry that is no known target has no line. The set of zones is copied once for each batch of changes. What a malformed entry does is unchanged: its target is used no longer, until the entry is sound again. From reading; the fleet test of odd entries runs on it, and no test counts the lines.

--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -42,6 +42,9 @@
 constexpr Duration kSettingsCheckInterval = seconds(1);
 // Interval of the log lines that summarise rejections and the share level.
 constexpr Duration kSummaryInterval = seconds(1);
+// Malformed store items with a line of their own in one summary interval; the
+// others are counted.
+constexpr std::uint64_t kMaxMalformedItemLines = 8;
 // Customers named in a line on rejections.
 constexpr std::size_t kMaxCustomersPerLine = 8;
 // In a fleet that uses relays, number of routers per zone that read the store;
@@ -313,6 +316,8 @@
   void Apply(const TargetRemoved& change, ChangeOrigin origin);
   void Apply(const MalformedItem& change, ChangeOrigin origin);
   void Apply(const UnknownItem& change, ChangeOrigin origin);
+  // Copies the evacuated zones to the scheduler if they have changed.
+  void ApplyEvacuations();
   // Ends evacuations that were not written again after a restore, and what the
   // replicas retain.
   void SettleRestore(TimePoint now);
@@ -384,6 +389,10 @@
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
   std::set<std::string> evacuated_zones_;
+  // `evacuated_zones_` has changed since the scheduler got a copy.
+  bool has_new_evacuations_ = false;
+  // Since the last summary.
+  std::uint64_t malformed_items_ = 0;
   std::vector<BlamedTrait> blamed_traits_;
 };
 
@@ -719,6 +728,11 @@
     Log(LogLevel::kInfo, "requests rejected since the last line",
         {{"total", total}, {"largest", std::move(largest)}});
   }
+  if (malformed_items_ > kMaxMalformedItemLines) {
+    Log(LogLevel::kWarning, "malformed store items since the last line",
+        {{"total", malformed_items_}});
+  }
+  malformed_items_ = 0;
   LogCrashReports();
   const std::size_t accepts = caller_listener_.TakeMaxAcceptsPerTurn();
   const ShareState share = scheduler_.CurrentShareState(now);
@@ -1008,6 +1022,7 @@
         },
         change);
   }
+  ApplyEvacuations();
 }
 
 void Router::Impl::QueueConfiguration(WrittenConfiguration written,
@@ -1107,9 +1122,14 @@
     return;
   }
   evacuation_ends_.erase(change.zone);
+  if (evacuated_zones_.contains(change.zone) == change.is_evacuated) {
+    return;
+  }
+  has_new_evacuations_ = true;
   if (change.is_evacuated) {
     evacuated_zones_.insert(change.zone);
-  } else if (evacuated_zones_.erase(change.zone) > 0) {
+  } else {
+    evacuated_zones_.erase(change.zone);
     // Targets may have become cold during the evacuation, and their list
     // entries may not show it yet.
     for (auto& [id, target] : scheduler_.targets().targets()) {
@@ -1119,7 +1139,6 @@
       }
     }
   }
-  scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
   Log(LogLevel::kInfo,
       change.is_evacuated ? "zone evacuated" : "zone back in rotation",
       {{"zone", change.zone}, {"restored", origin.is_restored}});
@@ -1137,6 +1156,13 @@
     it = evacuation_ends_.erase(it);
     Apply(ZoneChanged{zone, false}, ChangeOrigin());
   }
+  ApplyEvacuations();
+}
+
+void Router::Impl::ApplyEvacuations() {
+  if (std::exchange(has_new_evacuations_, false)) {
+    scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
+  }
 }
 
 void Router::Impl::Apply(const TargetListed& change, ChangeOrigin origin) {
@@ -1159,6 +1185,9 @@
 }
 
 void Router::Impl::Apply(const TargetRemoved& change, ChangeOrigin origin) {
+  if (scheduler_.targets().Find(change.id) == nullptr) {
+    return;
+  }
   scheduler_.targets().ApplyRemoval(clock_.Now(), change.id,
                                     origin.outage_effects);
   Log(LogLevel::kInfo, "target removed",
@@ -1167,8 +1196,11 @@
 }
 
 void Router::Impl::Apply(const MalformedItem& change, ChangeOrigin origin) {
-  Log(LogLevel::kWarning, "malformed store item",
-      {{"key", change.key}, {"reason", change.reason}});
+  metrics_.IncrementCounter("corianderpost_malformed_store_items_total", "");
+  if (++malformed_items_ <= kMaxMalformedItemLines) {
+    Log(LogLevel::kWarning, "malformed store item",
+        {{"key", change.key}, {"reason", change.reason}});
+  }
   // A target whose list entry is malformed must no longer be used.
   const std::string prefix = deployment_.target_prefix();
   if (change.key.starts_with(prefix)) {
