Take requests in a drain only if they can end before the exit

After SIGTERM a router took plain requests until 2.2 s before the end of the grace and cut them 0.7 s before it, whatever they still needed: requests of 2.5 s that came late were passed on to a target and their connections closed without an answer, among them some that may not be repeated. A retry that was still connecting at that moment got 503, which promises that the request was not executed, though an earlier attempt may have run it.

DrainSchedule decides without I/O. While callers still arrive, for 2.8 s or half of the grace, any request is taken as before, since most end long before their timeout. A later one of any kind is taken if the rest of its route's timeout and of its caller's time ends before open requests are aborted. Otherwise it gets 503 at once, not executed, with a Retry-After of 1 ms and a closing connection; the reason is in its log line and in corianderpost_refusals_total. At the abort, a request that may have been executed gets 502 instead of a closed connection or a 503; a stream that has begun is still broken off. Open responses have until 0.4 s before SIGKILL instead of 0.7 s, and what was written is flushed before the exit, which waited for nothing.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -133,7 +133,7 @@
 }
 
 bool Exchange::ShouldCloseConnection() const {
-  return plane_.is_draining || caller_->wants_close();
+  return plane_.drain.has_value() || caller_->wants_close();
 }
 
 void Exchange::Start() {
@@ -194,9 +194,13 @@
   max_caller_timeout = std::max(max_caller_timeout, caller_timeout_);
   scheduled_.elapsed_before_arrival = max_caller_timeout - caller_timeout_;
   plane_.scheduler.RecordRequest(plane_.clock.Now(), scheduled_);
-  if (plane_.rejects_all ||
-      (plane_.rejects_streaming && route->kind == RequestKind::kStreaming)) {
-    SendLocalReply(503, "this router is stopping", milliseconds(1));
+  if (const TimePoint now = plane_.clock.Now();
+      plane_.drain && !plane_.drain->Accepts(now, RemainingTime(now))) {
+    plane_.metrics.IncrementCounter("corianderpost_refusals_total",
+                                    "reason=\"stopping\"");
+    SendLocalReply(503,
+                   "this router is stopping and the request may not end before",
+                   milliseconds(1));
     return;
   }
   Dispatch();
@@ -705,15 +709,18 @@
   if (is_done_) {
     return;
   }
+  const bool may_have_executed = may_have_executed_ || has_send_started_;
   EndAttempt(AttemptOutcome::kCancelled);
-  // A 503 would be wrong here: the stream has begun, or the target may have
-  // executed the request.
-  if (has_stream_begun_ || has_send_started_) {
+  if (has_stream_begun_) {
     caller_->Abort();
     Finish("cut_for_shutdown");
     return;
   }
-  SendLocalReply(503, "this router is stopping", milliseconds(1));
+  if (may_have_executed) {
+    SendLocalReply(502, "this router is stopping", Duration(0));
+  } else {
+    SendLocalReply(503, "this router is stopping", milliseconds(1));
+  }
 }
 
 Duration Exchange::StallTimeout() const {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -13,6 +13,7 @@
 #include "dataplane/rejection_tally.h"
 #include "dataplane/stream_directory.h"
 #include "dataplane/upstream.h"
+#include "decisions/drain_schedule.h"
 #include "decisions/processor_admission.h"
 #include "decisions/scheduler.h"
 #include "runtime/json_log.h"
@@ -36,13 +37,9 @@
   // Time of the last response of the store for the target list, or of newer
   // data from a peer.
   TimePoint target_list_read_at = {};
-  // The router shuts down: responses close their connections.
-  bool is_draining = false;
-  // Streaming requests are rejected, since they might still run when the
-  // process exits.
-  bool rejects_streaming = false;
-  // All new requests are rejected.
-  bool rejects_all = false;
+  // Set while the router shuts down: responses close their connections, and
+  // requests that may not end in time are rejected.
+  std::optional<DrainSchedule> drain = std::nullopt;
   // Divides the requests that the processor can handle between the customers.
   ProcessorAdmission processor_admission = {};
   // Requests that this router rejected since the last line on them.
@@ -83,7 +80,8 @@
   // Ends an attempt that has no answer yet if its request has a trait that is
   // blamed for crashes of targets.
   void CancelIfBlamed(TimePoint now);
-  // Ends the request because the process is about to exit.
+  // Ends the request because the process is about to exit. Its caller gets a
+  // truthful reply unless a stream has begun.
   void AbortForShutdown();
 
   bool is_done() const { return is_done_; }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -101,15 +101,6 @@
 // Smallest increase of CLOCK_BOOTTIME over CLOCK_MONOTONIC that is treated as a
 // suspension of the VM.
 constexpr Duration kMinSuspension = milliseconds(700);
-// Time during which a draining router still gets new connections: the load
-// balancer takes it out of rotation after two failed readiness checks, one
-// second apart.
-constexpr Duration kLeaveRotationTime = milliseconds(2800);
-// Open responses are aborted this long before SIGKILL.
-constexpr Duration kAbortBeforeKill = milliseconds(700);
-// New requests of any kind are rejected from this long before open responses
-// are aborted. Plain requests take about 10 ms.
-constexpr Duration kRejectBeforeAbort = milliseconds(1500);
 // Time for the last written responses to reach their callers before the process
 // exits.
 constexpr Duration kFlushTime = milliseconds(150);
@@ -208,7 +199,9 @@
                  ? router_.plane_.configuration->limits()
                  : default_limits_;
     }
-    bool IsDraining() const override { return router_.plane_.is_draining; }
+    bool IsDraining() const override {
+      return router_.plane_.drain.has_value();
+    }
     void OnBadRequest(int status, const std::string& reason) override {
       router_.metrics_.IncrementCounter(
           "corianderpost_bad_requests_total",
@@ -385,7 +378,6 @@
   // When the evacuation of zones ends that a restored store lacks, unless it is
   // written again before.
   std::map<std::string, TimePoint> evacuation_ends_;
-  TimePoint drain_began_at_;
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
   std::set<std::string> evacuated_zones_;
@@ -459,7 +451,7 @@
 
 bool Router::Impl::IsReady() const {
   return plane_.configuration != nullptr && has_verified_operator_keys_ &&
-         target_list_reader_.replica().is_loaded() && !plane_.is_draining &&
+         target_list_reader_.replica().is_loaded() && !plane_.drain &&
          !overload_detector_.is_overloaded() &&
          !plane_.processor_admission.is_limiting();
 }
@@ -547,11 +539,10 @@
 }
 
 void Router::Impl::BeginDrain() {
-  if (plane_.is_draining) {
+  if (plane_.drain) {
     return;
   }
-  plane_.is_draining = true;
-  drain_began_at_ = clock_.Now();
+  plane_.drain.emplace(clock_.Now(), settings_.shutdown_grace);
   messenger_.ReportAtNextTick();
   Log(LogLevel::kInfo, "router is draining",
       {{"open_requests", exchanges_.size()},
@@ -680,7 +671,7 @@
     next_settings_check_at_ = now + kSettingsCheckInterval;
     CheckSettings();
   }
-  if (plane_.is_draining) {
+  if (plane_.drain) {
     TickDrain(now);
   }
 }
@@ -833,25 +824,23 @@
 }
 
 void Router::Impl::TickDrain(TimePoint now) {
-  const Duration elapsed = now - drain_began_at_;
-  if (elapsed >= kLeaveRotationTime) {
-    plane_.rejects_streaming = true;
+  const DrainSchedule& drain = *plane_.drain;
+  if (drain.HasLeftRotation(now)) {
     caller_listener_.CloseIdle();
-    if (!exchanges_.empty()) {
-      last_open_exchange_at_ = now;
-    } else if (now - last_open_exchange_at_ >= kFlushTime) {
-      loop_.stop();
-      return;
-    }
   }
-  if (elapsed >=
-      settings_.shutdown_grace - kAbortBeforeKill - kRejectBeforeAbort) {
-    plane_.rejects_all = true;
-  }
-  if (elapsed >= settings_.shutdown_grace - kAbortBeforeKill) {
-    for (auto& [caller, exchange] : exchanges_) {
-      exchange->AbortForShutdown();
+  if (!exchanges_.empty()) {
+    last_open_exchange_at_ = now;
+    if (now >= drain.abort_at()) {
+      Log(LogLevel::kInfo, "aborting open requests before the exit",
+          {{"open_requests", exchanges_.size()}});
+      for (auto& [caller, exchange] : exchanges_) {
+        exchange->AbortForShutdown();
+      }
     }
+  }
+  const bool has_ended =
+      drain.HasLeftRotation(now) && now - last_open_exchange_at_ >= kFlushTime;
+  if (has_ended || now >= drain.exit_at()) {
     loop_.stop();
   }
 }
--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -21,7 +21,6 @@
 constexpr char kService[] = "assistant";
 constexpr double kTokensPerSecond = 4e6;
 constexpr int kEvents = 4;
-constexpr auto kEventInterval = milliseconds(20);
 // Time from the arrival of a request to the start of its answer.
 constexpr auto kStartDelay = milliseconds(60);
 constexpr Duration kDownTime = milliseconds(1500);
@@ -117,7 +116,7 @@
     return;
   }
   caller->Write(FormatChunk("id: " + std::to_string(number) + "\ndata: x\n\n"));
-  RunAfter(loop_, kEventInterval,
+  RunAfter(loop_, event_interval,
            [this, caller, number] { SendEventsFrom(caller, number + 1); });
 }
 
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -53,6 +53,8 @@
   std::set<std::uint64_t> crashing_parts;
   // Header lines added to each response.
   std::string extra_headers;
+  // Time between the events of a response.
+  std::chrono::milliseconds event_interval{20};
   // Whether requests are answered with 503, as not executed, and the header
   // lines of these responses.
   bool is_refusing = false;
--- a/tests/soak/router_process.cc
+++ b/tests/soak/router_process.cc
@@ -24,15 +24,25 @@
 
 RouterProcess::RouterProcess(const LoopbackNetwork& network,
                              std::string program, const std::string& folder,
-                             int index, const std::string& zone)
+                             int index, std::string zone)
     : network_(network),
       program_(std::move(program)),
       settings_path_(folder + "/router-" + std::to_string(index) + ".yaml"),
       log_path_(folder + "/router-" + std::to_string(index) + ".jsonl"),
-      host_(10 + index) {
+      host_(10 + index),
+      zone_(std::move(zone)) {
+  WriteSettings();
+}
+
+void RouterProcess::SetGracePeriod(std::chrono::seconds grace_period) {
+  grace_period_ = grace_period;
+  WriteSettings();
+}
+
+void RouterProcess::WriteSettings() const {
   std::ofstream(settings_path_)
-      << "vm: router-" << index << "\nzone: " << zone
-      << "\nregion: " << (zone == "a" ? "west" : "east")
+      << "vm: router-" << host_ - 10 << "\nzone: " << zone_
+      << "\nregion: " << (zone_ == "a" ? "west" : "east")
       << "\nip: " << network_.Ip(host_) << "\ncallers: " << address()
       << "\nreadiness: " << readiness_address()
       << "\ncontrol: " << network_.Address(host_, kControlPort)
@@ -41,7 +51,7 @@
       << network_.Address(11, kControlPort)
       << "\"]\nzones: {a: west, b: east}\nstore: "
       << network_.Address(1, kStorePort) << "\ngrace_seconds: "
-      << std::chrono::duration_cast<std::chrono::seconds>(kGracePeriod).count()
+      << std::chrono::duration_cast<std::chrono::seconds>(grace_period_).count()
       << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
          "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: 110\n"
          "processor_share: 1\nregion_link_mbit: 30\n";
@@ -88,7 +98,7 @@
 
 bool RouterProcess::HasExceededGracePeriod(TimePoint now) {
   const bool has_exceeded = pid_ > 0 && !was_paused_ && sigterm_sent_at_ &&
-                            now > *sigterm_sent_at_ + kGracePeriod;
+                            now > *sigterm_sent_at_ + grace_period_;
   if (has_exceeded) {
     sigterm_sent_at_.reset();
   }
--- a/tests/soak/router_process.h
+++ b/tests/soak/router_process.h
@@ -38,12 +38,13 @@
   // Writes the settings file router-<index>.yaml to `folder`. `zone` is "a", in
   // the region "west", or "b", in the region "east".
   RouterProcess(const LoopbackNetwork& network, std::string program,
-                const std::string& folder, int index,
-                const std::string& zone = "a");
+                const std::string& folder, int index, std::string zone = "a");
   ~RouterProcess() { Kill(); }
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
 
+  // Call before `Start`.
+  void SetGracePeriod(std::chrono::seconds grace_period);
   // Starts the process, which appends its log to router-<index>.jsonl. Throws
   // std::runtime_error if it cannot be started.
   void Start();
@@ -65,11 +66,14 @@
   }
 
  private:
+  void WriteSettings() const;
   const LoopbackNetwork network_;
   const std::string program_;
   const std::string settings_path_;
   const std::string log_path_;
   const int host_;
+  const std::string zone_;
+  Duration grace_period_ = kGracePeriod;
   pid_t pid_ = 0;
   bool was_paused_ = false;
   std::optional<TimePoint> sigterm_sent_at_;
