--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -50,6 +50,9 @@
 constexpr Duration kTargetRecordInterval = milliseconds(500);
 // Interval of the log lines that summarise rejections and the share level.
 constexpr Duration kSummaryInterval = seconds(1);
+// Malformed store items with a line of their own in one summary interval; the
+// others are counted.
+constexpr std::uint64_t kMaxMalformedItemLines = 8;
 // Customers named in a line on rejections.
 constexpr std::size_t kMaxCustomersPerLine = 8;
 // In a fleet that uses relays, number of routers per zone that read the store;
@@ -106,15 +109,6 @@
 // Smallest increase of CLOCK_BOOTTIME over CLOCK_MONOTONIC that is treated as a
 // suspension of the VM.
 constexpr Duration kMinSuspension = milliseconds(700);
-// Time during which a draining router still gets new connections: the load
-// balancer takes it out of rotation after two failed readiness checks, one
-// second apart.
-constexpr Duration kLeaveRotationTime = milliseconds(2800);
-// Open responses are aborted this long before SIGKILL.
-constexpr Duration kAbortBeforeKill = milliseconds(700);
-// New requests of any kind are rejected from this long before open responses
-// are aborted. Plain requests take about 10 ms.
-constexpr Duration kRejectBeforeAbort = milliseconds(1500);
 // Time for the last written responses to reach their callers before the process
 // exits.
 constexpr Duration kFlushTime = milliseconds(150);
@@ -214,7 +208,9 @@
                  ? router_.plane_.configuration->limits()
                  : default_limits_;
     }
-    bool IsDraining() const override { return router_.plane_.is_draining; }
+    bool IsDraining() const override {
+      return router_.plane_.drain.has_value();
+    }
     void OnBadRequest(int status, const std::string& reason) override {
       router_.metrics_.IncrementCounter(
           "corianderpost_bad_requests_total",
@@ -333,6 +329,8 @@
   void Apply(const TargetRemoved& change, ChangeOrigin origin);
   void Apply(const MalformedItem& change, ChangeOrigin origin);
   void Apply(const UnknownItem& change, ChangeOrigin origin);
+  // Copies the evacuated zones to the scheduler if they have changed.
+  void ApplyEvacuations();
   // Ends evacuations that were not written again after a restore, and what the
   // replicas retain.
   void SettleRestore(TimePoint now);
@@ -404,10 +402,13 @@
   // When the evacuation of zones ends that a restored store lacks, unless it is
   // written again before.
   std::map<std::string, TimePoint> evacuation_ends_;
-  TimePoint drain_began_at_;
   TimePoint last_open_exchange_at_;
   Duration total_suspended_{0};
   std::set<std::string> evacuated_zones_;
+  // `evacuated_zones_` has changed since the scheduler got a copy.
+  bool has_new_evacuations_ = false;
+  // Since the last summary.
+  std::uint64_t malformed_items_ = 0;
   std::vector<BlamedTrait> blamed_traits_;
 };
 
@@ -479,7 +480,7 @@
 
 bool Router::Impl::IsReady() const {
   return plane_.configuration != nullptr && has_verified_operator_keys_ &&
-         target_list_reader_.replica().is_loaded() && !plane_.is_draining &&
+         target_list_reader_.replica().is_loaded() && !plane_.drain &&
          !overload_detector_.is_overloaded() &&
          !plane_.processor_admission.is_limiting();
 }
@@ -590,11 +591,10 @@
 }
 
 void Router::Impl::BeginDrain() {
-  if (plane_.is_draining) {
+  if (plane_.drain) {
     return;
   }
-  plane_.is_draining = true;
-  drain_began_at_ = clock_.Now();
+  plane_.drain.emplace(clock_.Now(), settings_.shutdown_grace);
   messenger_.ReportAtNextTick();
   Log(LogLevel::kInfo, "router is draining",
       {{"open_requests", exchanges_.size()},
@@ -725,7 +725,7 @@
     next_settings_check_at_ = now + kSettingsCheckInterval;
     CheckSettings();
   }
-  if (plane_.is_draining) {
+  if (plane_.drain) {
     TickDrain(now);
   }
 }
@@ -773,6 +773,11 @@
     Log(LogLevel::kInfo, "requests rejected since the last line",
         {{"total", total}, {"largest", std::move(largest)}});
   }
+  if (malformed_items_ > kMaxMalformedItemLines) {
+    Log(LogLevel::kWarning, "malformed store items since the last line",
+        {{"total", malformed_items_}});
+  }
+  malformed_items_ = 0;
   LogCrashReports();
   const std::size_t accepts = caller_listener_.TakeMaxAcceptsPerTurn();
   const ShareState share = scheduler_.CurrentShareState(now);
@@ -873,25 +878,23 @@
 }
 
 void Router::Impl::TickDrain(TimePoint now) {
-  const Duration elapsed = now - drain_began_at_;
-  if (elapsed >= kLeaveRotationTime) {
-    plane_.rejects_streaming = true;
+  const DrainSchedule& drain = *plane_.drain;
+  if (drain.HasLeftRotation(now)) {
     caller_listener_.CloseIdle();
-    if (!exchanges_.empty()) {
-      last_open_exchange_at_ = now;
-    } else if (now - last_open_exchange_at_ >= kFlushTime) {
-      loop_.stop();
-      return;
-    }
   }
-  if (elapsed >=
-      settings_.shutdown_grace - kAbortBeforeKill - kRejectBeforeAbort) {
-    plane_.rejects_all = true;
-  }
-  if (elapsed >= settings_.shutdown_grace - kAbortBeforeKill) {
-    for (auto& [caller, exchange] : exchanges_) {
-      exchange->AbortForShutdown();
+  if (!exchanges_.empty()) {
+    last_open_exchange_at_ = now;
+    if (now >= drain.abort_at()) {
+      Log(LogLevel::kInfo, "aborting open requests before the exit",
+          {{"open_requests", exchanges_.size()}});
+      for (auto& [caller, exchange] : exchanges_) {
+        exchange->AbortForShutdown();
+      }
     }
+  }
+  const bool has_ended =
+      drain.HasLeftRotation(now) && now - last_open_exchange_at_ >= kFlushTime;
+  if (has_ended || now >= drain.exit_at()) {
     loop_.stop();
   }
 }
@@ -1154,6 +1157,7 @@
         },
         change);
   }
+  ApplyEvacuations();
 }
 
 void Router::Impl::QueueConfiguration(WrittenConfiguration written,
@@ -1253,9 +1257,14 @@
     return;
   }
   evacuation_ends_.erase(change.zone);
+  if (evacuated_zones_.contains(change.zone) == change.is_evacuated) {
+    return;
+  }
+  has_new_evacuations_ = true;
   if (change.is_evacuated) {
     evacuated_zones_.insert(change.zone);
-  } else if (evacuated_zones_.erase(change.zone) > 0) {
+  } else {
+    evacuated_zones_.erase(change.zone);
     // Targets may have become cold during the evacuation, and their list
     // entries may not show it yet.
     for (auto& [id, target] : scheduler_.targets().targets()) {
@@ -1265,7 +1274,6 @@
       }
     }
   }
-  scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
   Log(LogLevel::kInfo,
       change.is_evacuated ? "zone evacuated" : "zone back in rotation",
       {{"zone", change.zone}, {"restored", origin.is_restored}});
@@ -1283,6 +1291,13 @@
     it = evacuation_ends_.erase(it);
     Apply(ZoneChanged{zone, false}, ChangeOrigin());
   }
+  ApplyEvacuations();
+}
+
+void Router::Impl::ApplyEvacuations() {
+  if (std::exchange(has_new_evacuations_, false)) {
+    scheduler_.targets().SetEvacuatedZones(evacuated_zones_);
+  }
 }
 
 void Router::Impl::Apply(const TargetListed& change, ChangeOrigin origin) {
@@ -1306,6 +1321,9 @@
 }
 
 void Router::Impl::Apply(const TargetRemoved& change, ChangeOrigin origin) {
+  if (scheduler_.targets().Find(change.id) == nullptr) {
+    return;
+  }
   scheduler_.targets().ApplyRemoval(clock_.Now(), change.id,
                                     origin.outage_effects);
   Log(LogLevel::kInfo, "target removed",
@@ -1314,8 +1332,11 @@
 }
 
 void Router::Impl::Apply(const MalformedItem& change, ChangeOrigin origin) {
-  Log(LogLevel::kWarning, "malformed store item",
-      {{"key", change.key}, {"reason", change.reason}});
+  metrics_.IncrementCounter("corianderpost_malformed_store_items_total", "");
+  if (++malformed_items_ <= kMaxMalformedItemLines) {
+    Log(LogLevel::kWarning, "malformed store item",
+        {{"key", change.key}, {"reason", change.reason}});
+  }
   // A target whose list entry is malformed must no longer be used.
   const std::string prefix = deployment_.target_prefix();
   if (change.key.starts_with(prefix)) {
