Return a stream to its silent target if the next one rejects it

A stream whose target fell silent for 1.2 s is taken over by another target. If that one rejected it without running it, or could not be reached, the stream was cut: the silent target counted as tried and the rejected attempt against the route's maximum.

The silent target may be selected again, once, and an attempt that was not executed after it does not count. Further attempts still need the fleet's retry budget, and each move a target that was not tried. What remains: a second attempt that breaks still ends the stream.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_format.h"
 
@@ -791,6 +792,15 @@
 
 void Exchange::RetryOrFail(bool may_have_executed, const char* cause) {
   may_have_executed_ = may_have_executed_ || may_have_executed;
+  const std::string silent_target = std::exchange(silent_target_, "");
+  if (!may_have_executed && !silent_target.empty()) {
+    // The silent target did not fail, so the request may return to it. An
+    // attempt that was not executed does not count against the maximum.
+    std::erase(scheduled_.tried_targets, silent_target);
+    if (has_send_started_) {
+      --attempts_;
+    }
+  }
   const TimePoint now = plane_.clock.Now();
   const bool may_retry =
       !may_have_executed_ || scheduled_.route->IsSafeToRetry();
@@ -1037,6 +1047,7 @@
     if (has_stream_begun_) {
       ReportStreamRetry(kPlacedVerdict);
     }
+    silent_target_ = assignment_->target_id;
     EndAttempt(AttemptOutcome::kCancelled);
     may_have_executed_ = true;
     SendTo(*next);
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -224,6 +224,9 @@
   // for another target next.
   std::optional<TimePoint> stalled_at_;
   TimePoint next_stall_retry_at_;
+  // Target that the current attempt took the request over from, since it was
+  // silent; else empty.
+  std::string silent_target_;
   // The event loop lagged during the current attempt.
   bool has_loop_lagged_ = false;
   ResponseKind response_kind_ = ResponseKind::kNone;
