Let engines of the version tests write heartbeats

From reading: a router that sees three streams of an engine break at once takes it for one that may have restarted, without a known version, until its entry is written again. Targets write theirs about every heartbeat; the engines of the tests never did, so the doubt never ended.

--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -317,8 +317,7 @@
   entry.incarnation = engines_[index]->incarnation();
   listed_incarnations_[index] = entry.incarnation;
   store_.Put(platform::StandinEntryKey(entry.id),
-             platform::FormatStandinEntry(
-                 entry, static_cast<std::uint64_t>(entry.incarnation)));
+             platform::FormatStandinEntry(entry, ++sequence_));
 }
 
 void EngineFleet::PublishConfiguration(std::uint64_t version, int added_routes,
@@ -374,6 +373,10 @@
         }
       }
     }
+    if (heartbeat_interval_ > Duration(0) && now >= next_heartbeat_) {
+      next_heartbeat_ = now + heartbeat_interval_;
+      PublishAllEngines();
+    }
     ApplyThrottle(now);
     loop_.run_for(kStepInterval);
     loop_.restart();
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -189,6 +189,11 @@
   void BreakCallerConnections(double share);
   // Sets the streams of all engines, also of those that are added later.
   void SetStreamShape(const StreamShape& stream);
+  // Lets running engines write their entries at this interval, with a new
+  // sequence number; zero if only when they have started.
+  void SetHeartbeatInterval(Duration interval) {
+    heartbeat_interval_ = interval;
+  }
   // Adds an engine, which is in the target list soon after. Returns its index.
   std::size_t AddEngine(const std::string& version);
   // Removes the engine from the target list and stops it.
@@ -246,6 +251,9 @@
   // By engine; the incarnation that the store lists.
   std::vector<std::int64_t> listed_incarnations_;
   std::set<std::size_t> draining_engines_;
+  Duration heartbeat_interval_{0};
+  TimePoint next_heartbeat_;
+  std::uint64_t sequence_ = 0;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::shared_ptr<EngineCall>> calls_;
   std::vector<std::weak_ptr<OpenCall>> open_calls_;
--- a/tests/fleet/software_version_fleet_test.cc
+++ b/tests/fleet/software_version_fleet_test.cc
@@ -38,6 +38,7 @@
 // of their connections.
 constexpr Duration kBreakInterval = milliseconds(250);
 constexpr double kBrokenConnections = 0.05;
+constexpr Duration kHeartbeatInterval = milliseconds(1200);
 constexpr Duration kRouterDownTime = milliseconds(400);
 const std::vector<std::string> kCustomers = {"c0", "c1", "c2"};
 
@@ -50,6 +51,7 @@
     policy.seed = seed;
     fleet.SetResumePolicy(policy);
     fleet.SetStreamShape(kStreams);
+    fleet.SetHeartbeatInterval(kHeartbeatInterval);
     for (std::size_t i = 0; i < versions.size(); ++i) {
       fleet.engines()[i]->version = versions[i];
     }
