Keep a draining router running while output is unwritten

The time until the exit now begins when all output is written; the end of the grace period stays the bound. No test of its own yet: the tests of drains pass, and the play of planned stops has only small responses.

--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -158,6 +158,11 @@
   return acceptor_.local_endpoint().port();
 }
 
+bool Listener::HasUnwrittenOutput() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) { return it->buffered() > 0; });
+}
+
 void Listener::CloseIdle() {
   for (const auto& it : connections_) {
     it->CloseIfIdle(CloseReason::kDraining);
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -33,6 +33,8 @@
   void Tick(TimePoint now);
   // Closes all idle connections.
   void CloseIdle();
+  // Whether some connection has output that is not written yet.
+  bool HasUnwrittenOutput() const;
   // Closes all connections, since the process exits.
   void CloseForExit();
   std::size_t size() const { return connections_.size(); }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -882,6 +882,9 @@
   if (drain.HasLeftRotation(now)) {
     caller_listener_.CloseIdle();
   }
+  if (caller_listener_.HasUnwrittenOutput()) {
+    last_open_exchange_at_ = now;
+  }
   if (!exchanges_.empty()) {
     last_open_exchange_at_ = now;
     if (now >= drain.abort_at()) {
