Check the share of callers that only claim to continue a stream

Any caller could avoid its customer's share: a request with Last-Event-Id was placed without a check of the credit, also where the version was proved by the service having one version only, so that no router had a record of the stream. Found in review. The new check in scheduler_test fails on the code before (placed instead of over_share).

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -315,6 +315,8 @@
   }
   scheduled_.service = share->service;
   scheduled_.required_version = origin.version;
+  scheduled_.was_admitted = origin.evidence == OriginEvidence::kLocalRecord ||
+                            origin.evidence == OriginEvidence::kPeerRecord;
   Dispatch();
 }
 
@@ -678,6 +680,7 @@
   last_event_at_ = last_progress_at_;
   if (!has_stream_begun_) {
     has_stream_begun_ = true;
+    scheduled_.was_admitted = true;
     first_event_latency_ = last_progress_at_ - first_byte_at_;
     caller_->ConfigureForStreaming();
     status_ = static_cast<int>(response_head_->result_int());
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -489,9 +489,8 @@
   // Checked before any target is evaluated, so that rejecting a flood of
   // requests is cheap.
   const bool is_continuation = request.required_version.has_value();
-  // A stream that continues was within its customer's share when it began.
   const bool has_share_credit =
-      !is_engine || request.customer == nullptr || is_continuation ||
+      !is_engine || request.customer == nullptr || request.was_admitted ||
       fair_share_.HasCredit(now, request.customer->id);
   if (!has_share_credit &&
       !fair_share_.MayUseSpareCapacity(now, request.customer->id)) {
@@ -541,7 +540,7 @@
                                                    : kGoalFraction;
   const double new_limit_seconds = goal_seconds * goal_fraction;
   const double limit_seconds =
-      is_continuation
+      request.was_admitted
           ? std::max(new_limit_seconds, ContinuationLimitSeconds(request))
           : new_limit_seconds;
   // All requests of a service share a target's queue. If the queue were longer
@@ -551,9 +550,9 @@
   const double new_queueing_limit_seconds =
       kQueueingFraction * goal_fraction * ShortestLatencyGoal(request.service);
   const double queueing_limit_seconds =
-      is_continuation ? std::max(new_queueing_limit_seconds,
-                                 kQueueingFraction * limit_seconds)
-                      : new_queueing_limit_seconds;
+      request.was_admitted ? std::max(new_queueing_limit_seconds,
+                                      kQueueingFraction * limit_seconds)
+                           : new_queueing_limit_seconds;
   double best_seconds = 0;
   double best_local_seconds = std::numeric_limits<double>::infinity();
   double local_queueing_seconds = std::numeric_limits<double>::infinity();
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -70,6 +70,10 @@
   // Set if the request continues a stream: the software version that began it.
   // Only targets of this version may serve the request; none if it is unknown.
   std::optional<VersionId> required_version = std::nullopt;
+  // The request continues a stream that a router is known to have admitted, so
+  // its customer's share is not checked again, and it may wait longer than a
+  // new stream. A caller's word for it is not enough.
+  bool was_admitted = false;
   // Set with `required_version`: time that the caller has waited for the next
   // event, as far as known.
   Duration waited_for_event{0};
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -531,6 +531,7 @@
 ScheduledRequest Continuation(ScheduledRequest request,
                               const std::string& version) {
   request.required_version = VersionId::FromName(version);
+  request.was_admitted = true;
   return request;
 }
 
@@ -679,6 +680,10 @@
   REQUIRE(ReasonOf(decision) == RejectionReason::kOverShare);
   CHECK(ChosenTarget(scheduler.Place(now, Continuation(request, "v1"))) ==
         "t0");
+  // A caller that only claims to continue a stream keeps to the share.
+  ScheduledRequest claimed = Continuation(request, "v1");
+  claimed.was_admitted = false;
+  CHECK(ReasonOf(scheduler.Place(now, claimed)) == RejectionReason::kOverShare);
 }
 
 TEST_CASE("A stream that continues keeps to the retry budget") {
@@ -811,6 +816,7 @@
     ScheduledRequest request =
         fixture.Request(source.customer, prefix_id, 2000);
     request.required_version = source.required_version;
+    request.was_admitted = source.required_version.has_value();
     scheduler.RecordRequest(now, request);
     ++result.offered;
     result.offered_to_continue += request.required_version ? 1 : 0;
