Bound the age of streams by what routers remember, not by single callers

One request with a very long timeout raised the time that a proof of the version has to cover, for all callers of its route and until a restart: resumptions at other routers were then refused although the service had one version. Found in review. The longest timeout of a route counts up to the time for which streams are remembered; a longer one counts for its own request only.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_format.h"
+#include "decisions/stream_records.h"
 
 namespace corianderpost {
 namespace {
@@ -283,9 +284,16 @@
       id.empty() ? StreamKey() : StreamKey::Of(CustomerIdOf(scheduled_), id);
   query.run_key = id.empty() ? StreamKey() : StreamKey::OfRun(id);
   query.service = ServiceId::FromName(scheduled_.service);
+  // Timeouts that single callers state must not change the limit for others
+  // beyond the time for which streams are remembered.
   query.max_age = std::max(
-      route_timeout_ > Duration(0) ? route_timeout_ : kDefaultMaxStreamAge,
-      plane_.max_caller_timeout_by_route[scheduled_.route->name]);
+      caller_timeout_,
+      std::min(
+          kStreamRetention,
+          std::max(
+              route_timeout_ > Duration(0) ? route_timeout_
+                                           : kDefaultMaxStreamAge,
+              plane_.max_caller_timeout_by_route[scheduled_.route->name])));
   awaits_origin_ = true;
   plane_.stream_directory->FindOrigin(
       query, [self = weak_from_this()](const StreamOrigin& origin) {
