Doubt the version of a target that may have restarted during an attempt

A stream could be recorded at the version that its target had when the attempt was placed, although this router saw signs of a restart between then and the first event; a later retry would have joined two versions. Such a stream can't be continued.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -379,8 +379,12 @@
 
 void Exchange::RecordStreamBegun() {
   if (!scheduled_.required_version) {
-    const bool is_in_doubt = plane_.scheduler.targets().IsVersionInDoubt(
-        assignment_->target_id, assignment_->incarnation, assignment_->version);
+    TargetTable& targets = plane_.scheduler.targets();
+    const bool is_in_doubt = targets.IsVersionInDoubt(assignment_->target_id,
+                                                      assignment_->incarnation,
+                                                      assignment_->version) ||
+                             targets.MayHaveRestartedSince(
+                                 assignment_->target_id, assignment_->sent_at);
     scheduled_.required_version =
         is_in_doubt ? VersionId() : assignment_->version;
   }
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -468,6 +468,13 @@
          !target->version.IsSame(version);
 }
 
+bool TargetTable::MayHaveRestartedSince(const std::string& target_id,
+                                        TimePoint since) {
+  const TargetState* target = Find(target_id);
+  return target != nullptr && target->may_have_restarted &&
+         target->may_have_restarted_since >= since;
+}
+
 VersionCounts TargetTable::CountVersions(TimePoint now,
                                          const std::string& service,
                                          VersionId version) {
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -328,6 +328,9 @@
   // same.
   bool IsVersionInDoubt(const std::string& target_id, std::int64_t incarnation,
                         VersionId version);
+  // Returns whether this router has seen signs since `since` that the target
+  // was restarted, which its entry does not show yet.
+  bool MayHaveRestartedSince(const std::string& target_id, TimePoint since);
   // Counts the targets of a service that are in rotation by whether they have
   // the version.
   VersionCounts CountVersions(TimePoint now, const std::string& service,
