Prove a version only from a list that was confirmed in time

A router that was paused for less than 2.6 s, or whose store had just discarded the changes that it lacked, still proved that a service had one version, and a peer's proof ended a search before another peer's record came: a stream of a version that this router had not seen could be joined with the old one. Found in review; the fleet test of paused routers did not show it.

Nothing is proved after a gap of 250 ms between two ticks until a request that was sent later confirms the list, and a response confirms it only once its changes are applied. A record that a peer knows to be uncertain is a conflict at the router that asks, and a peer's proof counts only when all peers have replied or after 100 ms. The two new cases in fleet_stream_directory_test fail on the code before. Still open: a copy from a peer that is itself late confirms the list.

--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -42,6 +42,8 @@
 constexpr Duration kMinHistoryInterval = milliseconds(250);
 constexpr Duration kMaxHistoryInterval = seconds(8);
 constexpr std::size_t kHistoryPeers = 2;
+// Ticks that are further apart show that the router was paused or is late.
+constexpr Duration kMaxTickGap = milliseconds(250);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 // Bounds the memory for names in the log.
 constexpr std::size_t kMaxNames = 1024;
@@ -212,9 +214,31 @@
   peers_.SendMessage(vm, bytes);
 }
 
+bool FleetStreamDirectory::IsLate(TimePoint now) const {
+  return is_list_in_doubt_ || now - ticked_at_ > kMaxTickGap;
+}
+
+void FleetStreamDirectory::NoticeDelay(TimePoint now) {
+  if (now - ticked_at_ > kMaxTickGap) {
+    late_at_ = now;
+    is_list_in_doubt_ = true;
+  }
+  ticked_at_ = now;
+}
+
+void FleetStreamDirectory::ConfirmList(TimePoint called_at,
+                                       TimePoint confirmed_at) {
+  if (called_at < late_at_) {
+    return;
+  }
+  is_list_in_doubt_ = false;
+  history_.ConfirmList(confirmed_at);
+}
+
 bool FleetStreamDirectory::IsProvable(TimePoint now, ServiceId service) const {
-  return history_.FindOnlyVersion(now, service, now - max_stream_age_)
-      .has_value();
+  return !IsLate(now) &&
+         history_.FindOnlyVersion(now, service, now - max_stream_age_)
+             .has_value();
 }
 
 void FleetStreamDirectory::RecordBegun(const BegunStream& stream) {
@@ -293,7 +317,9 @@
 
 std::optional<StreamOrigin> FleetStreamDirectory::ProvenOrigin(
     TimePoint now, ServiceId service, Duration max_age) const {
-  const auto only = history_.FindOnlyVersion(now, service, now - max_age);
+  const auto only = IsLate(now)
+                        ? std::nullopt
+                        : history_.FindOnlyVersion(now, service, now - max_age);
   if (!only) {
     return std::nullopt;
   }
@@ -359,6 +385,17 @@
   search.mapped().callback(origin);
 }
 
+void FleetStreamDirectory::EndWithoutRecord(TimePoint now,
+                                            std::uint32_t request_id) {
+  const Search& search = searches_.at(request_id);
+  const StreamQuery& query = search.query;
+  const bool is_proven =
+      search.proven && !history_.HasOther(query.service, search.proven->version,
+                                          now - query.max_age);
+  EndSearch(request_id,
+            is_proven ? *search.proven : OriginWithoutRecord(now, query));
+}
+
 void FleetStreamDirectory::AddRecord(TimePoint now, const AgedStream& stream,
                                      bool is_conflict) {
   const Duration age = std::clamp(stream.age, Duration(0), kStreamRetention);
@@ -416,13 +453,15 @@
     record = records_.Find(now, request.run_key);
   }
   if (record != nullptr) {
-    reply.is_conflict = record->is_conflict;
+    const BegunStream& stream = record->stream;
+    reply.is_conflict = record->is_conflict ||
+                        !history_.IsCertain(record->begun_at, stream.target,
+                                            stream.incarnation, stream.version);
     reply.stream = {record->stream, now - record->begun_at};
   }
-  if (const auto only = history_.FindOnlyVersion(now, request.service,
-                                                 now - request.max_age)) {
-    reply.only_version = only->version;
-    reply.only_version_age = now - only->since;
+  if (const auto proven = ProvenOrigin(now, request.service, request.max_age)) {
+    reply.only_version = proven->version;
+    reply.only_version_age = proven->age;
   }
   Send(from, reply);
 }
@@ -446,12 +485,12 @@
   if (reply.only_version.is_known() &&
       !history_.HasOther(query.service, reply.only_version,
                          now - query.max_age)) {
-    EndSearch(reply.request_id, {OriginEvidence::kOnlyVersion, query.service,
-                                 reply.only_version, reply.only_version_age});
-    return;
+    it->second.proven =
+        StreamOrigin{OriginEvidence::kOnlyVersion, query.service,
+                     reply.only_version, reply.only_version_age};
   }
   if (it->second.asked.empty()) {
-    EndSearch(reply.request_id, OriginWithoutRecord(now, query));
+    EndWithoutRecord(now, reply.request_id);
   }
 }
 
@@ -506,12 +545,15 @@
       ended.push_back(request_id);
     } else if (now >= search.resend_at) {
       search.resend_at = TimePoint::max();
-      Ask(search, request_id);
+      if (search.proven) {
+        ended.push_back(request_id);
+      } else {
+        Ask(search, request_id);
+      }
     }
   }
   for (const std::uint32_t request_id : ended) {
-    EndSearch(request_id,
-              OriginWithoutRecord(now, searches_.at(request_id).query));
+    EndWithoutRecord(now, request_id);
   }
   LogVersions(now);
   SendUnsent(now);
--- a/src/peers/fleet_stream_directory.h
+++ b/src/peers/fleet_stream_directory.h
@@ -60,10 +60,14 @@
   // targets at least once per second, and at once for new ones.
   void RecordTarget(TimePoint now, const TargetEntry& entry);
   // Records that the target list, of which all targets were recorded, was
-  // current at `confirmed_at`.
-  void ConfirmList(TimePoint confirmed_at) {
-    history_.ConfirmList(confirmed_at);
-  }
+  // current at `confirmed_at` according to a request sent at `called_at`. Has
+  // no effect if this router was late in between: the response may have waited
+  // meanwhile.
+  void ConfirmList(TimePoint called_at, TimePoint confirmed_at);
+  // Must be called in each turn of the event loop that calls `Tick`, before
+  // `ConfirmList`. After a long pause the target list proves nothing until it
+  // is confirmed again.
+  void NoticeDelay(TimePoint now);
   // Sets the longest time after which a stream may be resumed: the proof of a
   // version has to reach back that far, or streams are recorded at peers.
   void SetMaxStreamAge(Duration max_age) {
@@ -115,6 +119,8 @@
     std::set<std::string> asked;
     TimePoint resend_at;
     TimePoint ends_at;
+    // What a peer could prove. Records go before it.
+    std::optional<StreamOrigin> proven = std::nullopt;
   };
   // A stream whose record this router has not sent to peers.
   struct UnsentStream {
@@ -151,6 +157,11 @@
                                    const StreamQuery& query) const;
   void Ask(Search& search, std::uint32_t request_id);
   void EndSearch(std::uint32_t request_id, const StreamOrigin& origin);
+  // Ends a search in which no peer has sent a record.
+  void EndWithoutRecord(TimePoint now, std::uint32_t request_id);
+  // Whether this router may have been paused since it last heard of new
+  // versions.
+  bool IsLate(TimePoint now) const;
   void RequestHistory(TimePoint now);
   void LogVersions(TimePoint now);
   std::string NameOf(VersionId version) const;
@@ -173,6 +184,10 @@
   Duration max_stream_age_ = kStreamRetention;
   StreamRecords records_;
   VersionHistory history_;
+  TimePoint ticked_at_;
+  // Confirmations that were requested before are ignored.
+  TimePoint late_at_;
+  bool is_list_in_doubt_ = false;
   std::map<ServiceId, std::deque<UnsentStream>> unsent_;
   std::uint32_t next_request_id_;
   std::map<std::uint32_t, Search> searches_;
--- a/src/peers/fleet_stream_directory_test.cc
+++ b/src/peers/fleet_stream_directory_test.cc
@@ -73,7 +73,7 @@
         for (const TargetEntry& it : fleet.targets) {
           directory->RecordTarget(fleet.clock.Now(), it);
         }
-        directory->ConfirmList(fleet.clock.Now());
+        directory->ConfirmList(fleet.clock.Now(), fleet.clock.Now());
       }
     }
 
@@ -148,6 +148,7 @@
           clock.Now().time_since_epoch() % kReportInterval == Duration(0);
       for (const auto& it : nodes) {
         if (it->is_alive) {
+          it->directory->NoticeDelay(clock.Now());
           it->RecordTargets();
           it->directory->Tick(clock.Now());
           if (is_report_due || it->reports_now) {
@@ -606,6 +607,45 @@
   }
 }
 
+TEST_CASE("A paused router proves nothing before its list is confirmed") {
+  Fleet fleet(1, 1);
+  fleet.targets = OldTargets();
+  fleet.Advance(seconds(70));
+  Fleet::Node& node = *fleet.nodes[0];
+  const StreamKey key = StreamKey::Of(kCustomer, "unknown");
+  const auto evidence = [&] { return fleet.FindOrigin(node, key).evidence; };
+  REQUIRE(evidence() == OriginEvidence::kOnlyVersion);
+  fleet.clock.Advance(seconds(1));
+  CHECK(evidence() == OriginEvidence::kNone);
+  const TimePoint now = fleet.clock.Now();
+  node.directory->NoticeDelay(now);
+  // The response has waited while the router was paused.
+  node.directory->ConfirmList(now - milliseconds(500), now);
+  CHECK(evidence() == OriginEvidence::kNone);
+  node.directory->ConfirmList(now, now);
+  CHECK(evidence() == OriginEvidence::kOnlyVersion);
+}
+
+TEST_CASE("A peer's uncertain record is a conflict") {
+  Fleet fleet(3);
+  fleet.targets = OldTargets();
+  fleet.targets.push_back(MakeEntry("t3", "1.1"));
+  fleet.Advance(seconds(5));
+  // The router that records the stream does not know of the restart.
+  fleet.nodes[0]->is_cut_from_store = true;
+  fleet.targets[0] = MakeEntry("t1", "1.2", 2);
+  fleet.Advance(seconds(2));
+  const BegunStream stream = MakeStream("r", kOld, "t1", 1);
+  fleet.Begin(*fleet.nodes[0], stream);
+  fleet.nodes[0]->is_alive = false;
+  Fleet::Node& starter = *fleet.nodes[4];
+  starter.Restart();
+  fleet.targets.erase(fleet.targets.begin());
+  fleet.Advance(milliseconds(100));
+  CHECK(fleet.FindOrigin(starter, stream.key).evidence ==
+        OriginEvidence::kConflict);
+}
+
 TEST_CASE("A version that a cut-off router can't see is not joined") {
   Fleet fleet(3);
   fleet.targets = OldTargets();
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -149,11 +149,11 @@
                  }
                  batch->era = EraOf(result);
                  LogReceived(result, "store", *batch, clock_.Now());
-                 HandlePage(*std::move(batch));
+                 HandlePage(*std::move(batch), result.called_at);
                });
 }
 
-void StoreReader::HandlePage(StoreBatch batch) {
+void StoreReader::HandlePage(StoreBatch batch, TimePoint called_at) {
   const bool has_more = batch.has_more && !batch.items.empty();
   const bool is_first = partial_snapshot_.items.empty();
   // Items may change between pages, so the snapshot is complete only as of the
@@ -180,6 +180,7 @@
   is_store_request_pending_ = false;
   needs_snapshot_ = false;
   const std::vector<StoreItem> changes = ApplySnapshot(snapshot);
+  confirmation_ = {called_at, clock_.Now()};
   Log(LogLevel::kInfo, "store snapshot read",
       {{"prefix", options_.prefix},
        {"era", replica_.era()},
@@ -284,6 +285,7 @@
   is_store_request_pending_ = false;
   next_request_at_ = clock_.Now() + options_.watch_pause;
   const std::vector<StoreItem> changes = replica_.ApplyChanges(*batch);
+  confirmation_ = {result.called_at, clock_.Now()};
   if (!changes.empty()) {
     change_handler_(changes, OutageEffects(clock_.Now()));
   }
@@ -371,6 +373,7 @@
     RecordPeerUpdate(*batch);
     changes = batch->is_snapshot ? ApplySnapshot(*batch)
                                  : replica_.ApplyChanges(*batch);
+    confirmation_ = {result.called_at, clock_.Now()};
     // A watch can continue from the position of the replica if its era is
     // known.
     needs_snapshot_ = needs_snapshot_ && replica_.era() == 0;
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -92,6 +92,13 @@
   TimePoint updated_at() const { return updated_at_; }
   // Time of the last response from the store; TimePoint() if there was none.
   TimePoint store_verified_at() const { return store_responded_at_; }
+  // The last response that brought the replica up to date.
+  struct Confirmation {
+    // When its request was sent, and when its changes were applied.
+    TimePoint called_at;
+    TimePoint applied_at;
+  };
+  const Confirmation& confirmation() const { return confirmation_; }
   // Number of times that the store was found to be restored.
   std::uint64_t restore_count() const { return restore_count_; }
   // How much longer removals may be effects of an outage of the store.
@@ -104,7 +111,7 @@
  private:
   void FetchPage(const std::string& after);
   void Watch();
-  void HandlePage(StoreBatch batch);
+  void HandlePage(StoreBatch batch, TimePoint called_at);
   void HandleWatchResponse(const FetchResult& result);
   // Reads a snapshot next, after a short delay.
   void RequestSnapshot();
@@ -158,6 +165,7 @@
   TimePoint next_request_at_;
   TimePoint store_responded_at_;
   TimePoint updated_at_;
+  Confirmation confirmation_;
   TimePoint outage_effects_until_;
   bool is_peer_request_pending_ = false;
   TimePoint next_peer_request_at_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -910,8 +910,12 @@
     }
     stream_directory_.SetMaxStreamAge(MaxStreamAge());
   }
+  stream_directory_.NoticeDelay(now);
   if (target_list_reader_.replica().is_loaded()) {
-    stream_directory_.ConfirmList(target_list_reader_.updated_at());
+    const StoreReader::Confirmation& confirmation =
+        target_list_reader_.confirmation();
+    stream_directory_.ConfirmList(confirmation.called_at,
+                                  confirmation.applied_at);
   }
   stream_directory_.Tick(now);
   AskTargetsForRuns(now);
