--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -323,8 +323,7 @@
   }
   scheduled_.service = share->service;
   scheduled_.required_version = origin.version;
-  scheduled_.was_admitted = origin.evidence == OriginEvidence::kLocalRecord ||
-                            origin.evidence == OriginEvidence::kPeerRecord;
+  scheduled_.was_admitted = origin.evidence != OriginEvidence::kOnlyVersion;
   Dispatch();
 }
 
