Keep the platform's names out of the test of odd entries

The entries that the fleet test of odd entries writes are made by the stand-in's code in platform/ now; their text is the same.

--- a/tests/fleet/odd_entries_fleet_test.cc
+++ b/tests/fleet/odd_entries_fleet_test.cc
@@ -19,9 +19,7 @@
 
 const std::vector<std::string>& OddValues() {
   const auto entry = [](const std::string& address, const std::string& slots) {
-    return R"({"service":"assistant","address":")" + address +
-           R"(","zone":"a","slots":)" + slots +
-           R"(,"state":"ready","coldRemainingMs":0,"seq":1,"born":1})";
+    return platform::FormatStandinOddEntry("assistant", "a", address, slots);
   };
   static const std::vector<std::string> kValues = {
       std::string(100'000, '[') + std::string(100'000, ']'),
