Keep routers' questions apart from callers' requests in the fleet tests

Cause: routers that start without history ask targets which streams they run, and the engines of the tests took that for a request of a caller (it has no request id). The rule of both cases is about requests that callers sent. The engines answer such questions with 404 now and count only requests; the checks and bounds are as they were.

--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -121,6 +121,12 @@
 
 void Engine::OnRequest(const std::shared_ptr<CallerConnection>& caller,
                        ReceivedRequest request) {
+  if (ToView(request.message.target()) == deployment_.target_runs_path()) {
+    // A router's own question, not a request of a caller.
+    caller->Write(FormatTextReply({404, "text/plain", "not found\n"}, false));
+    caller->FinishResponse(false);
+    return;
+  }
   const RequestMeta meta = deployment_.dialect().DecodeRequest(request.message);
   std::uint64_t crashing_part = 0;
   for (std::size_t i = 0; i + 1 < meta.prompt.size(); ++i) {
