--- a/tests/fleet/odd_entries_fleet_test.cc
+++ b/tests/fleet/odd_entries_fleet_test.cc
@@ -21,7 +21,7 @@
   const auto entry = [](const std::string& address, const std::string& slots) {
     return platform::FormatStandinOddEntry("assistant", "a", address, slots);
   };
-  static const std::vector<std::string> kValues = {
+  static const std::vector<std::string> values = {
       std::string(100'000, '[') + std::string(100'000, ']'),
       std::string(100'000, '{'),
       std::string(1'000'000, 'x'),
@@ -38,12 +38,12 @@
       std::string("\0\xff\xfe", 3),
       "",
       "[]"};
-  return kValues;
+  return values;
 }
 
 // Names of odd entries, of up to 200 bytes with the prefix.
 std::string OddId(int number) {
-  const std::string id = "odd-" + std::to_string(number);
+  std::string id = "odd-" + std::to_string(number);
   switch (number % 8) {
     case 0:
       return id + "\r\nX-Odd: 1";
