Refuse requests whose transfer coding leaves their length open

One request got two responses.

Cause: CallerConnection left the length of a request to the parser, which takes any list of codings that does not end in chunked for no coding at all. The header is not forwarded, so targets see nothing of it. Ruled out: that a target unpacks the body; the inner request was read from the caller's connection (two responses there, 0 bytes of body at the target, and the same in a unit test without a target).

Change: the parser stops at the end of the head. A head with anything but one chunked coding in HTTP/1.1 is refused with 400, with 501 if other codings lie below the chunks, and the connection ends. No byte behind the head is parsed. The same check on responses (targets, store, peers): those with another coding were forwarded as complete although still encoded, now they count as malformed.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -46,6 +46,21 @@
   return ec == http::error::body_limit ? 413 : 400;
 }
 
+// Returns the status for a request with this transfer coding, 0 if it is
+// usable.
+int StatusForCoding(TransferCoding coding) {
+  switch (coding) {
+    case TransferCoding::kNone:
+    case TransferCoding::kChunked:
+      return 0;
+    case TransferCoding::kUnsupported:
+      return 501;
+    case TransferCoding::kAmbiguous:
+      break;
+  }
+  return 400;
+}
+
 bool IsClosedByPeer(const boost::system::error_code& ec) {
   return ec == asio::error::eof || ec == asio::error::connection_reset ||
          ec == asio::error::broken_pipe;
@@ -158,19 +173,25 @@
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_->body_limit(limits.max_body_bytes);
-    parser_->eager(true);
+    // The parser stops at the end of the header, so that nothing is taken for
+    // the body before the header is checked.
+    parser_->eager(false);
   }
-  boost::system::error_code ec;
   const bool had_header = parser_->is_header_done();
-  const std::size_t consumed = parser_->put(asio::buffer(input_), ec);
-  if (consumed == input_.size()) {
-    // Releases the capacity: many idle connections, each with a buffer as large
-    // as its last body, would use too much memory.
-    std::string().swap(input_);
-  } else {
-    input_.erase(0, consumed);
+  boost::system::error_code ec = Parse();
+  if (!ec && !had_header && parser_->is_header_done()) {
+    const http::fields& header = parser_->get();
+    if (const int status =
+            StatusForCoding(TransferCodingOf(header, parser_->get().version()));
+        status != 0) {
+      Reject(status, "unusable transfer coding");
+      return;
+    }
+    // The body may follow in the same input.
+    parser_->eager(true);
+    ec = Parse();
   }
-  if (ec && ec != http::error::need_more) {
+  if (ec) {
     Reject(StatusForParseError(ec), ec.message());
     return;
   }
@@ -193,6 +214,22 @@
   handler_.OnRequest(shared_from_this(), std::move(request));
 }
 
+boost::system::error_code CallerConnection::Parse() {
+  boost::system::error_code ec;
+  if (input_.empty() || parser_->is_done()) {
+    return ec;
+  }
+  const std::size_t consumed = parser_->put(asio::buffer(input_), ec);
+  if (consumed == input_.size()) {
+    // Releases the capacity: many idle connections, each with a buffer as large
+    // as its last body, would use too much memory.
+    std::string().swap(input_);
+  } else {
+    input_.erase(0, consumed);
+  }
+  return ec == http::error::need_more ? boost::system::error_code() : ec;
+}
+
 bool CallerConnection::HasDisconnected() {
   boost::system::error_code ec;
   auto& buffer = SharedReadBuffer();
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -165,6 +165,9 @@
   void ReadAvailable();
   // Parses the buffered input and dispatches a request that is complete.
   void Feed();
+  // Gives the buffered input to the parser. Returns the error of a malformed
+  // request; input that is incomplete is none.
+  boost::system::error_code Parse();
   // Reads once more and returns whether the caller has closed its side of the
   // connection after it sent its request. Such a request is not executed, since
   // nobody waits for its response.
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -66,6 +66,7 @@
     const std::string id(request.message.target());
     requests += id;
     last_body = request.message.body();
+    bodies += last_body + ",";
     last_caller = caller;
     caller->SetRequestId(id);
     if (answers) {
@@ -104,6 +105,8 @@
   // Paths of all requests.
   std::string requests;
   std::string last_body;
+  // Bodies of all requests, each followed by a comma.
+  std::string bodies;
   int bad_requests = 0;
   // Reason, stage and request id of each close, or "header" if only the header
   // was read.
@@ -242,6 +245,80 @@
   CHECK(fixture.last_body.size() == large_body.size());
 }
 
+// Guards against request smuggling: the body of a request whose length the
+// router can't determine ran as a request of its own.
+TEST_CASE("The body of a request with an unusable transfer coding never runs") {
+  struct Variant {
+    std::string description;
+    std::string headers;
+    std::string status;
+  };
+  const Variant variants[] = {
+      {"identity", "Transfer-Encoding: identity\r\n", "400"},
+      {"gzip", "Transfer-Encoding: gzip\r\n", "400"},
+      {"empty", "Transfer-Encoding:\r\n", "400"},
+      {"quoted", "Transfer-Encoding: \"chunked\"\r\n", "400"},
+      {"chunked first", "Transfer-Encoding: chunked, identity\r\n", "400"},
+      {"chunked twice", "Transfer-Encoding: chunked, chunked\r\n", "400"},
+      {"parameter", "Transfer-Encoding: chunked;q=1\r\n", "400"},
+      {"two headers",
+       "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "400"},
+      {"length before", "Content-Length: 0\r\nTransfer-Encoding: identity\r\n",
+       "400"},
+      {"length after", "Transfer-Encoding: identity\r\nContent-Length: 0\r\n",
+       "400"},
+      {"gzip, chunked", "Transfer-Encoding: gzip, chunked\r\n", "501"}};
+  for (const Variant& it : variants) {
+    CAPTURE(it.description);
+    Fixture fixture;
+    tcp::socket caller = fixture.Connect();
+    Send(caller, Request("/outer", it.headers) + Request("/inner"));
+    const std::string response = fixture.ReadAll(caller);
+    CHECK(response.substr(0, 12) == "HTTP/1.1 " + it.status);
+    CHECK(fixture.requests == "");
+    CHECK(fixture.has_ended);
+    CHECK(fixture.bad_requests == 1);
+  }
+}
+
+TEST_CASE("A chunked request is read with its body") {
+  Fixture fixture;
+  tcp::socket caller = fixture.Connect();
+  SUBCASE("in lower case") {
+    Send(caller, Request("/1", "transfer-encoding: chunked\r\n"));
+  }
+  SUBCASE("in upper case") {
+    Send(caller, Request("/1", "TRANSFER-ENCODING:  CHUNKED \r\n"));
+  }
+  fixture.RunLoop();
+  Send(caller, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n" + Request("/2"));
+  fixture.ReadAll(caller);
+  CHECK(fixture.requests == "/1/2");
+  CHECK(fixture.bodies == "abcde,,");
+}
+
+// HTTP/1.0 has no transfer codings, so recipients may disagree on the length.
+TEST_CASE("An HTTP/1.0 request with a transfer coding is refused") {
+  Fixture fixture;
+  tcp::socket caller = fixture.Connect();
+  Send(caller,
+       "POST /outer HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\n\r\n" +
+           Request("/inner"));
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 400"));
+  CHECK(fixture.requests == "");
+}
+
+// The parser took the body of a request that is too large for header fields.
+TEST_CASE("A request that announces a large body is refused at its head") {
+  Fixture fixture;
+  fixture.limits.max_body_bytes = 100;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1", "Content-Length: 101\r\n") + "x: y\r\n");
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 413"));
+  CHECK(fixture.requests == "");
+}
+
 // Larger than the buffers of a loopback connection.
 constexpr std::size_t kLargeBodyBytes = std::size_t{24} << 20;
 
--- a/src/dataplane/http_text.cc
+++ b/src/dataplane/http_text.cc
@@ -6,6 +6,9 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
+
 namespace corianderpost {
 namespace {
 
@@ -38,6 +41,20 @@
   out.append(name).append(": ").append(value).append("\r\n");
 }
 
+// Returns the elements of all comma-separated lists in headers `name`, in lower
+// case and without surrounding whitespace. An empty list has one empty element.
+std::vector<std::string> ListOf(const HttpFields& fields, http::field name) {
+  std::vector<std::string> elements;
+  const auto range = fields.equal_range(name);
+  for (auto it = range.first; it != range.second; ++it) {
+    const std::string list = ToLower(ToView(it->value()));
+    for (const absl::string_view element : absl::StrSplit(list, ',')) {
+      elements.emplace_back(absl::StripAsciiWhitespace(element));
+    }
+  }
+  return elements;
+}
+
 // Returns the head of a local or text reply, without the empty line, so that
 // further headers can follow.
 std::string LocalReplyHead(int status, std::string_view content_type,
@@ -60,24 +77,25 @@
 }
 
 std::vector<std::string> ConnectionTokens(const HttpFields& fields) {
-  std::vector<std::string> tokens;
-  const auto range = fields.equal_range(http::field::connection);
-  for (auto it = range.first; it != range.second; ++it) {
-    std::string token;
-    for (const char c : ToLower(ToView(it->value())) + ",") {
-      if (c == ',') {
-        if (!token.empty()) {
-          tokens.push_back(token);
-        }
-        token.clear();
-      } else if (c != ' ' && c != '\t') {
-        token += c;
-      }
-    }
-  }
+  std::vector<std::string> tokens = ListOf(fields, http::field::connection);
+  std::erase(tokens, "");
   return tokens;
 }
 
+TransferCoding TransferCodingOf(const HttpFields& fields, unsigned version) {
+  if (fields.find(http::field::transfer_encoding) == fields.end()) {
+    return TransferCoding::kNone;
+  }
+  const std::vector<std::string> codings =
+      ListOf(fields, http::field::transfer_encoding);
+  if (version < 11 || codings.back() != "chunked" ||
+      std::count(codings.begin(), codings.end(), "chunked") != 1) {
+    return TransferCoding::kAmbiguous;
+  }
+  return codings.size() == 1 ? TransferCoding::kChunked
+                             : TransferCoding::kUnsupported;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/src/dataplane/http_text.h
+++ b/src/dataplane/http_text.h
@@ -25,6 +25,24 @@
 // Returns the header names that the Connection headers list, in lower case.
 std::vector<std::string> ConnectionTokens(const HttpFields& fields);
 
+// How the Transfer-Encoding headers of a message delimit its body, RFC 9112
+// section 6.
+enum class TransferCoding {
+  // There is no such header.
+  kNone,
+  // Chunked is the only coding.
+  kChunked,
+  // The chunked coding delimits the body, but other codings were applied to it.
+  kUnsupported,
+  // The length of the body can't be determined.
+  kAmbiguous,
+};
+
+// Returns the transfer coding of a message. `fields` are the headers of its
+// head, `version` is that of HTTP, 10 or 11. A Content-Length is not
+// considered: the parser refuses it next to the chunked coding. Thread-safe.
+TransferCoding TransferCodingOf(const HttpFields& fields, unsigned version);
+
 // Returns the path of a request target, without its query.
 std::string_view PathOf(std::string_view target);
 
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -95,7 +95,9 @@
   parser_.emplace();
   parser_->header_limit(kMaxResponseHeadBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
-  parser_->eager(true);
+  // The parser stops at the end of the head, so that nothing is taken for the
+  // body before the head is checked.
+  parser_->eager(false);
   if (is_head_request_) {
     parser_->skip(true);
   }
@@ -243,24 +245,26 @@
   if (input_.empty() || listener_ == nullptr) {
     return true;
   }
+  const bool had_head = parser_->is_header_done();
   boost::system::error_code ec;
-  const std::size_t consumed = parser_->put(asio::buffer(input_), ec);
-  input_.erase(0, consumed);
-  if (ec == http::error::need_more) {
-    ec = {};
-  }
-  if (ec) {
+  input_.erase(0, parser_->put(asio::buffer(input_), ec));
+  if (ec && ec != http::error::need_more) {
     Fail(UpstreamFailure::kBroken);
     return false;
   }
-  if (parser_->is_header_done() && !is_head_reported_ &&
-      !is_skipping_response_) {
+  if (!had_head && parser_->is_header_done()) {
     const auto& head = parser_->get();
+    const TransferCoding coding = TransferCodingOf(head, head.version());
+    if (coding != TransferCoding::kNone && coding != TransferCoding::kChunked) {
+      // The caller would get a body that is still encoded.
+      Fail(UpstreamFailure::kBroken);
+      return false;
+    }
+    // The body may follow in the same input.
+    parser_->eager(true);
+    has_more = !input_.empty();
     if (head.result_int() < 200) {
-      if (parser_->is_done()) {
-        ResetParser();
-        has_more = !input_.empty();
-      }
+      ResetParser();
       return true;
     }
     const ResponseMeta meta = dialect_->DecodeResponse(head);
