Take a silent connection to the store for no outage

Cause: a request to the store without a response counted as an outage of the store. Removals after an outage take effect 2.2 s late, as entries that lapse meanwhile come back. Evidence: all three routers logged the failed watch 2.6 s after the silence and `target removed` with after_outage true 2.75 s after it, in time; the requests came in the 2.2 s that followed. Ruled out: that the silence was noticed too late.

Change: only a request on a new connection, or an error status, shows an outage. A kept connection may fail alone. Its failure is followed by a request on a new connection at once; a call that times out closes the idle connections to its address, to peers too. The line on the failed request tells the cases apart.

--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -12,11 +12,12 @@
 
 class Fetcher::Call final : public UpstreamListener {
  public:
-  Call(FetchId id, Callback callback, const Clock& clock,
+  Call(FetchId id, Callback callback, UpstreamPool& pool,
        const FetchTimeouts& timeouts)
       : id_(id),
         callback_(std::move(callback)),
-        clock_(clock),
+        pool_(pool),
+        clock_(pool.clock()),
         timeouts_(timeouts) {
     result_.called_at = clock_.Now();
     deadline_ = result_.called_at + timeouts_.head;
@@ -27,9 +28,10 @@
     }
   }
 
-  void Start(std::shared_ptr<UpstreamConnection> connection,
-             const std::string& path, const Dialect& dialect) {
-    connection_ = std::move(connection);
+  void Start(const std::string& address, const std::string& path,
+             const Dialect& dialect) {
+    connection_ = pool_.Acquire(address, true);
+    result_.used_kept_connection = connection_->is_idle();
     connection_->Send(
         "GET " + path + " HTTP/1.1\r\nHost: " + connection_->address() +
             "\r\n\r\n",
@@ -38,6 +40,8 @@
   // Ends the call if its deadline has passed. Returns true if the call is done.
   bool CheckDeadline(TimePoint now) {
     if (connection_ && now >= deadline_) {
+      // The idle connections may have become silent like this one.
+      pool_.CloseIdle(connection_->address());
       connection_->Cancel();
       connection_.reset();
       CompleteWithoutResponse();
@@ -98,6 +102,7 @@
   }
   const FetchId id_;
   Callback callback_;
+  UpstreamPool& pool_;
   const Clock& clock_;
   const FetchTimeouts timeouts_;
   TimePoint deadline_;
@@ -113,10 +118,9 @@
 FetchId Fetcher::Get(const std::string& address, const std::string& path,
                      const FetchTimeouts& timeouts, Callback callback) {
   const FetchId id = ++call_count_;
-  auto call =
-      std::make_shared<Call>(id, std::move(callback), pool_.clock(), timeouts);
+  auto call = std::make_shared<Call>(id, std::move(callback), pool_, timeouts);
   open_calls_.push_back(call);
-  call->Start(pool_.Acquire(address, true), path, dialect_);
+  call->Start(address, path, dialect_);
   return id;
 }
 
--- a/src/dataplane/fetch.h
+++ b/src/dataplane/fetch.h
@@ -19,6 +19,10 @@
   std::string body;
   // Headers of the response; empty without one.
   HttpFields fields;
+  // Whether the call was sent on a connection that earlier calls had used. If
+  // it got no response, the connection may have failed while the server did
+  // not.
+  bool used_kept_connection = false;
   // Times of the call, of the response's head and of its end. Without a
   // complete response, `head_at` may be unset.
   TimePoint called_at;
--- a/src/peers/store_reader.cc
+++ b/src/peers/store_reader.cc
@@ -41,6 +41,14 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+// Whether a failed request got no response because of its connection, while the
+// store may have served others: connections may become silent for good, or be
+// reset, one by one.
+bool MayBeConnectionFailure(const FetchResult& result) {
+  return result.status == 0 &&
+         (result.used_kept_connection || result.head_at != TimePoint());
+}
+
 }  // namespace
 
 StoreReader::StoreReader(StoreReaderOptions options,
@@ -90,7 +98,7 @@
 
 void StoreReader::RecordStoreResponse() {
   const TimePoint now = clock_.Now();
-  if (consecutive_failures_ > 0) {
+  if (std::exchange(was_store_away_, false)) {
     outage_effects_until_ = now + kOutageSettlingTime;
   }
   RecordUpdate(now);
@@ -98,11 +106,18 @@
   consecutive_failures_ = 0;
 }
 
-void StoreReader::HandleFailure(const std::string& reason) {
-  if (consecutive_failures_ == 0) {
+void StoreReader::HandleFailure(const FetchResult& result,
+                                const std::string& reason) {
+  const bool may_be_connection = MayBeConnectionFailure(result);
+  if (consecutive_failures_ == 0 || (!may_be_connection && !was_store_away_)) {
     Log(LogLevel::kWarning, "store request failed",
-        {{"prefix", options_.prefix}, {"reason", reason}});
+        {{"prefix", options_.prefix},
+         {"reason", reason},
+         {"kept_connection", result.used_kept_connection},
+         {"had_head", result.head_at != TimePoint()},
+         {"after_ms", ToMilliseconds(result.ended_at - result.called_at)}});
   }
+  was_store_away_ = was_store_away_ || !may_be_connection;
   Duration delay = kInitialRetryDelay;
   for (int i = 0; i < std::min(consecutive_failures_, kMaxRetryDoublings);
        ++i) {
@@ -110,7 +125,10 @@
   }
   ++consecutive_failures_;
   is_store_request_pending_ = false;
-  next_request_at_ = clock_.Now() + delay;
+  // A new connection tells whether the store serves.
+  next_request_at_ =
+      clock_.Now() +
+      (result.used_kept_connection && may_be_connection ? Duration(0) : delay);
 }
 
 void StoreReader::LogReceived(const FetchResult& result,
@@ -144,16 +162,16 @@
                                   : absl::UnavailableError(
                                         std::to_string(result.status));
                  if (!batch.ok()) {
-                   HandleFailure(std::string(batch.status().message()));
+                   HandleFailure(result, std::string(batch.status().message()));
                    return;
                  }
                  batch->era = EraOf(result);
                  LogReceived(result, "store", *batch, clock_.Now());
-                 HandlePage(*std::move(batch), result.called_at);
+                 HandlePage(*std::move(batch), result);
                });
 }
 
-void StoreReader::HandlePage(StoreBatch batch, TimePoint called_at) {
+void StoreReader::HandlePage(StoreBatch batch, const FetchResult& result) {
   const bool has_more = batch.has_more && !batch.items.empty();
   const bool is_first = partial_snapshot_.items.empty();
   // Items may change between pages, so the snapshot is complete only as of the
@@ -162,7 +180,7 @@
     partial_snapshot_.store_revision = batch.store_revision;
     partial_snapshot_.era = batch.era;
   } else if (batch.era != partial_snapshot_.era) {
-    HandleFailure("the store was restored while a snapshot was read");
+    HandleFailure(result, "the store was restored while a snapshot was read");
     return;
   }
   partial_snapshot_.items.insert(partial_snapshot_.items.end(),
@@ -173,14 +191,14 @@
   }
   const StoreBatch snapshot = std::exchange(partial_snapshot_, {});
   if (replica_.IsOlder(snapshot)) {
-    RejectOlder(snapshot.position());
+    RejectOlder(result, snapshot.position());
     return;
   }
   RecordStoreResponse();
   is_store_request_pending_ = false;
   needs_snapshot_ = false;
   const std::vector<StoreItem> changes = ApplySnapshot(snapshot);
-  confirmation_ = {called_at, clock_.Now()};
+  confirmation_ = {result.called_at, clock_.Now()};
   Log(LogLevel::kInfo, "store snapshot read",
       {{"prefix", options_.prefix},
        {"era", replica_.era()},
@@ -228,14 +246,15 @@
   return changes;
 }
 
-void StoreReader::RejectOlder(const StorePosition& position) {
+void StoreReader::RejectOlder(const FetchResult& result,
+                              const StorePosition& position) {
   Log(LogLevel::kWarning, "response of the store is older than the replica",
       {{"prefix", options_.prefix},
        {"response_era", position.era},
        {"response_revision", position.revision},
        {"era", replica_.era()},
        {"revision", replica_.revision()}});
-  HandleFailure("the response is older than the replica");
+  HandleFailure(result, "the response is older than the replica");
 }
 
 void StoreReader::Watch() {
@@ -267,7 +286,7 @@
                    ? protocol_.DecodeBatch(result.body)
                    : absl::UnavailableError(std::to_string(result.status));
   if (!batch.ok()) {
-    HandleFailure(std::string(batch.status().message()));
+    HandleFailure(result, std::string(batch.status().message()));
     return;
   }
   batch->era = EraOf(result);
@@ -277,7 +296,7 @@
     return;
   }
   if (replica_.IsOlder(*batch)) {
-    RejectOlder(batch->position());
+    RejectOlder(result, batch->position());
     return;
   }
   LogReceived(result, "store", *batch, clock_.Now());
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -111,7 +111,7 @@
  private:
   void FetchPage(const std::string& after);
   void Watch();
-  void HandlePage(StoreBatch batch, TimePoint called_at);
+  void HandlePage(StoreBatch batch, const FetchResult& result);
   void HandleWatchResponse(const FetchResult& result);
   // Reads a snapshot next, after a short delay.
   void RequestSnapshot();
@@ -121,7 +121,7 @@
   // replica. Logs what is retained if the store was restored.
   std::vector<StoreItem> ApplySnapshot(const StoreBatch& snapshot);
   // Treats a response of an earlier position as a failure of the store.
-  void RejectOlder(const StorePosition& position);
+  void RejectOlder(const FetchResult& result, const StorePosition& position);
   // Whether a peer's batch can be applied and is newer than the replica.
   bool IsNews(const StoreBatch& batch) const;
   // Records that the replica was brought up to date.
@@ -131,7 +131,9 @@
   void RecordPeerUpdate(const StoreBatch& batch);
   // As `RecordUpdate`, after a response of the store itself.
   void RecordStoreResponse();
-  void HandleFailure(const std::string& reason);
+  // Sends the next request after a delay. `result` is the response to the
+  // failed request.
+  void HandleFailure(const FetchResult& result, const std::string& reason);
   void FetchFromPeer(const std::string& peer);
   void HandlePeerResponse(const std::string& peer, const FetchResult& result);
   // Decodes the response of a peer, which may be of an earlier version that
@@ -161,6 +163,8 @@
   // Responses to requests of an earlier generation are ignored.
   std::uint64_t generation_ = 0;
   int consecutive_failures_ = 0;
+  // One of these failures shows that the store did not serve this router.
+  bool was_store_away_ = false;
   std::uint64_t restore_count_ = 0;
   TimePoint next_request_at_;
   TimePoint store_responded_at_;
