Charge all messages to one memory budget

Cause: limits for each message and none for their sum, memory_mb was used nowhere; no limit at all on trailer fields and chunk extensions; an exception of one connection ended the process. Evidence: with one endless engine of three and 24 kept callers a router reached 338 and 347 MB with bodies (24 times up to 32 MB), and 1,995 and 1,884 MB with trailer fields and a chunk extension, which only unbounded parts explain.

Change: MemoryBudget, half of memory_mb. If it is short, the largest buffered responses are given up first, a request that is being received gets 503 since it was sent to no target, a call of the router's own fails. Large messages leave a quarter to small ones. Limits for chunk headers and trailer fields. A response that can't be forwarded ends after 64 KB instead of holding its request until the deadline. Exceptions end what threw them.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include "dataplane/upstream.h"
+#include "runtime/json_log.h"
 
 namespace corianderpost {
 namespace {
@@ -31,6 +32,8 @@
 // Input of pipelined requests that is buffered during a response; above this,
 // the connection is not read.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+// Callers retry at other routers, which may have memory left.
+constexpr Duration kMemoryRetryAfter = milliseconds(100);
 
 // Shared by all connections, since input is copied right after each read. Idle
 // connections then need no buffer of their own.
@@ -74,6 +77,8 @@
       return "caller_closed";
     case CloseReason::kConnectionError:
       return "connection_error";
+    case CloseReason::kInternalError:
+      return "internal_error";
     case CloseReason::kResponseCut:
       return "response_cut";
     case CloseReason::kDeadline:
@@ -112,31 +117,46 @@
       handler_(handler),
       clock_(clock),
       idle_since_(clock.Now()),
-      idle_timeout_(handler.Limits().idle_timeout) {}
+      idle_timeout_(handler.Limits().idle_timeout),
+      request_memory_(handler.Memory()),
+      buffer_memory_(handler.Memory()) {}
 
 void CallerConnection::Start() {
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
-  ReadAvailable();
-  AwaitRead();
+  HandleInput();
 }
 
 void CallerConnection::AwaitRead() {
+  const MemoryBudget* memory = handler_.Memory();
+  const std::size_t max_pipelined_bytes =
+      memory != nullptr && memory->IsShort() ? 0 : kMaxPipelinedBytes;
   if (is_read_pending_ || !socket_.is_open() ||
-      (state_ == State::kResponding && input_.size() > kMaxPipelinedBytes)) {
+      (state_ == State::kResponding && input_.size() > max_pipelined_bytes)) {
     return;
   }
   is_read_pending_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](boost::system::error_code ec) {
                        self->is_read_pending_ = false;
-                       if (!ec) {
-                         self->ReadAvailable();
-                         self->AwaitRead();
+                       if (ec) {
+                         return;
                        }
+                       self->HandleInput();
                      });
 }
 
+void CallerConnection::HandleInput() {
+  try {
+    ReadAvailable();
+  } catch (const std::exception& ex) {
+    internal::LogException("connection of a caller", ex);
+    CloseAndNotify(CloseReason::kInternalError);
+    return;
+  }
+  AwaitRead();
+}
+
 void CallerConnection::ReadAvailable() {
   if (!socket_.is_open()) {
     return;
@@ -158,6 +178,7 @@
   if (state_ != State::kResponding) {
     Feed();
   }
+  ChargeBuffers();
 }
 
 void CallerConnection::Feed() {
@@ -168,6 +189,7 @@
   if (state_ == State::kIdle) {
     state_ = State::kReading;
     first_byte_at_ = clock_.Now();
+    header_bytes_ = 0;
     const CallerLimits& limits = handler_.Limits();
     header_timeout_ = limits.header_timeout;
     parser_.emplace();
@@ -178,7 +200,11 @@
     parser_->eager(false);
   }
   const bool had_header = parser_->is_header_done();
+  const std::size_t unparsed_bytes = input_.size();
   boost::system::error_code ec = Parse();
+  if (!had_header) {
+    header_bytes_ += unparsed_bytes - input_.size();
+  }
   if (!ec && !had_header && parser_->is_header_done()) {
     const http::fields& header = parser_->get();
     if (const int status =
@@ -195,6 +221,17 @@
     Reject(StatusForParseError(ec), ec.message());
     return;
   }
+  if (!parser_->is_done() && parser_->is_header_done() &&
+      input_.size() > handler_.Limits().max_header_bytes) {
+    // Only the parts of a body that are not data remain unparsed: the line
+    // before a chunk, and trailer fields.
+    Reject(431, "chunk or trailer fields too large");
+    return;
+  }
+  if (!request_memory_.TrySet(RequestBytes())) {
+    Reject(503, "no memory for the request", kMemoryRetryAfter);
+    return;
+  }
   if (!had_header && parser_->is_header_done() && !parser_->is_done() &&
       parser_->get()[http::field::expect] == "100-continue") {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -209,7 +246,8 @@
   state_ = State::kResponding;
   request_id_.clear();
   wants_close_ = !parser_->get().keep_alive();
-  ReceivedRequest request{parser_->release(), first_byte_at_};
+  ReceivedRequest request{parser_->release(), first_byte_at_,
+                          std::move(request_memory_)};
   parser_.reset();
   handler_.OnRequest(shared_from_this(), std::move(request));
 }
@@ -238,15 +276,28 @@
   return ec && ec != asio::error::would_block;
 }
 
-void CallerConnection::Reject(int status, const std::string& reason) {
+std::size_t CallerConnection::RequestBytes() const {
+  return header_bytes_ + parser_->get().body().size() +
+         (parser_->is_done() ? 0 : input_.size());
+}
+
+void CallerConnection::ChargeBuffers() {
+  buffer_memory_.Set(buffered() +
+                     (state_ == State::kResponding ? input_.size() : 0));
+}
+
+void CallerConnection::Reject(int status, const std::string& reason,
+                              Duration retry_after) {
   handler_.OnBadRequest(status, reason);
   has_unread_input_ = true;
   parser_.reset();
-  input_.clear();
+  std::string().swap(input_);
+  request_memory_.Set(0);
   state_ = State::kResponding;
   LocalReply reply;
   reply.status = status;
   reply.reason = reason;
+  reply.retry_after = retry_after;
   Write(FormatLocalReply(reply, true, false));
   FinishResponse(true);
 }
@@ -260,6 +311,7 @@
   } else {
     output_.append(text);
   }
+  ChargeBuffers();
   Flush();
 }
 
@@ -285,7 +337,8 @@
       },
       [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         self->is_write_pending_ = false;
-        self->output_in_flight_.clear();
+        std::string().swap(self->output_in_flight_);
+        self->ChargeBuffers();
         if (ec) {
           self->HandleSocketError(ec);
           return;
@@ -357,9 +410,13 @@
   if (!socket_.is_open()) {
     return;
   }
+  CloseAndNotify(IsClosedByPeer(ec) ? CloseReason::kCallerClosed
+                                    : CloseReason::kConnectionError);
+}
+
+void CallerConnection::CloseAndNotify(CloseReason reason) {
   const bool was_responding = state_ == State::kResponding;
-  Close(IsClosedByPeer(ec) ? CloseReason::kCallerClosed
-                           : CloseReason::kConnectionError);
+  Close(reason);
   if (was_responding) {
     handler_.OnCallerDisconnected(*this);
   }
@@ -408,6 +465,12 @@
   state_ = State::kClosed;
   boost::system::error_code ignored;
   socket_.close(ignored);
+  // `output_in_flight_` is in use until its write has ended.
+  parser_.reset();
+  std::string().swap(input_);
+  std::string().swap(output_);
+  request_memory_.Set(0);
+  ChargeBuffers();
 }
 
 void CallerConnection::Tick(TimePoint now) {
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -14,6 +14,7 @@
 
 #include "corianderpost/clock.h"
 #include "dataplane/http_text.h"
+#include "decisions/memory_budget.h"
 #include "model/configuration.h"
 
 namespace corianderpost {
@@ -24,6 +25,8 @@
 struct ReceivedRequest {
   HttpRequest message;
   TimePoint first_byte_at;
+  // The memory that the request takes.
+  MemoryCharge memory;
 };
 
 // Why a connection ended with a request unanswered. Only `kCallerClosed` is the
@@ -33,6 +36,8 @@
   // A read or write failed for another reason, for example since sent data
   // stayed unacknowledged.
   kConnectionError,
+  // Handling the connection's input threw an exception.
+  kInternalError,
   // A response that had begun could not be continued.
   kResponseCut,
   kDeadline,
@@ -90,8 +95,11 @@
   // Returns true while the router shuts down and responses close their
   // connections.
   virtual bool IsDraining() const = 0;
+  // Returns the budget that requests and responses are charged to; null if
+  // there is no limit.
+  virtual MemoryBudget* Memory() { return nullptr; }
   // A request was rejected with `status` because it was malformed, too large or
-  // too slow. `reason` is for logs.
+  // too slow, or because the memory is short. `reason` is for logs.
   virtual void OnBadRequest(int status, const std::string& reason) = 0;
   // A connection ends with a request unanswered. The views in `close` are valid
   // during the call.
@@ -162,6 +170,8 @@
   };
 
   void AwaitRead();
+  // Reads what has arrived, and awaits more. An exception ends the connection.
+  void HandleInput();
   void ReadAvailable();
   // Parses the buffered input and dispatches a request that is complete.
   void Feed();
@@ -172,9 +182,16 @@
   // connection after it sent its request. Such a request is not executed, since
   // nobody waits for its response.
   bool HasDisconnected();
-  // Answers a request that can't be parsed or was too slow, and closes the
-  // connection.
-  void Reject(int status, const std::string& reason);
+  // Answers a request that can't be parsed or was too slow, or for which there
+  // is no memory, and closes the connection. No Retry-After header if
+  // `retry_after` is zero.
+  void Reject(int status, const std::string& reason,
+              Duration retry_after = Duration(0));
+  // Charges what the connection holds apart from the request that is being
+  // read.
+  void ChargeBuffers();
+  // Size of the request that is being read, as far as it has arrived.
+  std::size_t RequestBytes() const;
   // Writes the buffered output unless a write is in progress.
   void Flush();
   void BeginLinger();
@@ -183,6 +200,8 @@
   void ReportUnanswered(CloseReason reason);
   // Closes the connection after a failed read or write.
   void HandleSocketError(const boost::system::error_code& ec);
+  // Closes the connection, and tells the handler if a response is in progress.
+  void CloseAndNotify(CloseReason reason);
 
   boost::asio::ip::tcp::socket socket_;
   CallerHandler& handler_;
@@ -203,6 +222,10 @@
   TimePoint write_progress_at_;
   TimePoint linger_deadline_;
   std::string request_id_;
+  // Of the request that is being read.
+  std::size_t header_bytes_ = 0;
+  MemoryCharge request_memory_;
+  MemoryCharge buffer_memory_;
   std::string input_;
   std::string output_;
   // Output of the write in progress.
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -82,6 +82,7 @@
   }
   const CallerLimits& Limits() const override { return limits; }
   bool IsDraining() const override { return false; }
+  MemoryBudget* Memory() override { return &memory; }
   void OnBadRequest(int status, const std::string& reason) override {
     static_cast<void>(status);
     static_cast<void>(reason);
@@ -97,6 +98,7 @@
   Listener& listener() { return listener_; }
 
   CallerLimits limits;
+  MemoryBudget memory{std::size_t{64} << 20};
   std::string body = "ok";
   bool answers = true;
   bool closes = false;
@@ -319,6 +321,59 @@
   CHECK(fixture.requests == "");
 }
 
+// Guards against uploads that together exceed the router's memory (review case
+// 2).
+TEST_CASE("An upload without memory is refused and the next request is not") {
+  Fixture fixture;
+  fixture.answers = false;
+  fixture.memory.SetLimit(400'000);
+  const std::string body(200'000, 'x');
+  const std::string head = "Content-Length: 200000\r\n";
+  tcp::socket first = fixture.Connect();
+  Send(first, Request("/1", head) + body);
+  while (fixture.requests.empty() && fixture.RunLoop() > 0) {
+  }
+  REQUIRE(fixture.requests == "/1");
+  CHECK(fixture.memory.used() == 0);
+  // What the handler keeps of the first request.
+  MemoryCharge kept(&fixture.memory);
+  REQUIRE(kept.TrySet(200'000));
+  tcp::socket second = fixture.Connect();
+  Send(second, Request("/2", head) + body);
+  const std::string response = fixture.ReadAll(second);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+  CHECK(response.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.memory.used() == 200'000);
+  fixture.answers = true;
+  tcp::socket small = fixture.Connect();
+  Send(small, Request("/3"));
+  CHECK(fixture.ReadAll(small).starts_with("HTTP/1.1 200"));
+  CHECK(fixture.requests == "/1/3");
+}
+
+TEST_CASE("A chunked request without end is refused") {
+  Fixture fixture;
+  fixture.limits.max_header_bytes = 4096;
+  const std::string part(1000, 'x');
+  std::string begin;
+  std::string repeated;
+  SUBCASE("in its trailer fields") {
+    begin = "0\r\n";
+    repeated = "x: " + part + "\r\n";
+  }
+  SUBCASE("in a chunk extension") {
+    begin = "1;";
+    repeated = part;
+  }
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1", "Transfer-Encoding: chunked\r\n") + begin);
+  for (int i = 0; i < 10; ++i) {
+    Send(caller, repeated);
+  }
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 431"));
+  CHECK(fixture.requests == "");
+}
+
 // Larger than the buffers of a loopback connection.
 constexpr std::size_t kLargeBodyBytes = std::size_t{24} << 20;
 
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -50,8 +50,14 @@
 // Reading from the target pauses while more output than this is buffered for a
 // slow caller. Also the maximum size of one event.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
-// Maximum body size of a response that is buffered until complete.
+// The same while the memory is short.
+constexpr std::size_t kMaxBufferedBytesIfShort = std::size_t{16} * 1024;
+// Maximum body size of a response that is buffered until complete. With a
+// memory budget, such a response takes at most a quarter of it.
 constexpr std::size_t kMaxBufferedResponseBytes = std::size_t{32} * 1024 * 1024;
+// Maximum body size of a response that can't be forwarded. Its connection is
+// closed above it.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
 // Maximum size of `max_caller_timeout_by_route`, which is cleared above it:
 // otherwise it would keep the names of all routes that were ever configured.
 constexpr std::size_t kMaxCallerTimeoutRoutes = 10'000;
@@ -152,9 +158,12 @@
       caller_(std::move(caller)),
       request_(std::move(request.message)),
       first_byte_at_(request.first_byte_at),
-      configuration_(plane.configuration) {}
+      configuration_(plane.configuration),
+      request_memory_(std::move(request.memory)),
+      response_memory_(plane.memory) {}
 
 Exchange::~Exchange() {
+  DropResponse();
   if (upstream_) {
     upstream_->Cancel();
   }
@@ -480,7 +489,8 @@
   has_loop_lagged_ = false;
   last_progress_at_ = now;
   response_kind_ = ResponseKind::kNone;
-  response_body_.clear();
+  DropResponse();
+  discarded_bytes_ = 0;
   splitter_ = EventSplitter();
   is_resuming_ = has_stream_begun_;
   attempt_events_ = 0;
@@ -620,15 +630,14 @@
 void Exchange::OnBody(std::string_view data) {
   last_progress_at_ = plane_.clock.Now();
   if (response_kind_ == ResponseKind::kBuffered) {
-    response_body_.append(data);
-    if (response_body_.size() > kMaxBufferedResponseBytes) {
-      EndAttempt(AttemptOutcome::kBroken);
-      may_have_executed_ = true;
-      SendLocalReply(502, "the target's answer is too large", Duration(0));
-    }
+    BufferResponse(data);
     return;
   }
   if (response_kind_ != ResponseKind::kStream) {
+    discarded_bytes_ += data.size();
+    if (discarded_bytes_ > kMaxDiscardedBytes) {
+      EndUnusableAttempt();
+    }
     return;
   }
   for (const StreamEvent& it : splitter_.Feed(data)) {
@@ -642,11 +651,67 @@
     RetryOrFail(true, "an event without an end");
     return;
   }
-  if (upstream_ && caller_->buffered() > kMaxBufferedBytes) {
+  const bool is_short = plane_.memory != nullptr && plane_.memory->IsShort();
+  if (upstream_ && caller_->buffered() > (is_short ? kMaxBufferedBytesIfShort
+                                                   : kMaxBufferedBytes)) {
     upstream_->SetPaused(true);
   }
 }
 
+void Exchange::BufferResponse(std::string_view data) {
+  const std::size_t size = response_body_.size() + data.size();
+  const std::size_t max_size =
+      plane_.memory == nullptr
+          ? kMaxBufferedResponseBytes
+          : std::min(kMaxBufferedResponseBytes, plane_.memory->limit() / 4);
+  if (size > max_size) {
+    GiveUpResponse("the target's answer is too large");
+    return;
+  }
+  if (!response_memory_.TrySet(size)) {
+    GiveUpResponse("no memory for the target's answer");
+    return;
+  }
+  if (plane_.memory != nullptr && size > MemoryBudget::kLargeMessageBytes &&
+      response_body_.size() <= MemoryBudget::kLargeMessageBytes) {
+    plane_.memory->Add(
+        this, {[this] { return response_memory_.bytes(); },
+               [this] { GiveUpResponse("memory taken by larger answers"); }});
+  }
+  response_body_.append(data);
+}
+
+void Exchange::GiveUpResponse(const char* cause) {
+  plane_.metrics.IncrementCounter("corianderpost_given_up_responses_total", "");
+  Log(LogLevel::kWarning, "response given up",
+      {{"target", assignment_ ? assignment_->target_id : ""},
+       {"cause", cause},
+       {"bytes", response_body_.size()}});
+  DropResponse();
+  EndAttempt(AttemptOutcome::kBroken);
+  RetryOrFail(true, cause);
+}
+
+void Exchange::DropResponse() {
+  if (plane_.memory != nullptr) {
+    plane_.memory->Remove(this);
+  }
+  std::string().swap(response_body_);
+  response_memory_.Set(0);
+}
+
+void Exchange::EndUnusableAttempt() {
+  if (response_kind_ == ResponseKind::kNotExecuted) {
+    EndAttempt(response_head_ && response_head_->result_int() == 421
+                   ? AttemptOutcome::kMisdirected
+                   : AttemptOutcome::kRejected);
+    RetryOrFail(false, "the target did not run the request");
+    return;
+  }
+  EndAttempt(AttemptOutcome::kServerError);
+  RetryOrFail(true, "the target's answer can't be used");
+}
+
 void Exchange::ForwardEvent(const StreamEvent& event) {
   const auto number = ParseEventNumber(event.id);
   const auto last = ParseEventNumber(last_event_id_);
@@ -716,14 +781,9 @@
   const unsigned status = response_head_ ? response_head_->result_int() : 0;
   switch (response_kind_) {
     case ResponseKind::kNotExecuted:
-      EndAttempt(status == 421 ? AttemptOutcome::kMisdirected
-                               : AttemptOutcome::kRejected);
-      RetryOrFail(false, "the target did not run the request");
-      return;
     case ResponseKind::kNone:
     case ResponseKind::kUnusable:
-      EndAttempt(AttemptOutcome::kServerError);
-      RetryOrFail(true, "the target's answer can't be used");
+      EndUnusableAttempt();
       return;
     case ResponseKind::kStream:
       // The end of a connection says nothing about a stream of which nothing
@@ -771,8 +831,9 @@
                                                 : Framing::kLength,
       response_body_.size(), ShouldCloseConnection()));
   if (!response_body_.empty()) {
-    caller_->Write(std::move(response_body_));
+    caller_->Write(std::exchange(response_body_, {}));
   }
+  DropResponse();
   FinishResponse();
   Finish(is_error ? "failed_by_target" : "served");
 }
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -55,6 +55,8 @@
   std::function<void(const std::string&)> on_unreachable = {};
   // Knows which software version began a stream. Null if nothing knows.
   StreamDirectory* stream_directory = nullptr;
+  // Limits the memory of requests and responses. Null if there is no limit.
+  MemoryBudget* memory = nullptr;
 };
 
 // One request and its response. Not thread-safe: use on the event loop thread
@@ -159,6 +161,15 @@
   void RecordLeaving(const ResponseMeta& meta);
   // Records that the target rejected the request and asked for a pause.
   void RecordPause(const ResponseMeta& meta);
+  // Keeps the next part of a response that is forwarded once it is complete.
+  void BufferResponse(std::string_view data);
+  // Ends the attempt because its response takes too much memory.
+  void GiveUpResponse(const char* cause);
+  // Releases the buffered response and its charge.
+  void DropResponse();
+  // Ends an attempt whose response is complete, or long enough, and can't be
+  // forwarded.
+  void EndUnusableAttempt();
   void CountMalformedHint(const char* hint);
   // Records metrics and logs the request. Does nothing if already done.
   void Finish(std::string_view outcome);
@@ -234,6 +245,10 @@
   ResponseKind response_kind_ = ResponseKind::kNone;
   std::optional<HttpResponseHeader> response_head_;
   std::string response_body_;
+  MemoryCharge request_memory_;
+  MemoryCharge response_memory_;
+  // Bytes of the current attempt's response that were not kept.
+  std::size_t discarded_bytes_ = 0;
   EventSplitter splitter_;
   // The response head and at least one event were sent to the caller.
   bool has_stream_begun_ = false;
--- a/src/dataplane/fetch.cc
+++ b/src/dataplane/fetch.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "runtime/json_log.h"
+
 namespace corianderpost {
 namespace {
 
@@ -18,7 +20,8 @@
         callback_(std::move(callback)),
         pool_(pool),
         clock_(pool.clock()),
-        timeouts_(timeouts) {
+        timeouts_(timeouts),
+        memory_(pool.memory()) {
     result_.called_at = clock_.Now();
     deadline_ = result_.called_at + timeouts_.head;
   }
@@ -68,11 +71,15 @@
   }
   void OnBody(std::string_view data) override {
     RecordProgress(clock_.Now());
-    if (result_.body.size() + data.size() <= kMaxBodyBytes) {
-      result_.body.append(data);
-    } else {
-      result_.status = 0;
+    const std::size_t size = result_.body.size() + data.size();
+    if (size > kMaxBodyBytes || !memory_.TrySet(size)) {
+      // The rest would only be discarded.
+      connection_->Cancel();
+      connection_.reset();
+      CompleteWithoutResponse();
+      return;
     }
+    result_.body.append(data);
   }
   void OnDone(bool is_framed) override {
     static_cast<void>(is_framed);
@@ -98,7 +105,17 @@
   void Complete() {
     result_.ended_at = clock_.Now();
     const Callback callback = std::move(callback_);
-    callback(result_);
+    try {
+      callback(result_);
+    } catch (const std::exception& ex) {
+      // The caller must not wait for this call any longer.
+      internal::LogException("response to a call", ex);
+      result_.status = 0;
+      result_.body.clear();
+      callback(result_);
+    }
+    std::string().swap(result_.body);
+    memory_.Set(0);
   }
   const FetchId id_;
   Callback callback_;
@@ -107,6 +124,7 @@
   const FetchTimeouts timeouts_;
   TimePoint deadline_;
   FetchResult result_;
+  MemoryCharge memory_;
   std::shared_ptr<UpstreamConnection> connection_;
 };
 
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "runtime/json_log.h"
+
 namespace corianderpost {
 namespace {
 
@@ -31,6 +33,9 @@
 // Maximum sizes of a response; that of the body also limits streams.
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024;
 constexpr std::uint64_t kMaxResponseBodyBytes = 64ULL * 1024 * 1024;
+// Maximum size of the parts of a body that are not data: the line before a
+// chunk, and trailer fields.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} * 1024;
 
 // Shared by all connections, since input is copied or parsed right after each
 // read. Idle connections then need no buffer of their own.
@@ -200,10 +205,18 @@
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](boost::system::error_code ec) {
                        self->is_read_pending_ = false;
-                       if (!ec) {
+                       if (ec) {
+                         return;
+                       }
+                       try {
                          self->ReadAvailable();
-                         self->AwaitRead();
+                       } catch (const std::exception& ex) {
+                         internal::LogException(
+                             "connection to " + self->address_, ex);
+                         self->Fail(UpstreamFailure::kBroken);
+                         return;
                        }
+                       self->AwaitRead();
                      });
 }
 
@@ -303,6 +316,11 @@
     FinishResponse();
     return false;
   }
+  if (parser_->is_header_done() && !has_more &&
+      input_.size() > kMaxUnparsedBytes) {
+    Fail(UpstreamFailure::kBroken);
+    return false;
+  }
   return true;
 }
 
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -16,6 +16,7 @@
 
 #include "corianderpost/clock.h"
 #include "dataplane/http_text.h"
+#include "decisions/memory_budget.h"
 
 namespace corianderpost {
 
@@ -153,6 +154,10 @@
 
   boost::asio::io_context& loop() { return loop_; }
   const Clock& clock() const { return clock_; }
+  // The budget that responses are charged to; null if there is no limit. It
+  // must outlive the pool's connections and their listeners.
+  MemoryBudget* memory() const { return memory_; }
+  void SetMemoryBudget(MemoryBudget* budget) { memory_ = budget; }
   // Number of connections, including those closed since the last `Tick`.
   std::size_t open_connections() const { return connections_.size(); }
   // Number of connections created so far.
@@ -169,6 +174,7 @@
       idle_by_address_;
   std::vector<std::weak_ptr<UpstreamConnection>> connections_;
   std::uint64_t connect_count_ = 0;
+  MemoryBudget* memory_ = nullptr;
 };
 
 // Parses an address of the form "IPv4:port"; nullopt if it is malformed.
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -64,7 +64,13 @@
                          if (ec) {
                            return;
                          }
-                         if (AcceptAvailable()) {
+                         bool is_accepting = false;
+                         try {
+                           is_accepting = AcceptAvailable();
+                         } catch (const std::exception& ex) {
+                           internal::LogException("new connection", ex);
+                         }
+                         if (is_accepting) {
                            AwaitAccept();
                          } else {
                            AwaitAcceptAfterDelay();
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,4 +1,6 @@
 // Main program of corianderpost-router, one router of the fleet.
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -12,7 +14,13 @@
 namespace po = boost::program_options;
 namespace internal = corianderpost::internal;
 
+// Buffers of at least this size are returned to the system when they are freed.
+// Without a fixed threshold the allocator keeps them, beyond the memory that
+// `MemoryBudget` leaves to the rest of the program.
+constexpr int kMinMappedBytes = 256 * 1024;
+
 int Run(const po::variables_map& values) {
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   const auto path = values["settings"].as<std::string>();
   const auto settings = corianderpost::RouterSettings::FromYaml(
       corianderpost::CheckedYaml::FromFile(path));
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -124,6 +124,15 @@
   return seconds(ts.tv_sec) + Duration(ts.tv_nsec / 1000);
 }
 
+// Part of the VM's memory that messages may take. The rest is for the program,
+// its tables, and buffers while they grow.
+constexpr double kMessageMemoryShare = 0.5;
+
+std::size_t MessageMemoryOf(const RouterSettings& settings) {
+  return static_cast<std::size_t>(kMessageMemoryShare * settings.memory_mb *
+                                  1024 * 1024);
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream in(path);
   std::ostringstream text;
@@ -211,6 +220,7 @@
     bool IsDraining() const override {
       return router_.plane_.drain.has_value();
     }
+    MemoryBudget* Memory() override { return &router_.memory_; }
     void OnBadRequest(int status, const std::string& reason) override {
       router_.metrics_.IncrementCounter(
           "corianderpost_bad_requests_total",
@@ -231,8 +241,8 @@
   class InternalRequestHandler final : public CallerHandler {
    public:
     using Responder = std::function<TextReply(const HttpRequest&)>;
-    explicit InternalRequestHandler(Responder respond)
-        : respond_(std::move(respond)) {}
+    InternalRequestHandler(Responder respond, MemoryBudget& memory)
+        : respond_(std::move(respond)), memory_(memory) {}
     void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                    ReceivedRequest request) override {
       const bool closes = caller->wants_close();
@@ -248,6 +258,7 @@
     }
     const CallerLimits& Limits() const override { return limits_; }
     bool IsDraining() const override { return false; }
+    MemoryBudget* Memory() override { return &memory_; }
     void OnBadRequest(int status, const std::string& reason) override {
       Log(LogLevel::kWarning, "bad request to an internal port",
           {{"status", status}, {"reason", reason}});
@@ -255,6 +266,7 @@
 
    private:
     Responder respond_;
+    MemoryBudget& memory_;
     const CallerLimits limits_;
   };
 
@@ -278,6 +290,7 @@
   TextReply HandleControl(const HttpRequest& request);
   bool IsReady() const;
   void RecordUnansweredClose(const UnansweredClose& close);
+  void SetMemoryMetrics();
 
   void ScheduleTick();
   void Tick();
@@ -341,6 +354,8 @@
   // Returns the control address of the router at IPv4 address `ip`.
   std::string ControlAddressOf(const std::string& ip) const;
 
+  // Before the event loop, whose handlers own charges.
+  MemoryBudget memory_;
   asio::io_context loop_{1};
   SystemClock clock_;
   RouterSettings settings_;
@@ -414,7 +429,8 @@
 
 Router::Impl::Impl(const RouterSettings& settings, std::string settings_path,
                    const Deployment& deployment)
-    : settings_(settings),
+    : memory_(MessageMemoryOf(settings)),
+      settings_(settings),
       settings_path_(std::move(settings_path)),
       settings_text_(ReadFile(settings_path_)),
       deployment_(deployment),
@@ -449,10 +465,10 @@
           }),
       caller_handler_(*this),
       readiness_handler_(
-          [this](const HttpRequest&) { return HandleReadiness(); }),
-      control_handler_([this](const HttpRequest& request) {
-        return HandleControl(request);
-      }),
+          [this](const HttpRequest&) { return HandleReadiness(); }, memory_),
+      control_handler_(
+          [this](const HttpRequest& request) { return HandleControl(request); },
+          memory_),
       caller_listener_(loop_, settings.callers_address, caller_handler_,
                        clock_),
       readiness_listener_(loop_, settings.readiness_address, readiness_handler_,
@@ -462,6 +478,8 @@
       tick_timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
   plane_.stream_directory = &stream_directory_;
+  plane_.memory = &memory_;
+  pool_.SetMemoryBudget(&memory_);
   messenger_.SetStreamDirectory(stream_directory_);
   plane_.on_crash = [this] { messenger_.ReportAtNextTick(); };
   plane_.on_target_leaving = [this] { messenger_.ReportAtNextTick(); };
@@ -496,6 +514,7 @@
   if (path == "/metrics") {
     metrics_.SetGauge("corianderpost_open_requests",
                       static_cast<double>(exchanges_.size()));
+    SetMemoryMetrics();
     metrics_.SetGauge("corianderpost_callers",
                       static_cast<double>(caller_listener_.size()));
     metrics_.SetGauge("corianderpost_peers",
@@ -538,6 +557,21 @@
   return {404, "text/plain", "not found\n"};
 }
 
+void Router::Impl::SetMemoryMetrics() {
+  metrics_.SetGauge("corianderpost_message_bytes",
+                    static_cast<double>(memory_.used()));
+  metrics_.SetGauge("corianderpost_message_bytes_peak",
+                    static_cast<double>(memory_.peak()));
+  metrics_.SetGauge("corianderpost_message_bytes_limit",
+                    static_cast<double>(memory_.limit()));
+  metrics_.SetGauge("corianderpost_messages_without_memory",
+                    static_cast<double>(memory_.refused_count()));
+  metrics_.SetGauge("corianderpost_messages_reclaimed",
+                    static_cast<double>(memory_.reclaimed_count()));
+  metrics_.SetGauge("corianderpost_exceptions",
+                    static_cast<double>(internal::LoggedExceptions()));
+}
+
 void Router::Impl::RecordUnansweredClose(const UnansweredClose& close) {
   metrics_.IncrementCounter("corianderpost_unanswered_closes_total",
                             "reason=\"" + std::string(ToString(close.reason)) +
@@ -570,7 +604,15 @@
   messenger_.Start();
   ScheduleTick();
   Tick();
-  loop_.run();
+  // An exception ends the handler that threw it, not the requests of others.
+  for (bool has_ended = false; !has_ended;) {
+    try {
+      loop_.run();
+      has_ended = true;
+    } catch (const std::exception& ex) {
+      internal::LogException("event loop", ex);
+    }
+  }
   caller_listener_.CloseForExit();
   Log(LogLevel::kInfo, "router stopped", {{"vm", settings_.vm}});
 }
@@ -580,13 +622,14 @@
     if (ec) {
       return;
     }
+    // First, so that an exception below does not end the handling of signals.
+    AwaitSignal();
     if (signal == SIGHUP) {
       Log(LogLevel::kInfo, "SIGHUP received; checking settings for changes");
       CheckSettings();
     } else {
       BeginDrain();
     }
-    AwaitSignal();
   });
 }
 
@@ -619,6 +662,7 @@
     scheduler_.SetOptions(SchedulerOptionsOf(settings));
     operator_reader_.SetAddress(settings.store_address);
     target_list_reader_.SetAddress(settings.store_address);
+    memory_.SetLimit(MessageMemoryOf(settings));
     settings_ = std::move(settings);
     Log(LogLevel::kInfo, "settings reloaded");
   } catch (const YamlError& ex) {
--- a/src/runtime/json_log.cc
+++ b/src/runtime/json_log.cc
@@ -30,6 +30,7 @@
 
 std::atomic<bool> is_log_open{false};
 std::atomic<std::uint64_t> dropped_lines{0};
+std::atomic<std::uint64_t> logged_exceptions{0};
 
 log4cplus::Logger Logger() {
   return log4cplus::Logger::getInstance("corianderpost");
@@ -145,6 +146,14 @@
 
 std::uint64_t DroppedLogLines() { return dropped_lines; }
 
+void LogException(const std::string& context, const std::exception& ex) {
+  ++logged_exceptions;
+  Log(LogLevel::kError, "exception caught",
+      {{"context", context}, {"reason", ex.what()}});
+}
+
+std::uint64_t LoggedExceptions() { return logged_exceptions; }
+
 bool ShouldLog(LogLevel level) {
   if (!is_log_open || !Logger().isEnabledFor(ToLog4cplusLevel(level))) {
     return false;
--- a/src/runtime/json_log.h
+++ b/src/runtime/json_log.h
@@ -3,6 +3,7 @@
 #define CORIANDERPOST_RUNTIME_JSON_LOG_H_
 
 #include <cstdint>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -27,6 +28,12 @@
 void Log(LogLevel level, const std::string& message,
          const std::vector<LogField>& fields = {});
 
+// Writes an error line on an exception that was caught where it ends `context`
+// only, and counts it. Thread-safe.
+void LogException(const std::string& context, const std::exception& ex);
+// Returns the number of calls of `LogException` so far.
+std::uint64_t LoggedExceptions();
+
 // Returns whether a line of this level would be written now, so that callers
 // can avoid the cost of building a line that would be dropped. Counts the line
 // as dropped if the rate limit forbids it.
--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -159,6 +159,13 @@
     Crash();
     return;
   }
+  if (endless_response) {
+    caller->Write("HTTP/1.1 200 OK\r\n" +
+                  platform::FormatStandinSignature(meta.request_id) +
+                  endless_response->begin);
+    SendEndlessly(caller, endless_response->part);
+    return;
+  }
   caller->Write("HTTP/1.1 200 OK\r\n" +
                 platform::FormatStandinSignature(meta.request_id) +
                 extra_headers +
@@ -169,6 +176,22 @@
       1 + static_cast<int>(ParseEventNumber(meta.last_event_id).value_or(0)));
 }
 
+void Engine::SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
+                           const std::string& part) {
+  constexpr std::size_t kMaxUnsentBytes = std::size_t{512} * 1024;
+  constexpr milliseconds kInterval{1};
+  if (!caller->is_open()) {
+    return;
+  }
+  std::string text;
+  while (caller->buffered() + text.size() < kMaxUnsentBytes) {
+    text += part;
+  }
+  caller->Write(std::move(text));
+  RunAfter(loop_, kInterval,
+           [this, caller, part] { SendEndlessly(caller, part); });
+}
+
 void Engine::SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
                             int number) {
   if (!caller->is_open()) {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -38,6 +38,13 @@
   std::chrono::milliseconds interval{20};
 };
 
+// A response that goes on until its receiver closes the connection: `begin`
+// follows the status line and the signature, then `part` is repeated.
+struct EndlessResponse {
+  std::string begin;
+  std::string part;
+};
+
 // An engine that answers with a stream of events. It crashes when it begins to
 // answer a prompt with a certain part, and starts again as a new incarnation.
 // Not thread-safe.
@@ -74,6 +81,8 @@
   std::set<std::uint64_t> crashing_parts;
   // Header lines added to each response.
   std::string extra_headers;
+  // Sent instead of a stream.
+  std::optional<EndlessResponse> endless_response;
   // Whether requests are answered with 503, as not executed, and the header
   // lines of these responses.
   bool is_refusing = false;
@@ -86,6 +95,8 @@
              const RequestMeta& meta, std::uint64_t crashing_part);
   void SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
                       int number);
+  void SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
+                     const std::string& part);
   boost::asio::io_context& loop_;
   const std::string address_;
   const Deployment& deployment_;
--- a/tests/soak/router_process.cc
+++ b/tests/soak/router_process.cc
@@ -53,7 +53,9 @@
       << network_.Address(1, kStorePort) << "\ngrace_seconds: "
       << std::chrono::duration_cast<std::chrono::seconds>(grace_period_).count()
       << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
-         "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: 110\n"
+         "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: "
+      << (kMemoryBytes >> 20)
+      << "\n"
          "processor_share: 1\nregion_link_mbit: 30\n";
 }
 
@@ -113,6 +115,16 @@
   }
 }
 
+std::size_t RouterProcess::ResidentBytes() const {
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  in >> total_pages >> resident_pages;
+  return pid_ > 0
+             ? resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))
+             : 0;
+}
+
 bool RouterProcess::HasExited() {
   if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
     pid_ = 0;
--- a/tests/soak/router_process.h
+++ b/tests/soak/router_process.h
@@ -43,6 +43,9 @@
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
 
+  // Memory of the VM that the settings state.
+  static constexpr std::size_t kMemoryBytes = std::size_t{110} << 20;
+
   // Call before `Start`.
   void SetGracePeriod(std::chrono::seconds grace_period);
   // Starts the process, which appends its log to router-<index>.jsonl. Throws
@@ -58,6 +61,8 @@
   void Kill();
   // Returns whether no process is running; reaps the process if it has exited.
   bool HasExited();
+  // Resident memory in bytes; zero if no process is running.
+  std::size_t ResidentBytes() const;
   // Zero if no process is running.
   pid_t pid() const { return pid_; }
   std::string address() const { return network_.Address(host_, kCallersPort); }
