Read again on kept connections that were paused

What callers could see: after a response of a target had ended while its connection was paused for a slow caller, the next request on this connection got no answer until its timeout. Found by the review by reading; the memory budget pauses such connections earlier, so that it would come more often.

Cause: UpstreamConnection kept the pause beyond the response that it was for. Change: a connection that is used again is not paused. Measured: 'A connection that was paused at its last response is read again' failed without the change (the second response was not read) and passes with it; all 477 unit tests pass.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -127,6 +127,8 @@
   ResetParser();
   if (is_connected_) {
     is_reused_ = true;
+    // The last request may have ended while it was paused.
+    SetPaused(false);
     Write();
   } else {
     Connect();
--- a/src/peers/store_reader.h
+++ b/src/peers/store_reader.h
@@ -131,8 +131,8 @@
   void RecordPeerUpdate(const StoreBatch& batch);
   // As `RecordUpdate`, after a response of the store itself.
   void RecordStoreResponse();
-  // Sends the next request after a delay. `result` is the response to the
-  // failed request.
+  // Lets the next request follow after a delay, or at once if `result`, the
+  // response to the failed request, may only show that its connection failed.
   void HandleFailure(const FetchResult& result, const std::string& reason);
   void FetchFromPeer(const std::string& peer);
   void HandlePeerResponse(const std::string& peer, const FetchResult& result);
