--- a/tests/soak/router_process.cc
+++ b/tests/soak/router_process.cc
@@ -22,6 +22,13 @@
   return Ip(host) + ":" + std::to_string(port);
 }
 
+std::string ToString(const ProcessEnd& end) {
+  const std::string text = end.signal != 0
+                               ? "signal " + std::to_string(end.signal)
+                               : "exit code " + std::to_string(end.exit_code);
+  return text + (end.was_requested ? " after SIGTERM" : " without SIGTERM");
+}
+
 RouterProcess::RouterProcess(const LoopbackNetwork& network,
                              std::string program, const std::string& folder,
                              int index, std::string zone)
@@ -61,6 +68,7 @@
 
 void RouterProcess::Start() {
   was_paused_ = false;
+  was_stopped_ = false;
   sigterm_sent_at_.reset();
   std::vector<std::string> arguments = {program_, "--settings", settings_path_};
   std::vector<char*> argv;
@@ -88,6 +96,7 @@
   if (pid_ > 0) {
     kill(pid_, signal);
     was_paused_ = was_paused_ || signal == SIGSTOP;
+    was_stopped_ = was_stopped_ || signal == SIGTERM;
   }
 }
 
@@ -126,7 +135,10 @@
 }
 
 bool RouterProcess::HasExited() {
-  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+  int status = 0;
+  if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+    ends_.push_back({WIFEXITED(status) ? WEXITSTATUS(status) : 0,
+                     WIFSIGNALED(status) ? WTERMSIG(status) : 0, was_stopped_});
     pid_ = 0;
   }
   return pid_ == 0;
--- a/tests/soak/router_process.h
+++ b/tests/soak/router_process.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "corianderpost/clock.h"
 
@@ -31,6 +32,21 @@
   std::string Address(int host, int port) const;
 };
 
+// How a process ended: with an exit code, or by a signal.
+struct ProcessEnd {
+  int exit_code = 0;
+  // Zero if no signal ended the process.
+  int signal = 0;
+  // Whether SIGTERM was sent to the process before.
+  bool was_requested = false;
+
+  bool is_failure() const {
+    return !was_requested || exit_code != 0 || signal != 0;
+  }
+  friend bool operator==(const ProcessEnd&, const ProcessEnd&) = default;
+};
+std::string ToString(const ProcessEnd& end);
+
 // A router in a process of its own, signalled only by its process id. The
 // destructor kills the process. Not thread-safe.
 class RouterProcess {
@@ -61,6 +77,9 @@
   void Kill();
   // Returns whether no process is running; reaps the process if it has exited.
   bool HasExited();
+  // How the processes ended that `HasExited` has reaped, in order. Processes
+  // ended by `Kill` are not among them.
+  const std::vector<ProcessEnd>& ends() const { return ends_; }
   // Resident memory in bytes; zero if no process is running.
   std::size_t ResidentBytes() const;
   // Zero if no process is running.
@@ -81,7 +100,9 @@
   Duration grace_period_ = kGracePeriod;
   pid_t pid_ = 0;
   bool was_paused_ = false;
+  bool was_stopped_ = false;
   std::optional<TimePoint> sigterm_sent_at_;
+  std::vector<ProcessEnd> ends_;
 };
 
 }  // namespace corianderpost::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -435,6 +435,14 @@
       recovery_check_start_ = now;
     }
   }
+  for (const auto& it : routers_) {
+    for (const ProcessEnd& end : it->ends()) {
+      if (end.is_failure()) {
+        violations_.push_back("router " + it->address() +
+                              " ended by itself: " + ToString(end));
+      }
+    }
+  }
   for (const Call& it : rejected_calls_) {
     if (executions_[it.id].count > 0) {
       RecordViolation(it,
