--- a/tests/soak/standins.cc
+++ b/tests/soak/standins.cc
@@ -156,13 +156,17 @@
                ExecutionsById& executions)
     : loop_(loop),
       deployment_(deployment),
+      clock_(clock),
+      address_(address),
       executions_(executions),
       listener_(loop, address, *this, clock) {}
 
 void Target::OnRequest(const std::shared_ptr<CallerConnection>& caller,
                        ReceivedRequest request) {
   const RequestMeta meta = deployment_.dialect().DecodeRequest(request.message);
-  ++executions_[meta.request_id].count;
+  ExecutionCount& executions = executions_[meta.request_id];
+  ++executions.count;
+  executions.executions.push_back({address_, clock_.Now()});
   const std::string head =
       "HTTP/1.1 200 OK\r\n" + platform::FormatStandinSignature(meta.request_id);
   if (ToView(request.message.target()).starts_with("/stream/")) {
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -21,9 +21,17 @@
 
 namespace corianderpost::soak {
 
+// A target's begin of the execution of a request.
+struct Execution {
+  std::string target_address;
+  TimePoint began_at;
+};
+
 // Number of times that targets executed a request.
 struct ExecutionCount {
   int count = 0;
+  // In order.
+  std::vector<Execution> executions;
 };
 // By request id, over all targets.
 using ExecutionsById = std::map<std::string, ExecutionCount>;
@@ -125,6 +133,8 @@
                       int number);
   boost::asio::io_context& loop_;
   const Deployment& deployment_;
+  const Clock& clock_;
+  const std::string address_;
   ExecutionsById& executions_;
   Listener listener_;
 };
