Keep a connection open after a stream that did not announce a close

On a kept connection whose stream began before SIGTERM, the router closed after the last chunk though the response's head had not said so. A caller whose next request had arrived by then got no answer: the request was read and discarded, without a log line or a count.

Cause: whether to close was decided at the head and again at the end of the response, and a drain may begin in between. It is now decided once, at the head, and no close is announced while a further request waits. Input that is discarded after a closing response is reported and counted.

Ruled out: the exit of the process, which comes 1.8 s later.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -172,6 +172,7 @@
     return;
   }
   if (state_ == State::kLingering) {
+    has_dropped_input_ = true;
     return;
   }
   input_.append(buffer.data(), n);
@@ -379,13 +380,23 @@
   AwaitRead();
 }
 
+bool CallerConnection::HasFurtherInput() const {
+  boost::system::error_code ignored;
+  return !input_.empty() || socket_.available(ignored) > 0;
+}
+
+bool CallerConnection::HasDroppedRequest() const {
+  return !wants_close_ && !has_unread_input_ &&
+         (has_dropped_input_ || HasFurtherInput());
+}
+
 void CallerConnection::ConfigureForStreaming() {
   ConfigureSocket(socket_, kTcpUserTimeout);
 }
 
 void CallerConnection::BeginLinger() {
   boost::system::error_code ignored;
-  if (!has_unread_input_ && input_.empty() && socket_.available(ignored) == 0) {
+  if (!has_unread_input_ && !HasFurtherInput()) {
     // No unread input, so closing the socket doesn't send a reset.
     Close(CloseReason::kLingerTimeout);
     return;
@@ -399,9 +410,8 @@
 void CallerConnection::Abort(CloseReason reason) { Close(reason); }
 
 void CallerConnection::CloseIfIdle(CloseReason reason) {
-  boost::system::error_code ignored;
   // A late tick may run before a request that arrived in time is read.
-  if (is_idle() && socket_.available(ignored) == 0) {
+  if (is_idle() && !HasFurtherInput()) {
     Close(reason);
   }
 }
@@ -429,12 +439,11 @@
   switch (state_) {
     case State::kIdle:
     case State::kLingering: {
-      boost::system::error_code ignored;
       if (close.unwritten_bytes > 0) {
         close.stage = RequestStage::kWriting;
         close.request_id = request_id_;
-      } else if (state_ == State::kLingering ||
-                 (input_.empty() && socket_.available(ignored) == 0)) {
+      } else if (state_ == State::kLingering ? !HasDroppedRequest()
+                                             : !HasFurtherInput()) {
         return;
       }
       break;
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -150,6 +150,9 @@
   // True if the request in progress requires the connection to close after its
   // response.
   bool wants_close() const { return wants_close_; }
+  // Whether input that belongs to no request in progress has arrived, such as a
+  // pipelined request.
+  bool HasFurtherInput() const;
   // Bytes of output that are not yet written to the socket.
   std::size_t buffered() const {
     return output_.size() + output_in_flight_.size();
@@ -198,6 +201,9 @@
   void Close(CloseReason reason);
   // Calls the handler if a request is unanswered.
   void ReportUnanswered(CloseReason reason);
+  // Whether input after a response that closes the connection was, or would be,
+  // discarded, though neither that response nor its request explains it.
+  bool HasDroppedRequest() const;
   // Closes the connection after a failed read or write.
   void HandleSocketError(const boost::system::error_code& ec);
   // Closes the connection, and tells the handler if a response is in progress.
@@ -213,6 +219,7 @@
   bool closes_after_write_ = false;
   // A response was sent before its request was read completely.
   bool has_unread_input_ = false;
+  bool has_dropped_input_ = false;
   TimePoint first_byte_at_;
   Duration header_timeout_{0};
   TimePoint idle_since_;
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -173,6 +173,27 @@
   CHECK(fixture.unanswered.empty());
 }
 
+TEST_CASE("A request that a closing response leaves unanswered is reported") {
+  Fixture fixture;
+  fixture.closes = true;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1") + Request("/2"));
+  fixture.RunLoop();
+  fixture.TickAfter(seconds(2));
+  CHECK(fixture.requests == "/1");
+  CHECK(fixture.unanswered == "linger_timeout unread ;");
+}
+
+TEST_CASE("Input after a request that asks to close is not reported") {
+  Fixture fixture;
+  fixture.closes = true;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1", "Connection: close\r\n") + "more");
+  fixture.RunLoop();
+  fixture.TickAfter(seconds(2));
+  CHECK(fixture.unanswered.empty());
+}
+
 TEST_CASE("A shorter idle timeout applies from the next response on") {
   Fixture fixture;
   fixture.limits.idle_timeout = seconds(10);
--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -183,8 +183,10 @@
   return remaining;
 }
 
-bool Exchange::ShouldCloseConnection() const {
-  return plane_.drain.has_value() || caller_->wants_close();
+bool Exchange::DecideClose() {
+  announces_close_ = caller_->wants_close() ||
+                     (plane_.drain.has_value() && !caller_->HasFurtherInput());
+  return announces_close_;
 }
 
 void Exchange::Start() {
@@ -762,7 +764,7 @@
     caller_->ConfigureForStreaming();
     status_ = static_cast<int>(response_head_->result_int());
     out = FormatResponseHead(*response_head_, Framing::kChunked, 0,
-                             ShouldCloseConnection());
+                             DecideClose());
     plane_.metrics.Observe("corianderpost_first_event_seconds",
                            first_event_latency_);
   }
@@ -825,11 +827,11 @@
   }
   status_ = static_cast<int>(status);
   const bool is_head = request_.method() == http::verb::head;
-  caller_->Write(FormatResponseHead(
-      *response_head_,
-      is_head || status == 204 || status == 304 ? Framing::kNone
-                                                : Framing::kLength,
-      response_body_.size(), ShouldCloseConnection()));
+  caller_->Write(FormatResponseHead(*response_head_,
+                                    is_head || status == 204 || status == 304
+                                        ? Framing::kNone
+                                        : Framing::kLength,
+                                    response_body_.size(), DecideClose()));
   if (!response_body_.empty()) {
     caller_->Write(std::exchange(response_body_, {}));
   }
@@ -932,15 +934,13 @@
   reply.status = status;
   reply.reason = std::string(reason);
   reply.retry_after = retry_after;
-  caller_->Write(FormatLocalReply(reply, ShouldCloseConnection(),
+  caller_->Write(FormatLocalReply(reply, DecideClose(),
                                   request_.method() == http::verb::head));
   FinishResponse();
   Finish(reason);
 }
 
-void Exchange::FinishResponse() {
-  caller_->FinishResponse(ShouldCloseConnection());
-}
+void Exchange::FinishResponse() { caller_->FinishResponse(announces_close_); }
 
 void Exchange::Finish(std::string_view outcome) {
   if (is_done_) {
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -183,7 +183,10 @@
   void HandleStall(TimePoint now);
   // Whether the current attempt may still give the caller its response.
   bool MayStillComplete() const;
-  bool ShouldCloseConnection() const;
+  // Decides whether the connection closes after the response, whose head is
+  // written next. It then stays open unless the head says so, since the caller
+  // may send another request meanwhile.
+  bool DecideClose();
   void Log(internal::LogLevel level, const char* message,
            std::vector<internal::LogField> fields);
 
@@ -252,6 +255,8 @@
   EventSplitter splitter_;
   // The response head and at least one event were sent to the caller.
   bool has_stream_begun_ = false;
+  // The response's head says that the connection closes after it.
+  bool announces_close_ = false;
   // The current attempt continues a stream that an earlier one of this request
   // began.
   bool is_resuming_ = false;
--- a/tests/fleet/kept_callers.cc
+++ b/tests/fleet/kept_callers.cc
@@ -164,6 +164,7 @@
     return;
   }
   caller->call->is_complete = true;
+  caller->call->ended_at = fleet_.Now();
   caller->call.reset();
   caller->reusable_until = fleet_.Now() + idle_timeout_ * 4 / 5;
   if (!parser.get().keep_alive()) {
@@ -172,6 +173,9 @@
     caller->socket.close(ignored);
   }
   ScheduleNext(caller);
+  if (max_pause_ == Duration(0) && caller->is_connected && !is_stopped_) {
+    Send(caller);
+  }
 }
 
 void KeptCallers::HandleEnd(const std::shared_ptr<Caller>& caller) {
@@ -183,6 +187,7 @@
   caller->socket.close(ignored);
   if (caller->call) {
     caller->call->was_cut = true;
+    caller->call->ended_at = fleet_.Now();
     caller->call.reset();
   }
   ScheduleNext(caller);
--- a/tests/fleet/kept_callers.h
+++ b/tests/fleet/kept_callers.h
@@ -24,12 +24,15 @@
   bool is_complete = false;
   // The router closed the connection before that.
   bool was_cut = false;
+  // When the response was complete or the connection was closed.
+  TimePoint ended_at = {};
 };
 
 // Each caller sends a request, waits for its response, pauses for a random time
 // and sends the next one on the same connection, unless that has been idle for
 // four fifths of the idle timeout or the router has closed it; a new connection
-// goes to a random router. Not thread-safe.
+// goes to a random router. Without a maximum pause, the next request follows in
+// the turn of the event loop in which the response ends. Not thread-safe.
 class KeptCallers {
  public:
   // `paths` are the path prefixes of the requests.
