Keep signals that come before a router can handle them

Until the event loop had its handlers, the default action was in force: through the dynamic linking of 34 libraries, the settings, the log and the sockets.

.preinit_array now blocks SIGHUP, SIGINT and SIGTERM before any constructor, so that threads of log4cplus inherit the mask; the event loop unblocks them when it handles them.

The first 1 to 3 ms remain: a program without libraries of its own has them too.

--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -8,6 +8,7 @@
 #include "router/router.h"
 #include "runtime/command_line.h"
 #include "runtime/json_log.h"
+#include "runtime/signal_mask.h"
 
 namespace {
 
@@ -19,6 +20,16 @@
 // `MemoryBudget` leaves to the rest of the program.
 constexpr int kMinMappedBytes = 256 * 1024;
 
+// Runs before the constructors of static objects, in libraries too, which take
+// time and may start threads. The router unblocks the signals.
+void BlockSignalsAtStart(int, char**, char**) {
+  internal::BlockHandledSignals();
+}
+__attribute__((section(".preinit_array"),
+               used)) void (*const block_signals_at_start)(int, char**,
+                                                           char**) =
+    BlockSignalsAtStart;
+
 int Run(const po::variables_map& values) {
   mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   const auto path = values["settings"].as<std::string>();
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -23,6 +23,7 @@
 #include "router/overload_detector.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
+#include "runtime/signal_mask.h"
 
 namespace corianderpost {
 namespace {
@@ -601,6 +602,7 @@
        {"callers", settings_.callers_address},
        {"seeds", settings_.seeds}});
   AwaitSignal();
+  internal::UnblockHandledSignals();
   messenger_.Start();
   ScheduleTick();
   Tick();
