Log demand, admitted rate and credit of the customers above the share level

The line "demand exceeds the capacity" named totals only, so that an unfair share could not be told from a late level, a level that does not limit, or callers that move between routers. It now names the four customers with the largest demand above the level and the least admitted one, with demand and admitted units here and in the fleet, credit here, and rejections by reason.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -191,6 +191,12 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+double FairShare::Credit(TimePoint now, CustomerId customer) {
+  Account& account = FindOrCreateAccount(now, customer);
+  Refill(now, customer, account);
+  return account.credit_units;
+}
+
 RatesByCustomer FairShare::LocalRates(TimePoint now) const {
   RatesByCustomer local_rates;
   for (const auto& [customer, account] : accounts_) {
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -75,6 +75,9 @@
   // zero if it is not in debt.
   Duration TimeUntilCredit(TimePoint now, CustomerId customer);
 
+  // Returns the fill of the customer's bucket at this router in units; negative
+  // if it is in debt, zero if the customer is within its share.
+  double Credit(TimePoint now, CustomerId customer);
   // Returns the rates at all routers together, as of the last update of the
   // share level.
   const RatesByCustomer& FleetRates(TimePoint now);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -21,6 +21,7 @@
 #include "peers/store_reader.h"
 #include "router/listener.h"
 #include "router/overload_detector.h"
+#include "router/share_log.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
 
@@ -835,7 +836,9 @@
          {"customers_above_level", share.customers_above_level},
          {"usable_engines", share.usable_engines},
          {"peak_engines", share.peak_engines},
-         {"max_accepts_per_turn", accepts}});
+         {"max_accepts_per_turn", accepts},
+         {"shares", DescribeShares(now, scheduler_.fair_share(),
+                                   *plane_.configuration, counts)}});
   }
 }
 
