Check customers' shares on real processes before overloaded engines

EngineQueue gives an engine slots, a rate at which it reads prompts and a cache of shared parts; it is off by default.

--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -20,12 +20,9 @@
 
 constexpr char kHost[] = "fleet.example";
 constexpr char kService[] = "assistant";
-constexpr double kTokensPerSecond = 4e6;
 // Time from the arrival of a request to the start of its answer.
 constexpr auto kStartDelay = milliseconds(60);
-// Time that a caller waits in all tries together, and the least that it must
-// have left for another try.
-constexpr Duration kCallerTimeout = seconds(4);
+// The least time that a caller must have left for another try.
 constexpr Duration kMinTryTime = milliseconds(100);
 // Interval of the loop that plays a fleet.
 constexpr auto kStepInterval = milliseconds(2);
@@ -35,7 +32,7 @@
 constexpr Duration kHousekeepingInterval = milliseconds(200);
 
 template <typename Callback>
-void RunAfter(asio::io_context& loop, milliseconds delay, Callback callback) {
+void RunAfter(asio::io_context& loop, Duration delay, Callback callback) {
   auto timer = std::make_shared<asio::steady_timer>(loop, delay);
   timer->async_wait([timer, callback](boost::system::error_code ec) {
     if (!ec) {
@@ -137,11 +134,11 @@
   arrivals_.push_back({clock_.Now(), meta.request_id, crashing_part});
   open_.push_back(caller);
   if (is_refusing) {
-    caller->Write("HTTP/1.1 503 Service Unavailable\r\n" +
-                  platform::FormatStandinSignature(meta.request_id) +
-                  platform::FormatStandinNotExecuted() + refusal_headers +
-                  "Content-Length: 0\r\n\r\n");
-    caller->FinishResponse(false);
+    Refuse(*caller, meta, refusal_headers);
+    return;
+  }
+  if (queue_) {
+    Queue(caller, meta, crashing_part);
     return;
   }
   RunAfter(loop_, kStartDelay,
@@ -152,13 +149,40 @@
            });
 }
 
-void Engine::Begin(const std::shared_ptr<CallerConnection>& caller,
+void Engine::Refuse(CallerConnection& caller, const RequestMeta& meta,
+                    const std::string& headers) {
+  caller.Write("HTTP/1.1 503 Service Unavailable\r\n" +
+               platform::FormatStandinSignature(meta.request_id) +
+               platform::FormatStandinNotExecuted() + headers +
+               "Content-Length: 0\r\n\r\n");
+  caller.FinishResponse(false);
+}
+
+void Engine::Queue(const std::shared_ptr<CallerConnection>& caller,
                    const RequestMeta& meta, std::uint64_t crashing_part) {
+  const auto is_wanted = [this, caller, incarnation = incarnation_] {
+    return incarnation == incarnation_ && caller->is_open();
+  };
+  const auto begin = [this, caller, meta, crashing_part,
+                      is_wanted](const EngineQueue::Slot& slot) {
+    if (is_wanted()) {
+      Begin(caller, meta, crashing_part, slot);
+    }
+  };
+  if (!queue_->Add({meta.prompt, is_wanted, begin})) {
+    Refuse(*caller, meta, refusal_headers);
+  }
+}
+
+void Engine::Begin(const std::shared_ptr<CallerConnection>& caller,
+                   const RequestMeta& meta, std::uint64_t crashing_part,
+                   const EngineQueue::Slot& slot) {
   if (crashing_part != 0) {
     crashes_.push_back(clock_.Now());
     Crash();
     return;
   }
+  runs_.push_back({clock_.Now(), meta.request_id});
   if (endless_response) {
     caller->Write("HTTP/1.1 200 OK\r\n" +
                   platform::FormatStandinSignature(meta.request_id) +
@@ -171,9 +195,13 @@
                 extra_headers +
                 "Content-Type: text/event-stream\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n");
+  const int last = queue_ ? static_cast<int>(meta.max_output_tokens /
+                                             capacity_.tokens_per_event)
+                          : stream.events;
   SendEventsFrom(
       caller,
-      1 + static_cast<int>(ParseEventNumber(meta.last_event_id).value_or(0)));
+      1 + static_cast<int>(ParseEventNumber(meta.last_event_id).value_or(0)),
+      last, slot);
 }
 
 void Engine::SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
@@ -193,19 +221,22 @@
 }
 
 void Engine::SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
-                            int number) {
+                            int number, int last,
+                            const EngineQueue::Slot& slot) {
   if (!caller->is_open()) {
     return;
   }
-  if (number > stream.events) {
+  if (number > last) {
     caller->Write(std::string(kLastChunk));
     caller->FinishResponse(false);
     return;
   }
   caller->Write(FormatChunk("id: " + std::to_string(number) +
                             "\ndata: " + writer() + "\n\n"));
-  RunAfter(loop_, stream.interval,
-           [this, caller, number] { SendEventsFrom(caller, number + 1); });
+  RunAfter(loop_, queue_ ? queue_->event_interval() : stream.interval,
+           [this, caller, number, last, slot] {
+             SendEventsFrom(caller, number + 1, last, slot);
+           });
 }
 
 std::string Engine::writer() const {
@@ -229,6 +260,9 @@
 
 void Engine::Crash(Duration down_time) {
   ++incarnation_;
+  if (queue_) {
+    queue_.emplace(loop_, capacity_);
+  }
   restart_at_ = clock_.Now() + down_time;
   for (const auto& it : open_) {
     if (const auto caller = it.lock(); caller && caller->is_open()) {
@@ -352,9 +386,9 @@
 void EngineFleet::PublishConfiguration(std::uint64_t version, int added_routes,
                                        const platform::StandinRules& rules) {
   store_.Put(platform::StandinConfigurationKey(),
-             platform::FormatStandinConfiguration(version, kHost, kService,
-                                                  customers_, kTokensPerSecond,
-                                                  added_routes, rules));
+             platform::FormatStandinConfiguration(
+                 version, kHost, kService, customers_, tokens_per_second_,
+                 added_routes, rules));
 }
 
 void EngineFleet::ApplyThrottle(TimePoint now) {
@@ -375,8 +409,8 @@
   }
 }
 
-void EngineFleet::Start() {
-  PublishConfiguration(1, 0);
+void EngineFleet::Start(const platform::StandinRules& rules) {
+  PublishConfiguration(1, 0, rules);
   for (const auto& it : routers_) {
     it->Start();
   }
@@ -423,11 +457,12 @@
 
 std::shared_ptr<const EngineCall> EngineFleet::Send(
     std::size_t router, const std::string& customer,
-    std::vector<PromptPart> prompt, const std::string& path) {
+    std::vector<PromptPart> prompt, const CallOptions& options) {
   auto call = std::make_shared<EngineCall>(
       EngineCall{clock_.Now(), {}, router, customer, std::move(prompt)});
+  call->options = options;
   calls_.push_back(call);
-  SendTry(call, router, path + "x" + std::to_string(calls_.size()));
+  SendTry(call, router, options.path + "x" + std::to_string(calls_.size()));
   return call;
 }
 
@@ -442,9 +477,9 @@
       kHost,
       "",
       call->customer,
-      kCallerTimeout - (clock_.Now() - call->began_at),
+      call->options.timeout - (clock_.Now() - call->began_at),
       0,
-      20,
+      call->options.max_output_tokens,
       call->prompt};
   if (call->tries.empty()) {
     request.request_id = "c" + std::to_string(calls_.size());
@@ -514,7 +549,7 @@
           random_() %
           static_cast<std::uint64_t>(resume_policy_.max_delay.count()))));
   if (clock_.Now() + delay + kMinTryTime - open.call->began_at >=
-      kCallerTimeout) {
+      open.call->options.timeout) {
     return;
   }
   RunAfter(loop_, delay, [this, call = open.call, path = open.path, router] {
@@ -535,7 +570,7 @@
 
 void EngineFleet::Start(const std::shared_ptr<OpenCall>& open,
                         const std::string& address) {
-  open->timer.expires_after(kCallerTimeout -
+  open->timer.expires_after(open->call->options.timeout -
                             (clock_.Now() - open->call->began_at));
   open->timer.async_wait([open](boost::system::error_code ec) {
     if (!ec) {
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/engine_queue.h"
 #include "platform/platform_deployment.h"
 #include "platform/standin_wire.h"
 #include "soak/router_process.h"
@@ -32,6 +33,12 @@
   std::uint64_t crashing_part = 0;
 };
 
+// The start of a request's answer.
+struct Run {
+  TimePoint began_at;
+  std::string request_id;
+};
+
 // The events of each stream that an engine writes.
 struct StreamShape {
   int events = 4;
@@ -68,6 +75,14 @@
   std::int64_t incarnation() const { return incarnation_; }
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   const std::vector<TimePoint>& crashes() const { return crashes_; }
+  const std::vector<Run>& runs() const { return runs_; }
+  // Limits what the engine serves from now on; by default, it answers each
+  // request at once. Streams then have the events that their request asks for,
+  // and the pace of the engine.
+  void LimitCapacity(const EngineCapacity& capacity) {
+    capacity_ = capacity;
+    queue_.emplace(loop_, capacity);
+  }
 
   // Returns what the data of each event names: the version, or this run of the
   // engine if its entry states no version.
@@ -92,9 +107,17 @@
   static constexpr Duration kDefaultDownTime = std::chrono::milliseconds(1500);
 
   void Begin(const std::shared_ptr<CallerConnection>& caller,
+             const RequestMeta& meta, std::uint64_t crashing_part,
+             const EngineQueue::Slot& slot = nullptr);
+  // Adds a request to the queue of an engine with limited capacity.
+  void Queue(const std::shared_ptr<CallerConnection>& caller,
              const RequestMeta& meta, std::uint64_t crashing_part);
+  // Answers with 503, as not executed.
+  static void Refuse(CallerConnection& caller, const RequestMeta& meta,
+                     const std::string& headers);
+  // Sends event `number` and the following ones, up to `last`.
   void SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
-                      int number);
+                      int number, int last, const EngineQueue::Slot& slot);
   void SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
                      const std::string& part);
   boost::asio::io_context& loop_;
@@ -107,6 +130,10 @@
   TimePoint restart_at_;
   std::vector<Arrival> arrivals_;
   std::vector<TimePoint> crashes_;
+  std::vector<Run> runs_;
+  EngineCapacity capacity_;
+  // Empty if the capacity is not limited.
+  std::optional<EngineQueue> queue_;
 };
 
 // A complete event that a caller received.
@@ -148,6 +175,15 @@
   std::uint64_t seed = 1;
 };
 
+// How a caller sends its request.
+struct CallOptions {
+  // Selects the route; by default, that of the first configuration.
+  std::string path = "/stream/";
+  // Time that the caller waits in all tries together.
+  Duration timeout = std::chrono::seconds(4);
+  std::int64_t max_output_tokens = 20;
+};
+
 // A caller's request and its result. If it resumes its stream, it has several
 // tries.
 struct EngineCall {
@@ -162,6 +198,7 @@
   std::string response = {};
   // Empty for a readiness check.
   std::vector<CallTry> tries = {};
+  CallOptions options = {};
 
   bool is_served() const {
     return response.starts_with("HTTP/1.1 200") &&
@@ -178,19 +215,26 @@
               const std::vector<std::string>& customers);
 
   // Starts the routers, and waits until they have found each other.
-  void Start();
+  void Start(const platform::StandinRules& rules = {});
   // Plays until `duration` from now. `on_step` is called every few milliseconds
   // and may call `Send`.
   void PlayFor(Duration duration,
                const std::function<void(TimePoint)>& on_step = {});
   // Plays until all calls have ended, so that none resumes its stream.
   void PlayUntilCallsEnd();
-  // Sends a request to a router. `path` selects the route; by default, that of
-  // the first configuration.
+  // Sends a request to a router.
   std::shared_ptr<const EngineCall> Send(std::size_t router,
                                          const std::string& customer,
                                          std::vector<PromptPart> prompt,
-                                         const std::string& path = "/stream/");
+                                         const CallOptions& options);
+  std::shared_ptr<const EngineCall> Send(std::size_t router,
+                                         const std::string& customer,
+                                         std::vector<PromptPart> prompt,
+                                         const std::string& path = "/stream/") {
+    CallOptions options;
+    options.path = path;
+    return Send(router, customer, std::move(prompt), options);
+  }
   // Asks a router whether it is ready.
   std::shared_ptr<const EngineCall> SendReadinessCheck(std::size_t router);
   // Applies to the calls that begin later.
@@ -212,6 +256,8 @@
   // Writes a version of the configuration with this many added routes.
   void PublishConfiguration(std::uint64_t version, int added_routes,
                             const platform::StandinRules& rules = {});
+  // The throughput that the next version of the configuration states.
+  void SetTokensPerSecond(double tokens) { tokens_per_second_ = tokens; }
   // The customers of the next version of the configuration.
   void SetCustomers(std::vector<std::string> customers) {
     customers_ = std::move(customers);
@@ -265,6 +311,7 @@
   Duration heartbeat_interval_{0};
   TimePoint next_heartbeat_;
   std::uint64_t sequence_ = 0;
+  double tokens_per_second_ = 4e6;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
   std::vector<std::shared_ptr<EngineCall>> calls_;
   std::vector<std::weak_ptr<OpenCall>> open_calls_;
