--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -21,8 +21,10 @@
 #include "peers/store_reader.h"
 #include "router/listener.h"
 #include "router/overload_detector.h"
+#include "router/share_log.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
+#include "runtime/signal_mask.h"
 
 namespace corianderpost {
 namespace {
@@ -601,6 +603,7 @@
        {"callers", settings_.callers_address},
        {"seeds", settings_.seeds}});
   AwaitSignal();
+  internal::UnblockHandledSignals();
   messenger_.Start();
   ScheduleTick();
   Tick();
@@ -835,7 +838,9 @@
          {"customers_above_level", share.customers_above_level},
          {"usable_engines", share.usable_engines},
          {"peak_engines", share.peak_engines},
-         {"max_accepts_per_turn", accepts}});
+         {"max_accepts_per_turn", accepts},
+         {"shares", DescribeShares(now, scheduler_.fair_share(),
+                                   *plane_.configuration, counts)}});
   }
 }
 
