Wait for an address that another socket holds at the start

The first failure to bind was taken for a lasting one.

RetryBinding constructs the router again every 50 ms for up to 10 s if an address is in use or not there yet, and takes SIGTERM and SIGINT meanwhile. The settings are now read once, so that a change between two reads is not missed by later checks.

--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <stdexcept>
 
+#include "runtime/bind_retry.h"
 #include "runtime/json_log.h"
 
 namespace corianderpost {
@@ -60,8 +61,9 @@
     socket_.non_blocking(true, ec);
   }
   if (ec) {
-    throw std::runtime_error("cannot open the UDP socket for peer reports: " +
-                             ec.message());
+    internal::ThrowBindError("cannot bind the UDP socket for peer reports at " +
+                                 self.vm + ":" + std::to_string(port_),
+                             ec);
   }
 }
 
--- a/src/peers/peer_messenger.h
+++ b/src/peers/peer_messenger.h
@@ -27,7 +27,7 @@
   using AddReplicaState = std::function<void(TimePoint, PeerReport&)>;
 
   // Binds the UDP port `port` at `self.vm`; all peers use the same port. Throws
-  // std::runtime_error if that fails.
+  // std::runtime_error if that fails; AddressUnavailableError if that may pass.
   // `scheduler`, `clock` and `metrics` must outlive the messenger.
   PeerMessenger(boost::asio::io_context& loop, const Clock& clock,
                 const RouterInfo& self, std::uint16_t port,
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "dataplane/upstream.h"
+#include "runtime/bind_retry.h"
 #include "runtime/json_log.h"
 
 namespace corianderpost {
@@ -52,8 +53,7 @@
     acceptor_.non_blocking(true, ec);
   }
   if (ec) {
-    throw std::runtime_error("cannot listen at " + address + ": " +
-                             ec.message());
+    internal::ThrowBindError("cannot listen at " + address, ec);
   }
   AwaitAccept();
 }
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -18,8 +18,8 @@
 class Listener {
  public:
   // Listens on `address`, which is "IPv4:port". Throws std::runtime_error if it
-  // is invalid or can't be bound. `handler` and `clock` must outlive the
-  // listener.
+  // is invalid or can't be bound; AddressUnavailableError if that may pass.
+  // `handler` and `clock` must outlive the listener.
   Listener(boost::asio::io_context& loop, const std::string& address,
            CallerHandler& handler, const Clock& clock);
 
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -2,10 +2,15 @@
 #include <malloc.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
 
 #include "platform/platform_deployment.h"
 #include "router/router.h"
+#include "runtime/bind_retry.h"
 #include "runtime/command_line.h"
 #include "runtime/json_log.h"
 #include "runtime/signal_mask.h"
@@ -30,11 +35,20 @@
                                                            char**) =
     BlockSignalsAtStart;
 
+std::string ReadSettings(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) {
+    throw internal::UsageError("cannot read the settings at " + path);
+  }
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 int Run(const po::variables_map& values) {
   mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   const auto path = values["settings"].as<std::string>();
+  const std::string text = ReadSettings(path);
   const auto settings = corianderpost::RouterSettings::FromYaml(
-      corianderpost::CheckedYaml::FromFile(path));
+      corianderpost::CheckedYaml::FromText(text, path));
   if (values.count("check") != 0) {
     std::cout << "the settings are valid\n";
     return internal::kExitSuccess;
@@ -42,8 +56,19 @@
   internal::OpenLog(values.count("verbose") != 0 ? internal::LogLevel::kDebug
                                                  : internal::LogLevel::kInfo);
   const corianderpost::platform::PlatformDeployment deployment;
-  corianderpost::Router router(settings, path, deployment);
-  router.Run();
+  std::optional<corianderpost::Router> router;
+  const bool has_started = internal::RetryBinding(
+      corianderpost::SystemClock(),
+      [&] { router.emplace(settings, path, text, deployment); },
+      [](corianderpost::Duration pause) {
+        return !internal::AwaitStopSignal(pause);
+      });
+  if (has_started) {
+    router->Run();
+  } else {
+    internal::Log(internal::LogLevel::kInfo, "router stopped",
+                  {{"vm", settings.vm}});
+  }
   // Skips static destructors: log4cplus may wait for its idle threads beyond
   // the grace period. No output is lost, because all responses are written and
   // log lines are not buffered.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -184,7 +184,7 @@
 class Router::Impl {
  public:
   Impl(const RouterSettings& settings, std::string settings_path,
-       const Deployment& deployment);
+       std::string settings_text, const Deployment& deployment);
   void Run();
 
  private:
@@ -429,11 +429,11 @@
 };
 
 Router::Impl::Impl(const RouterSettings& settings, std::string settings_path,
-                   const Deployment& deployment)
+                   std::string settings_text, const Deployment& deployment)
     : memory_(MessageMemoryOf(settings)),
       settings_(settings),
       settings_path_(std::move(settings_path)),
-      settings_text_(ReadFile(settings_path_)),
+      settings_text_(std::move(settings_text)),
       deployment_(deployment),
       scheduler_(SchedulerOptionsOf(settings)),
       pool_(loop_, clock_),
@@ -1406,9 +1406,9 @@
 }
 
 Router::Router(const RouterSettings& settings, std::string settings_path,
-               const Deployment& deployment)
+               std::string settings_text, const Deployment& deployment)
     : impl_(std::make_unique<Impl>(settings, std::move(settings_path),
-                                   deployment)) {}
+                                   std::move(settings_text), deployment)) {}
 
 Router::~Router() = default;
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -13,15 +13,18 @@
 // Runs on the thread that calls `Run`; not thread-safe.
 class Router {
  public:
-  // `settings` are those of the file at `settings_path`, which is checked for
-  // changes every second and on SIGHUP. Throws std::runtime_error if an address
-  // can't be bound. `deployment` must outlive the router.
+  // `settings` were read from `settings_text`, the content of the file at
+  // `settings_path`, which is checked for changes every second and on SIGHUP.
+  // Throws std::runtime_error if an address can't be bound;
+  // AddressUnavailableError if that may pass. `deployment` must outlive the
+  // router.
   Router(const RouterSettings& settings, std::string settings_path,
-         const Deployment& deployment);
+         std::string settings_text, const Deployment& deployment);
   ~Router();
 
   // Runs until the router has drained after SIGTERM or SIGINT: open requests
   // have ended, or were aborted just before the end of the grace period.
+  // Unblocks the signals when it handles them.
   void Run();
 
  private:
--- a/src/runtime/signal_mask.cc
+++ b/src/runtime/signal_mask.cc
@@ -20,4 +20,15 @@
 
 void UnblockHandledSignals() { ChangeMask(SIG_UNBLOCK); }
 
+bool AwaitStopSignal(Duration duration) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  const auto s = std::chrono::duration_cast<std::chrono::seconds>(duration);
+  const timespec timeout{s.count(),
+                         std::chrono::nanoseconds(duration - s).count()};
+  return sigtimedwait(&signals, nullptr, &timeout) > 0;
+}
+
 }  // namespace corianderpost::internal
--- a/tests/fleet/process_life_fleet_test.cc
+++ b/tests/fleet/process_life_fleet_test.cc
@@ -1,7 +1,9 @@
 // Starts router processes under conditions that once ended them.
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -9,6 +11,7 @@
 #include <fstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "soak/router_process.h"
 
@@ -77,5 +80,79 @@
   CHECK(log.find("router stopped") != std::string::npos);
 }
 
+// A socket bound to the address until it is closed. Not copyable.
+class HeldAddress {
+ public:
+  // `type` is SOCK_STREAM, which then listens, or SOCK_DGRAM.
+  HeldAddress(const std::string& ip, int port, int type)
+      : fd_(socket(AF_INET, type | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = inet_addr(ip.c_str());
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) ==
+            0);
+    REQUIRE((type == SOCK_DGRAM || listen(fd_, 1) == 0));
+  }
+  ~HeldAddress() { Release(); }
+  HeldAddress(const HeldAddress&) = delete;
+  HeldAddress& operator=(const HeldAddress&) = delete;
+  void Release() {
+    if (fd_ >= 0) {
+      close(std::exchange(fd_, -1));
+    }
+  }
+
+ private:
+  int fd_;
+};
+
+// Starts a router while its address is held, and checks that it starts when the
+// address is free.
+void CheckStartsWhenFree(int network, int port, int type) {
+  const std::string folder = FreshFolder(network);
+  const std::string log = folder + "/router-0.jsonl";
+  const LoopbackNetwork loopback{network};
+  HeldAddress held(loopback.Ip(10), port, type);
+  RouterProcess router(loopback, kProgram, folder, 0);
+  router.Start();
+  CHECK(Eventually([&] {
+    return router.HasExited() ||
+           ReadText(log).find("address is unavailable") != std::string::npos;
+  }));
+  REQUIRE_FALSE(router.HasExited());
+  held.Release();
+  CHECK(Eventually([&] {
+    return ReadText(log).find("router started") != std::string::npos;
+  }));
+  CHECK_FALSE(router.HasExited());
+}
+
+// Guards against a restart that fails because a socket still holds a port.
+TEST_CASE("A port that is held for a moment ends no router") {
+  SUBCASE("callers") { CheckStartsWhenFree(201, kCallersPort, SOCK_STREAM); }
+  SUBCASE("readiness") {
+    CheckStartsWhenFree(202, kReadinessPort, SOCK_STREAM);
+  }
+  SUBCASE("control") { CheckStartsWhenFree(203, kControlPort, SOCK_STREAM); }
+  SUBCASE("peers") { CheckStartsWhenFree(204, kPeerPort, SOCK_DGRAM); }
+}
+
+TEST_CASE("A router that waits for a port stops on SIGTERM") {
+  const std::string folder = FreshFolder(205);
+  const std::string log = folder + "/router-0.jsonl";
+  const LoopbackNetwork network{205};
+  const HeldAddress held(network.Ip(10), kCallersPort, SOCK_STREAM);
+  RouterProcess router(network, kProgram, folder, 0);
+  router.Start();
+  CHECK(Eventually([&] {
+    return ReadText(log).find("address is unavailable") != std::string::npos;
+  }));
+  router.Signal(SIGTERM);
+  REQUIRE(Eventually([&] { return router.HasExited(); }));
+  CHECK(ToString(router.ends().back()) == "exit code 0 after SIGTERM");
+  CHECK(ReadText(log).find("router stopped") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace corianderpost::soak
