Wait at the exit for requests that are still arriving

A stopping router ended up to 4.9 s before its grace was over while a caller was sending the body of a request: the connection was closed without an answer. The exit waited for requests in progress and for unwritten output, not for requests that are being read or that wait in a socket or in the accept queue. It asks the connections now, accepts what waits before it leaves, and gives 503 to what has not arrived when open requests are aborted. What is dropped from the accept queue is logged.

Ruled out: the header timeout, which leaves the body 10 s more.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -34,6 +34,7 @@
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 // Callers retry at other routers, which may have memory left.
 constexpr Duration kMemoryRetryAfter = milliseconds(100);
+constexpr Duration kStoppingRetryAfter = milliseconds(1);
 
 // Shared by all connections, since input is copied right after each read. Idle
 // connections then need no buffer of their own.
@@ -409,6 +410,12 @@
 
 void CallerConnection::Abort(CloseReason reason) { Close(reason); }
 
+void CallerConnection::RejectUnfinished(const std::string& reason) {
+  if (state_ == State::kReading) {
+    Reject(503, reason, kStoppingRetryAfter);
+  }
+}
+
 void CallerConnection::CloseIfIdle(CloseReason reason) {
   // A late tick may run before a request that arrived in time is read.
   if (is_idle() && !HasFurtherInput()) {
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -132,6 +132,8 @@
   // Closes the connection if it has no request in progress, no unread input and
   // no buffered output.
   void CloseIfIdle(CloseReason reason);
+  // Rejects, as not executed, a request that has not arrived completely.
+  void RejectUnfinished(const std::string& reason);
   // Closes the connection whatever its state, since the process exits.
   void CloseForExit() { Close(CloseReason::kExit); }
   // Names the request in progress in `UnansweredClose`.
@@ -153,6 +155,12 @@
   // Whether input that belongs to no request in progress has arrived, such as a
   // pipelined request.
   bool HasFurtherInput() const;
+  // Whether a request is arriving or waits to be read, is in progress, or has a
+  // response that the caller may not have received yet.
+  bool HasOpenRequest() const {
+    return state_ == State::kIdle ? !is_idle() || HasFurtherInput()
+                                  : state_ != State::kClosed;
+  }
   // Bytes of output that are not yet written to the socket.
   std::size_t buffered() const {
     return output_.size() + output_in_flight_.size();
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -194,6 +194,28 @@
   CHECK(fixture.unanswered.empty());
 }
 
+TEST_CASE("A request that has not arrived before the exit is rejected") {
+  Fixture fixture;
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1", "Content-Length: 10\r\n") + "abc");
+  fixture.RunLoop();
+  CHECK(fixture.listener().HasOpenRequests());
+  fixture.listener().RejectUnfinished("stopping");
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 503"));
+  CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("Only a connection without a request counts as done") {
+  Fixture fixture;
+  tcp::socket caller = fixture.Connect();
+  CHECK_FALSE(fixture.listener().HasOpenRequests());
+  Send(caller, Request("/1"));
+  CHECK(fixture.listener().HasOpenRequests());
+  fixture.RunLoop();
+  CHECK(fixture.requests == "/1");
+  CHECK_FALSE(fixture.listener().HasOpenRequests());
+}
+
 TEST_CASE("A shorter idle timeout applies from the next response on") {
   Fixture fixture;
   fixture.limits.idle_timeout = seconds(10);
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-constexpr int kBacklog = 1024;
+constexpr std::size_t kBacklog = 1024;
 // Connections accepted in one turn of the event loop. The request of a new
 // connection is handled in the same turn, so without a bound a burst of
 // connections delays timers, peer reports and responses of targets.
@@ -46,7 +46,7 @@
     acceptor_.bind(*endpoint, ec);
   }
   if (!ec) {
-    acceptor_.listen(kBacklog, ec);
+    acceptor_.listen(static_cast<int>(kBacklog), ec);
   }
   if (!ec) {
     acceptor_.non_blocking(true, ec);
@@ -164,9 +164,26 @@
   return acceptor_.local_endpoint().port();
 }
 
-bool Listener::HasUnwrittenOutput() const {
+bool Listener::HasOpenRequests() const {
   return std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& it) { return it->buffered() > 0; });
+                     [](const auto& it) { return it->HasOpenRequest(); });
+}
+
+void Listener::AcceptAll() {
+  // Bounded, since callers may connect all the time.
+  for (std::size_t n = 0; n < kBacklog; n += kMaxAcceptsPerTurn) {
+    const std::size_t size = connections_.size();
+    AcceptAvailable();
+    if (connections_.size() <= size) {
+      break;
+    }
+  }
+}
+
+void Listener::RejectUnfinished(const std::string& reason) {
+  for (const auto& it : connections_) {
+    it->RejectUnfinished(reason);
+  }
 }
 
 void Listener::CloseIdle() {
@@ -176,6 +193,17 @@
 }
 
 void Listener::CloseForExit() {
+  std::size_t dropped = 0;
+  for (boost::system::error_code ec; !ec && dropped < kBacklog;) {
+    asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, ec);
+    dropped += ec ? 0 : 1;
+  }
+  if (dropped > 0) {
+    internal::Log(internal::LogLevel::kWarning,
+                  "connections closed before they were handled",
+                  {{"connections", dropped}});
+  }
   for (const auto& it : connections_) {
     it->CloseForExit();
   }
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -33,8 +33,13 @@
   void Tick(TimePoint now);
   // Closes all idle connections.
   void CloseIdle();
-  // Whether some connection has output that is not written yet.
-  bool HasUnwrittenOutput() const;
+  // Whether some connection has a request that is not answered, or whose answer
+  // may not have reached the caller.
+  bool HasOpenRequests() const;
+  // Accepts all connections that wait for it, and handles what they have sent.
+  void AcceptAll();
+  // Rejects, as not executed, requests that have not arrived completely.
+  void RejectUnfinished(const std::string& reason);
   // Closes all connections, since the process exits.
   void CloseForExit();
   std::size_t size() const { return connections_.size(); }
--- a/src/router/listener_test.cc
+++ b/src/router/listener_test.cc
@@ -82,5 +82,22 @@
   CHECK(listener.TakeMaxAcceptsPerTurn() <= kMaxRequestsPerTurn);
 }
 
+TEST_CASE("Connections that wait to be accepted can be handled at once") {
+  constexpr int kCallers = 100;
+  asio::io_context loop;
+  SystemClock clock;
+  CountingHandler handler;
+  Listener listener(loop, "127.0.0.1:0", handler, clock);
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(loop);
+    callers.back().connect({asio::ip::address_v4::loopback(), listener.port()});
+    asio::write(callers.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  listener.AcceptAll();
+  CHECK(handler.requests == kCallers);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -417,7 +417,7 @@
   // When the evacuation of zones ends that a restored store lacks, unless it is
   // written again before.
   std::map<std::string, TimePoint> evacuation_ends_;
-  TimePoint last_open_exchange_at_;
+  TimePoint last_open_request_at_;
   Duration total_suspended_{0};
   std::set<std::string> evacuated_zones_;
   // `evacuated_zones_` has changed since the scheduler got a copy.
@@ -926,23 +926,29 @@
   if (drain.HasLeftRotation(now)) {
     caller_listener_.CloseIdle();
   }
-  if (caller_listener_.HasUnwrittenOutput()) {
-    last_open_exchange_at_ = now;
+  if (now >= drain.abort_at()) {
+    caller_listener_.RejectUnfinished("this router is stopping");
   }
-  if (!exchanges_.empty()) {
-    last_open_exchange_at_ = now;
-    if (now >= drain.abort_at()) {
-      Log(LogLevel::kInfo, "aborting open requests before the exit",
-          {{"open_requests", exchanges_.size()}});
-      for (auto& [caller, exchange] : exchanges_) {
-        exchange->AbortForShutdown();
-      }
+  if (!exchanges_.empty() && now >= drain.abort_at()) {
+    Log(LogLevel::kInfo, "aborting open requests before the exit",
+        {{"open_requests", exchanges_.size()}});
+    for (auto& [caller, exchange] : exchanges_) {
+      exchange->AbortForShutdown();
     }
   }
-  const bool has_ended =
-      drain.HasLeftRotation(now) && now - last_open_exchange_at_ >= kFlushTime;
-  if (has_ended || now >= drain.exit_at()) {
+  const bool has_left = drain.HasLeftRotation(now);
+  if (!exchanges_.empty() || (has_left && caller_listener_.HasOpenRequests())) {
+    last_open_request_at_ = now;
+  }
+  if (now >= drain.exit_at()) {
     loop_.stop();
+  } else if (has_left && now - last_open_request_at_ >= kFlushTime) {
+    caller_listener_.AcceptAll();
+    if (caller_listener_.HasOpenRequests()) {
+      last_open_request_at_ = now;
+    } else {
+      loop_.stop();
+    }
   }
 }
 
--- a/tests/fleet/planned_work_fleet_test.cc
+++ b/tests/fleet/planned_work_fleet_test.cc
@@ -108,6 +108,39 @@
   CHECK(ArrivedIds(fleet).contains("second"));
 }
 
+// The head of a request with a body, which needs `body_bytes` more.
+std::string UploadHead(const std::string& id, int body_bytes) {
+  platform::StandinRequest request = {
+      "POST", "/once/" + id, "fleet.example", id, "c0", seconds(4), 500, 20,
+      {}};
+  request.keeps_connection = true;
+  std::string text = platform::FormatStandinRequest(request);
+  text.insert(text.size() - 2,
+              "Content-Length: " + std::to_string(body_bytes) + "\r\n");
+  return text;
+}
+
+TEST_CASE("A stopping router waits for a request that is still arriving") {
+  constexpr int kBodyBytes = 3000;
+  EngineFleet fleet(193, 2, 2, kCustomers);
+  for (const auto& it : fleet.routers()) {
+    it->SetGracePeriod(kGrace);
+  }
+  fleet.Start();
+  Connection connection(fleet, 0);
+  fleet.routers()[0]->Stop(fleet.Now());
+  fleet.PlayFor(milliseconds(2300));
+  connection.Write(UploadHead("slow", kBodyBytes));
+  for (int i = 0; i < 3; ++i) {
+    fleet.PlayFor(milliseconds(400));
+    REQUIRE_FALSE(connection.has_ended());
+    connection.Write(std::string(kBodyBytes / 3, 'x'));
+  }
+  fleet.PlayFor(milliseconds(600));
+  CHECK(connection.input().starts_with("HTTP/1.1 200"));
+  CHECK(fleet.routers()[0]->HasExited());
+}
+
 // Stops and restarts routers, sends SIGHUP and publishes versions at random.
 class PlannedWork {
  public:
