Check the time of each exit in the planned work test

The test pauses its routers to limit their processor time, and for a paused process HasExceededGracePeriod is always false, so that the check of late exits could not fail. It now compares the time of each exit with that of its SIGTERM plus the grace, which is stricter.

--- a/tests/fleet/planned_work_fleet_test.cc
+++ b/tests/fleet/planned_work_fleet_test.cc
@@ -156,10 +156,8 @@
       if (!is_stopping_[i]) {
         continue;
       }
-      if (router.HasExceededGracePeriod(now)) {
-        ++late_exits_;
-      }
       if (router.HasExited()) {
+        late_exits_ += now > stops_[i].back() + kGrace ? 1 : 0;
         is_stopping_[i] = false;
         router.Start();
       }
