Keep a router running without a reader of its log

Closed standard output let the log be written into an event descriptor. A line longer than an unread pipe blocked the event loop.

SIGPIPE is ignored, closed standard streams become /dev/null before any other descriptor is opened, and lines are written in parts of PIPE_BUF bytes while poll says that these fit; the rest precedes the next line.

With the change taken out three of the four new tests fail (signal 13, eventfd, killed after 10 s of silence); the fourth, on whole lines, guards the rest of a line and passes either way.

--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,5 +1,8 @@
 // Main program of corianderpost-router, one router of the fleet.
+#include <fcntl.h>
 #include <malloc.h>
+#include <signal.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -43,6 +46,18 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
+// Keeps the numbers of closed standard streams from sockets, into which the log
+// would be written.
+void OpenStandardStreams() {
+  for (int fd = open("/dev/null", O_RDWR); fd >= 0;
+       fd = open("/dev/null", O_RDWR)) {
+    if (fd > STDERR_FILENO) {
+      close(fd);
+      break;
+    }
+  }
+}
+
 int Run(const po::variables_map& values) {
   mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   const auto path = values["settings"].as<std::string>();
@@ -78,6 +93,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  OpenStandardStreams();
+  // The reader of the log may end before the router.
+  signal(SIGPIPE, SIG_IGN);
   internal::ProgramDescription program{
       "corianderpost-router",
       "routes callers' requests to targets as part of a fleet of routers",
--- a/src/runtime/json_log.cc
+++ b/src/runtime/json_log.cc
@@ -1,5 +1,6 @@
 #include "runtime/json_log.h"
 
+#include <limits.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -75,17 +76,41 @@
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
-    pollfd writable{STDOUT_FILENO, POLLOUT, 0};
-    if (poll(&writable, 1, 0) <= 0 || (writable.revents & POLLOUT) == 0) {
+    // A line that was begun is ended before the next one.
+    if (!WriteRest()) {
       ++dropped_lines;
       return;
     }
-    const log4cplus::tstring& line = formatEvent(event);
-    // A writable pipe accepts up to PIPE_BUF bytes without a partial write.
-    if (write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+    rest_ = formatEvent(event);
+    const std::size_t size = rest_.size();
+    if (!WriteRest() && rest_.size() == size) {
+      rest_.clear();
       ++dropped_lines;
     }
   }
+
+ private:
+  // Writes what is left of a line, as far as that does not block. Returns
+  // whether nothing is left.
+  bool WriteRest() {
+    while (!rest_.empty()) {
+      pollfd writable{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&writable, 1, 0) <= 0 || (writable.revents & POLLOUT) == 0) {
+        return false;
+      }
+      // A writable pipe accepts PIPE_BUF bytes without blocking.
+      const ssize_t n = write(STDOUT_FILENO, rest_.data(),
+                              std::min<std::size_t>(rest_.size(), PIPE_BUF));
+      if (n <= 0) {
+        return false;
+      }
+      rest_.erase(0, static_cast<std::size_t>(n));
+    }
+    return true;
+  }
+
+  // Rest of a line whose begin was written.
+  log4cplus::tstring rest_;
 };
 
 // Token bucket that limits the rate of lines, so that a burst of failures does
--- a/tests/fleet/process_life_fleet_test.cc
+++ b/tests/fleet/process_life_fleet_test.cc
@@ -2,16 +2,24 @@
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <signal.h>
+#include <spawn.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "soak/router_process.h"
 
@@ -154,5 +162,146 @@
   CHECK(ReadText(log).find("router stopped") != std::string::npos);
 }
 
+// Starts a router with `output` as standard output, or with none if it is
+// negative.
+pid_t StartWithOutput(const std::string& settings_path, int output) {
+  std::vector<std::string> arguments = {kProgram, "--settings", settings_path};
+  std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
+  for (std::string& it : arguments) {
+    argv.push_back(it.data());
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  if (output < 0) {
+    posix_spawn_file_actions_addclose(&actions, STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  }
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  pid_t pid = 0;
+  REQUIRE(posix_spawn(&pid, kProgram, &actions, nullptr, argv.data(),
+                      environ) == 0);
+  posix_spawn_file_actions_destroy(&actions);
+  return pid;
+}
+
+// Returns how the process ends after SIGTERM; signal 9 if it does not end in
+// time.
+ProcessEnd EndAfterSigterm(pid_t pid) {
+  kill(pid, SIGTERM);
+  int status = 0;
+  if (!Eventually([&] { return waitpid(pid, &status, WNOHANG) == pid; })) {
+    kill(pid, SIGKILL);
+    waitpid(pid, &status, 0);
+  }
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : 0,
+          WIFSIGNALED(status) ? WTERMSIG(status) : 0, true};
+}
+
+// Guards against SIGPIPE at the next line of the log.
+TEST_CASE("A router outlives the reader of its log") {
+  const std::string folder = FreshFolder(206);
+  const RouterProcess settings({206}, kProgram, folder, 0);
+  int fds[2];
+  REQUIRE(pipe2(fds, O_CLOEXEC) == 0);
+  const pid_t pid = StartWithOutput(folder + "/router-0.yaml", fds[1]);
+  close(fds[1]);
+  char first = 0;
+  CHECK(read(fds[0], &first, 1) == 1);
+  close(fds[0]);
+  CHECK(ToString(EndAfterSigterm(pid)) == "exit code 0 after SIGTERM");
+}
+
+// Guards against log lines in a socket that got the number of standard output.
+TEST_CASE("A router without standard output opens none of its sockets as it") {
+  const std::string folder = FreshFolder(207);
+  const RouterProcess settings({207}, kProgram, folder, 0);
+  const pid_t pid = StartWithOutput(folder + "/router-0.yaml", -1);
+  const std::string fds = "/proc/" + std::to_string(pid) + "/fd/";
+  const auto is_socket = [&](int fd) {
+    std::error_code ec;
+    return std::filesystem::read_symlink(fds + std::to_string(fd), ec)
+        .string()
+        .starts_with("socket:");
+  };
+  CHECK(Eventually([&] {
+    int sockets = 0;
+    for (int fd = 0; fd < 20; ++fd) {
+      sockets += is_socket(fd) ? 1 : 0;
+    }
+    return sockets >= 4;
+  }));
+  std::error_code ec;
+  CHECK(std::filesystem::read_symlink(fds + "1", ec).string() == "/dev/null");
+  CHECK(ToString(EndAfterSigterm(pid)) == "exit code 0 after SIGTERM");
+}
+
+// Adds so many seeds to the settings that the line `router started`, which has
+// them, is longer than 20,000 characters.
+void LengthenFirstLine(const std::string& path, int network) {
+  std::string text = ReadText(path);
+  const std::string key = "seeds: [";
+  REQUIRE(text.find(key) != std::string::npos);
+  std::string seeds;
+  for (int i = 0; i < 1000; ++i) {
+    seeds += "\"" + LoopbackNetwork{network}.Address(11, kControlPort) + "\", ";
+  }
+  text.insert(text.find(key) + key.size(), seeds);
+  std::ofstream(path) << text;
+}
+
+// Guards against a write of a long line that waits for the reader of the log.
+TEST_CASE("A line that does not fit into the log's pipe blocks no router") {
+  const std::string folder = FreshFolder(208);
+  const std::string path = folder + "/router-0.yaml";
+  const RouterProcess settings({208}, kProgram, folder, 0);
+  LengthenFirstLine(path, 208);
+  int fds[2];
+  REQUIRE(pipe2(fds, O_CLOEXEC) == 0);
+  REQUIRE(fcntl(fds[1], F_SETPIPE_SZ, 4096) > 0);
+  REQUIRE(fcntl(fds[1], F_GETPIPE_SZ) < 20'000);
+  const pid_t pid = StartWithOutput(path, fds[1]);
+  close(fds[1]);
+  pollfd readable{fds[0], POLLIN, 0};
+  REQUIRE(poll(&readable, 1, 10'000) == 1);
+  CHECK(ToString(EndAfterSigterm(pid)) == "exit code 0 after SIGTERM");
+  close(fds[0]);
+}
+
+// Guards against a broken line when the reader of the log was slow.
+TEST_CASE("A log that is read late has no broken line") {
+  const std::string folder = FreshFolder(209);
+  const std::string path = folder + "/router-0.yaml";
+  const RouterProcess settings({209}, kProgram, folder, 0);
+  LengthenFirstLine(path, 209);
+  int fds[2];
+  REQUIRE(pipe2(fds, O_CLOEXEC) == 0);
+  REQUIRE(fcntl(fds[1], F_SETPIPE_SZ, 4096) > 0);
+  const pid_t pid = StartWithOutput(path, fds[1]);
+  close(fds[1]);
+  pollfd readable{fds[0], POLLIN, 0};
+  REQUIRE(poll(&readable, 1, 10'000) == 1);
+  std::string log;
+  std::array<char, 4096> buf;
+  REQUIRE(fcntl(fds[0], F_SETFL, O_NONBLOCK) == 0);
+  // Each SIGHUP causes a line, before which the rest of the first is written.
+  CHECK(Eventually([&] {
+    kill(pid, SIGHUP);
+    const ssize_t n = read(fds[0], buf.data(), buf.size());
+    log.append(buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+    return log.find("SIGHUP received") != std::string::npos &&
+           log.ends_with('\n');
+  }));
+  CHECK(ToString(EndAfterSigterm(pid)) == "exit code 0 after SIGTERM");
+  close(fds[0]);
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    CAPTURE(line.substr(0, 200));
+    CHECK(nlohmann::json::accept(line));
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost::soak
