--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -72,17 +72,23 @@
                                                  : internal::LogLevel::kInfo);
   const corianderpost::platform::PlatformDeployment deployment;
   std::optional<corianderpost::Router> router;
-  const bool has_started = internal::RetryBinding(
-      corianderpost::SystemClock(),
-      [&] { router.emplace(settings, path, text, deployment); },
-      [](corianderpost::Duration pause) {
-        return !internal::AwaitStopSignal(pause);
-      });
-  if (has_started) {
-    router->Run();
-  } else {
-    internal::Log(internal::LogLevel::kInfo, "router stopped",
-                  {{"vm", settings.vm}});
+  try {
+    const bool has_started = internal::RetryBinding(
+        corianderpost::SystemClock(),
+        [&] { router.emplace(settings, path, text, deployment); },
+        [](corianderpost::Duration pause) {
+          return !internal::AwaitStopSignal(pause);
+        });
+    if (has_started) {
+      router->Run();
+    } else {
+      internal::Log(internal::LogLevel::kInfo, "router stopped",
+                    {{"vm", settings.vm}});
+    }
+  } catch (const std::exception& ex) {
+    internal::Log(internal::LogLevel::kError, "router ended by an exception",
+                  {{"vm", settings.vm}, {"reason", ex.what()}});
+    throw;
   }
   // Skips static destructors: log4cplus may wait for its idle threads beyond
   // the grace period. No output is lost, because all responses are written and
--- a/tests/fleet/process_life_fleet_test.cc
+++ b/tests/fleet/process_life_fleet_test.cc
@@ -162,6 +162,23 @@
   CHECK(ReadText(log).find("router stopped") != std::string::npos);
 }
 
+// Guards against an end whose reason is on standard error only, or nowhere.
+TEST_CASE("A router whose port stays held names it at the end of its log") {
+  const std::string folder = FreshFolder(205);
+  const LoopbackNetwork network{205};
+  const HeldAddress held(network.Ip(10), kCallersPort, SOCK_STREAM);
+  RouterProcess router(network, kProgram, folder, 0);
+  router.Start();
+  const auto has_exited = [&] { return router.HasExited(); };
+  REQUIRE((Eventually(has_exited) || Eventually(has_exited)));
+  CHECK(ToString(router.ends().back()) == "exit code 1 without SIGTERM");
+  const std::string log = ReadText(folder + "/router-0.jsonl");
+  const std::size_t end = log.find("router ended by an exception");
+  REQUIRE(end != std::string::npos);
+  const std::size_t begin = log.rfind('\n', end) + 1;
+  CHECK(log.substr(begin).find(router.address()) != std::string::npos);
+}
+
 // Starts a router with `output` as standard output, or with none if it is
 // negative.
 pid_t StartWithOutput(const std::string& settings_path, int output) {
