--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,5 +1,8 @@
 // Main program of corianderpost-router, one router of the fleet.
+#include <fcntl.h>
 #include <malloc.h>
+#include <signal.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -43,6 +46,18 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
+// Keeps the numbers of closed standard streams from sockets, into which the log
+// would be written.
+void OpenStandardStreams() {
+  for (int fd = open("/dev/null", O_RDWR); fd >= 0;
+       fd = open("/dev/null", O_RDWR)) {
+    if (fd > STDERR_FILENO) {
+      close(fd);
+      break;
+    }
+  }
+}
+
 int Run(const po::variables_map& values) {
   mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   const auto path = values["settings"].as<std::string>();
@@ -57,17 +72,23 @@
                                                  : internal::LogLevel::kInfo);
   const corianderpost::platform::PlatformDeployment deployment;
   std::optional<corianderpost::Router> router;
-  const bool has_started = internal::RetryBinding(
-      corianderpost::SystemClock(),
-      [&] { router.emplace(settings, path, text, deployment); },
-      [](corianderpost::Duration pause) {
-        return !internal::AwaitStopSignal(pause);
-      });
-  if (has_started) {
-    router->Run();
-  } else {
-    internal::Log(internal::LogLevel::kInfo, "router stopped",
-                  {{"vm", settings.vm}});
+  try {
+    const bool has_started = internal::RetryBinding(
+        corianderpost::SystemClock(),
+        [&] { router.emplace(settings, path, text, deployment); },
+        [](corianderpost::Duration pause) {
+          return !internal::AwaitStopSignal(pause);
+        });
+    if (has_started) {
+      router->Run();
+    } else {
+      internal::Log(internal::LogLevel::kInfo, "router stopped",
+                    {{"vm", settings.vm}});
+    }
+  } catch (const std::exception& ex) {
+    internal::Log(internal::LogLevel::kError, "router ended by an exception",
+                  {{"vm", settings.vm}, {"reason", ex.what()}});
+    throw;
   }
   // Skips static destructors: log4cplus may wait for its idle threads beyond
   // the grace period. No output is lost, because all responses are written and
@@ -78,6 +99,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  OpenStandardStreams();
+  // The reader of the log may end before the router.
+  signal(SIGPIPE, SIG_IGN);
   internal::ProgramDescription program{
       "corianderpost-router",
       "routes callers' requests to targets as part of a fleet of routers",
