Let the overload test use a seed that fails on a calm machine too

Seed 8 failed beside a load of 19 to 28 on 8 cores and passed beside 11, both cases. Seed 4 fails the case with the load from the start in both (132,994 tokens for 162,533 owed, and 121,027 for 188,092), so it shows the fault and not the machine. Seeds 7 and 9 fail in both too. The case after calm seconds passed with seeds 7, 8 and 10 on the calmer machine.

--- a/tests/fleet/overload_fleet_test.cc
+++ b/tests/fleet/overload_fleet_test.cc
@@ -357,7 +357,7 @@
 // The environment may name another seed.
 std::uint64_t Seed() {
   const char* text = std::getenv("OVERLOAD_SEED");
-  return text != nullptr ? std::strtoull(text, nullptr, 10) : 8;
+  return text != nullptr ? std::strtoull(text, nullptr, 10) : 4;
 }
 
 TEST_CASE("Customers of overloaded engines get their shares from the start") {
