Count customers with demand only, and forget what saturated routers admitted

An equal part of the capacity was computed from all customers that a router had ever seen, so that the queue limit of one at a tenth of the capacity fell without contention.

Third finding, not fixed: customers that are ahead alike wait for each other while engines are free. Its test is known to be red (spare-capacity).

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -23,6 +23,9 @@
 // A customer above its share has unmet demand if less than this fraction of its
 // demand is admitted.
 constexpr double kSatisfiedFraction = 0.9;
+// Least demand in units per second of a customer that counts as one with
+// demand.
+constexpr double kMinDemand = 1.0;
 // Maximum debt of a token bucket, in seconds of its refill rate.
 constexpr double kMaxDebtSeconds = 1.0;
 // Maximum units by which a customer counts as ahead of its share, in seconds of
@@ -97,6 +100,9 @@
 }
 
 void FairShare::UpdateAhead(double elapsed_seconds) {
+  if (!pays_back_) {
+    return;
+  }
   // The reports stop while a router is suspended.
   const double seconds = std::min(elapsed_seconds, kMaxLevelAgeSeconds);
   for (const auto& [customer, rates] : fleet_rates_) {
@@ -113,6 +119,11 @@
   });
 }
 
+bool FairShare::HasUnmetDemand(const CustomerRates& rates) const {
+  return rates.demand > level_ &&
+         rates.admitted < kSatisfiedFraction * rates.demand;
+}
+
 double FairShare::PaybackFactor(CustomerId customer) const {
   const auto it = ahead_units_.find(customer);
   if (it == ahead_units_.end() || it->second <= 0) {
@@ -157,10 +168,7 @@
     return true;
   }
   for (const auto& [other, rates] : fleet_rates_) {
-    const bool has_unmet_demand =
-        other != customer && rates.demand > level_ &&
-        rates.admitted < kSatisfiedFraction * rates.demand;
-    if (has_unmet_demand &&
+    if (other != customer && HasUnmetDemand(rates) &&
         it->second.admitted > kMaxAdmittedRatio * payback * rates.admitted) {
       return false;
     }
@@ -171,9 +179,11 @@
 bool FairShare::IsAboveEqualPart(TimePoint now, CustomerId customer) {
   UpdateLevel(now);
   const auto it = fleet_rates_.find(customer);
-  return capacity_ > 0 && it != fleet_rates_.end() &&
-         it->second.admitted * static_cast<double>(fleet_rates_.size()) >
-             capacity_;
+  const auto customers = std::count_if(
+      fleet_rates_.begin(), fleet_rates_.end(),
+      [](const auto& rates) { return rates.second.demand >= kMinDemand; });
+  return capacity_ > 0 && it != fleet_rates_.end() && customers > 1 &&
+         it->second.admitted * static_cast<double>(customers) > capacity_;
 }
 
 double FairShare::LocalRefillRate(TimePoint now, CustomerId customer,
@@ -246,7 +256,7 @@
     const CustomerRates rates{account.demand.Rising(now),
                               account.admitted.PerSecond(now),
                               account.demand.Current(now)};
-    if (rates.demand >= 1.0) {
+    if (rates.demand >= kMinDemand) {
       local_rates.emplace(customer, rates);
     }
   }
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -9,8 +9,7 @@
 // steady; the fractions follow current demand, so that a share moves with its
 // customer's callers. Spare capacity goes to customers above L, but none
 // may be admitted far more than another customer with unmet demand. What a
-// customer was admitted beyond its share before it was limited is paid back
-// slowly.
+// customer was admitted beyond its share is paid back slowly.
 //
 // A customer's share is its demand, but at most L. A unit is a weighted token:
 // a token of the unshared part of the prompt counts once, a token of the
@@ -45,6 +44,13 @@
 // Not thread-safe.
 class FairShare {
  public:
+  // Whether what a customer was admitted beyond its share is paid back
+  // (`kAlways`) or forgotten (`kFromNowOn`).
+  enum class Memory { kAlways, kFromNowOn };
+
+  explicit FairShare(Memory memory = Memory::kAlways)
+      : pays_back_(memory == Memory::kAlways) {}
+
   // Sets the capacity of the fleet in units per second, i.e. the configured
   // throughput scaled to the usable engines; zero if unknown, which means no
   // limits. Throughput above this capacity counts as spare capacity.
@@ -106,6 +112,8 @@
   void UpdateLevel(TimePoint now);
   // Adds the time since the last update to what customers are ahead.
   void UpdateAhead(double elapsed_seconds);
+  // Returns whether a customer above the level asks for more than it gets.
+  bool HasUnmetDemand(const CustomerRates& rates) const;
   // Returns the part of its share that a customer gets until it is no longer
   // ahead.
   double PaybackFactor(CustomerId customer) const;
@@ -116,6 +124,7 @@
                          const Account& account);
   void Refill(TimePoint now, CustomerId customer, Account& account);
 
+  const bool pays_back_;
   // In units per second.
   double capacity_ = 0;
   RatesByCustomer peer_rates_;
--- a/src/decisions/fair_share_test.cc
+++ b/src/decisions/fair_share_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const TimePoint kStart(std::chrono::seconds(100));
 const CustomerId kCustomer = CustomerId::FromName("large");
@@ -145,6 +146,38 @@
   CHECK(after > 0.5 * without);
 }
 
+// Each of two equal customers would otherwise wait for the other.
+TEST_CASE("Customers that use spare capacity alike do not pay it back") {
+  constexpr double kServedPerSecond = 130'000;
+  FairShare share;
+  share.SetCapacity(100'000);
+  double admitted = 0;
+  for (int step = 0; step < 1000; ++step) {
+    const TimePoint now = kStart + milliseconds(10 * step);
+    for (const CustomerId customer : {kCustomer, kOther}) {
+      share.RecordDemand(now, customer, 2000);
+      const bool may_run = share.HasCredit(now, customer) ||
+                           share.MayUseSpareCapacity(now, customer);
+      if (may_run && admitted <= kServedPerSecond * 0.01 * step) {
+        share.Charge(now, customer, 1000);
+        admitted += 1000;
+      }
+    }
+  }
+  CHECK(admitted > 0.95 * kServedPerSecond * 10);
+}
+
+TEST_CASE("A silent customer has no part of the capacity") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  for (int i = 0; i < 20; ++i) {
+    share.RecordDemand(kStart, CustomerId::FromName(std::to_string(i)), 1000);
+  }
+  share.SetPeerRates({{kOther, {5'000, 5'000}}, {kCustomer, {20'000, 20'000}}});
+  CHECK(share.IsAboveEqualPart(kStart + seconds(1), kCustomer));
+  CHECK_FALSE(share.IsAboveEqualPart(kStart + seconds(60), kCustomer));
+}
+
 TEST_CASE("A customer far above an equal part is known before a burst") {
   FairShare share;
   share.SetCapacity(100'000);
--- a/src/decisions/processor_admission.h
+++ b/src/decisions/processor_admission.h
@@ -43,7 +43,7 @@
   TimePoint last_rejected_at_;
   RateMeter admitted_{std::chrono::milliseconds(500)};
   // Divides the limit between the customers. A unit is a request.
-  FairShare share_;
+  FairShare share_{FairShare::Memory::kFromNowOn};
 };
 
 }  // namespace corianderpost
