Tell for which services adaptive decisions take effect

Two customers with hard load need decisions that the others are served well without: learned request costs, measured capacity, engine speeds. Nothing uses it yet.

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -148,6 +148,12 @@
   return request.customer == nullptr ? CustomerId() : request.customer->id;
 }
 
+double UnsharedTokensOf(const ScheduledRequest& request) {
+  return static_cast<double>(request.prompt.empty()
+                                 ? request.prompt_tokens
+                                 : request.prompt.back().tokens);
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
@@ -186,6 +192,7 @@
     link_budget_ = LinkBudget(options.region_link_bytes_per_second);
   }
   options_ = std::move(options);
+  adaptive_placement_.SetMode(options_.adaptive_placement);
   targets_.SetRegions(options_.region_of_zone, options_.region);
 }
 
@@ -212,11 +219,8 @@
 }
 
 double Scheduler::UnitsOf(const ScheduledRequest& request) {
-  const double unshared_tokens =
-      request.prompt.empty()
-          ? static_cast<double>(request.prompt_tokens)
-          : static_cast<double>(request.prompt.back().tokens);
-  return unshared_tokens + 2.0 * static_cast<double>(request.max_output_tokens);
+  return UnsharedTokensOf(request) +
+         2.0 * static_cast<double>(request.max_output_tokens);
 }
 
 double Scheduler::SecondsPerToken(const std::string& service) const {
@@ -239,6 +243,10 @@
       fair_share_.RecordDemand(now, request.customer->id, UnitsOf(request));
       requested_units_.Add(now, UnitsOf(request));
       requests_.Add(now, 1);
+      adaptive_placement_.RecordRequest(
+          request.service, *service->engine,
+          UnsharedTokensOf(request) +
+              static_cast<double>(request.max_output_tokens));
     }
   }
 }
@@ -331,10 +339,7 @@
           uncached_fraction * static_cast<double>(request.prompt[i].tokens);
     }
   }
-  const double unshared_tokens =
-      request.prompt.empty()
-          ? static_cast<double>(request.prompt_tokens)
-          : static_cast<double>(request.prompt.back().tokens);
+  const double unshared_tokens = UnsharedTokensOf(request);
   candidate.is_mostly_recompute = uncached_shared_tokens > unshared_tokens;
   const FirstEventModel& model = FirstEventModelOf(request.service);
   const double seconds_per_token = model.seconds_per_token();
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -22,6 +22,7 @@
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
+#include "decisions/adaptive_placement.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
@@ -45,6 +46,7 @@
   // Configured capacity of the link to the other region, a lower bound of the
   // real one; zero disables requests across regions.
   double region_link_bytes_per_second = 0;
+  AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
   friend bool operator==(const SchedulerOptions&,
                          const SchedulerOptions&) = default;
 };
@@ -225,6 +227,9 @@
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
   CrashSuspects& suspects() { return suspects_; }
+  const AdaptivePlacement& adaptive_placement() const {
+    return adaptive_placement_;
+  }
 
   // Counts a caller's request for the retry budget and the customer's demand.
   // Call once per request, before its first `Place`.
@@ -397,6 +402,7 @@
   int fleet_size_ = 1;
   int fleet_position_ = 0;
   bool is_event_loop_lagging_ = false;
+  AdaptivePlacement adaptive_placement_;
   LinkBudget link_budget_{0};
   // Bytes per second.
   double peer_link_use_ = 0;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -143,8 +143,12 @@
 }
 
 SchedulerOptions SchedulerOptionsOf(const RouterSettings& settings) {
-  return {settings.zone, settings.region, settings.region_of_zone,
-          settings.retry_budget, settings.region_link_bytes_per_second};
+  return {settings.zone,
+          settings.region,
+          settings.region_of_zone,
+          settings.retry_budget,
+          settings.region_link_bytes_per_second,
+          settings.adaptive_placement};
 }
 
 // Returns the value of a query parameter, or an empty string if it is missing.
--- a/src/router/settings.cc
+++ b/src/router/settings.cc
@@ -22,6 +22,17 @@
   return yaml.AsString() == "0" ? 0.0 : yaml.AsPositiveNumber();
 }
 
+AdaptiveMode ReadAdaptiveMode(const CheckedYaml& yaml) {
+  const std::string text = yaml.AsString();
+  for (const AdaptiveMode mode :
+       {AdaptiveMode::kAuto, AdaptiveMode::kOn, AdaptiveMode::kOff}) {
+    if (text == ToString(mode)) {
+      return mode;
+    }
+  }
+  yaml.Fail("'" + text + "' is not one of auto, on, off");
+}
+
 Duration ReadSeconds(const CheckedYaml& yaml) {
   return Duration(static_cast<std::int64_t>(yaml.AsPositiveNumber() * 1e6));
 }
@@ -29,11 +40,26 @@
 }  // namespace
 
 RouterSettings RouterSettings::FromYaml(const CheckedYaml& yaml) {
-  yaml.RequireOnlyKeys({"vm", "zone", "region", "ip", "callers", "readiness",
-                        "control", "peer_port", "seeds", "zones", "store",
-                        "grace_seconds", "retry_ratio", "retry_window_seconds",
-                        "retry_slack", "max_descriptors", "memory_mb",
-                        "processor_share", "region_link_mbit"});
+  yaml.RequireOnlyKeys({"vm",
+                        "zone",
+                        "region",
+                        "ip",
+                        "callers",
+                        "readiness",
+                        "control",
+                        "peer_port",
+                        "seeds",
+                        "zones",
+                        "store",
+                        "grace_seconds",
+                        "retry_ratio",
+                        "retry_window_seconds",
+                        "retry_slack",
+                        "max_descriptors",
+                        "memory_mb",
+                        "processor_share",
+                        "region_link_mbit",
+                        "adaptive_placement"});
   RouterSettings settings;
   settings.vm = yaml.Get("vm").AsString();
   settings.zone = yaml.Get("zone").AsString();
@@ -63,6 +89,9 @@
       kBytesPerMbit * ReadNonNegative(yaml.Get("region_link_mbit"));
   settings.memory_mb =
       static_cast<int>(yaml.Get("memory_mb").AsInt(16, 10'000'000));
+  if (const auto mode = yaml.Find("adaptive_placement")) {
+    settings.adaptive_placement = ReadAdaptiveMode(*mode);
+  }
   return settings;
 }
 
--- a/src/router/settings.h
+++ b/src/router/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "corianderpost/clock.h"
+#include "decisions/adaptive_placement.h"
 #include "decisions/retry_budget.h"
 #include "runtime/checked_yaml.h"
 
@@ -46,6 +47,8 @@
   // zone's relay is its router with the largest share among those that are
   // alive and not suspected to have failed.
   int cpu_millicores = 1000;
+  // Where learned costs, measured capacity and engine speeds take effect.
+  AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
   friend bool operator==(const RouterSettings&,
                          const RouterSettings&) = default;
 
--- a/src/router/settings_test.cc
+++ b/src/router/settings_test.cc
@@ -50,5 +50,17 @@
         std::string::npos);
 }
 
+TEST_CASE("RouterSettings reads where adaptive decisions take effect") {
+  CHECK(
+      RouterSettings::FromYaml(CheckedYaml::FromText(kValidYaml, "router.yaml"))
+          .adaptive_placement == AdaptiveMode::kAuto);
+  CHECK(RouterSettings::FromYaml(
+            CheckedYaml::FromText(kValidYaml + "adaptive_placement: \"off\"\n",
+                                  "router.yaml"))
+            .adaptive_placement == AdaptiveMode::kOff);
+  CHECK(ErrorFor(kValidYaml + "adaptive_placement: maybe\n")
+            .find("not one of auto, on, off") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace corianderpost
