Predict first events by a line that long delays do not spoil

So not the load but the constant term was wrong: a least-squares line follows the largest delays. Where adaptive decisions are active the model now takes a line of least relative error with Huber's weights.

--- a/src/decisions/adaptive_placement.cc
+++ b/src/decisions/adaptive_placement.cc
@@ -4,7 +4,7 @@
 namespace {
 
 // Requests after which the mean counts.
-constexpr int kMinRequests = 50;
+constexpr int kMinRequests = 30;
 // Weight of one request in the mean.
 constexpr double kRequestWeight = 0.02;
 // Memory becomes scarce if a full batch takes more than the first fraction of
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -229,9 +229,12 @@
 }
 
 FirstEventModel& Scheduler::FirstEventModelOf(const std::string& service) {
-  return first_event_models_
-      .try_emplace(service, kIdleFirstEventSeconds, SecondsPerToken(service))
-      .first->second;
+  FirstEventModel& model = first_event_models_
+                               .try_emplace(service, kIdleFirstEventSeconds,
+                                            SecondsPerToken(service))
+                               .first->second;
+  model.SetRobust(adaptive_placement_.IsActive(service));
+  return model;
 }
 
 void Scheduler::RecordRequest(TimePoint now, const ScheduledRequest& request) {
