Predict first events from the parts of the load that a router knows

So the request's own prompt, the queue at the engine, the mean queue of its region and the distance get a coefficient each, fitted to recent first events with Huber's loss of the relative error. It replaces the robust line and takes effect where adaptive decisions are active; elsewhere the former model stays. Its test plays queues of which 0, 15 or 100% remain: at least half of the first events come within a quarter of the prediction, fewer with the former model.

--- a/src/decisions/first_event_model.cc
+++ b/src/decisions/first_event_model.cc
@@ -22,11 +22,8 @@
 FirstEventModel::FirstEventModel(double idle_seconds, double seconds_per_token)
     : prior_idle_seconds_(idle_seconds),
       prior_seconds_per_token_(seconds_per_token),
-      robust_fit_(
-          {idle_seconds, seconds_per_token}, kPriorTokens,
-          {{kMinIdleRatio * idle_seconds, kMinSpeedRatio * seconds_per_token},
-           {kMaxIdleRatio * idle_seconds, kMaxSpeedRatio * seconds_per_token}}),
-      least_squares_{idle_seconds, seconds_per_token} {
+      idle_seconds_(idle_seconds),
+      seconds_per_token_(seconds_per_token) {
   AddWeighted(kPriorWeight, 0, idle_seconds);
   AddWeighted(kPriorWeight, kPriorTokens,
               idle_seconds + kPriorTokens * seconds_per_token);
@@ -48,20 +45,19 @@
   }
   AddWeighted(1.0, tokens, seconds);
   Fit();
-  robust_fit_.Add(tokens, seconds);
 }
 
 void FirstEventModel::Fit() {
   const double variance = weight_ * tokens_squared_ - tokens_ * tokens_;
   // All observations may have the same number of tokens.
   if (variance > 1e-6 * weight_ * tokens_squared_) {
-    least_squares_.slope =
+    seconds_per_token_ =
         std::clamp((weight_ * tokens_seconds_ - tokens_ * seconds_) / variance,
                    kMinSpeedRatio * prior_seconds_per_token_,
                    kMaxSpeedRatio * prior_seconds_per_token_);
   }
-  least_squares_.constant = std::clamp(
-      (seconds_ - least_squares_.slope * tokens_) / weight_,
+  idle_seconds_ = std::clamp(
+      (seconds_ - seconds_per_token_ * tokens_) / weight_,
       kMinIdleRatio * prior_idle_seconds_, kMaxIdleRatio * prior_idle_seconds_);
 }
 
--- a/src/decisions/first_event_model.h
+++ b/src/decisions/first_event_model.h
@@ -5,13 +5,9 @@
 // The configured throughput counts the output of requests too, so a prompt is
 // read much faster than it says, while the time that does not depend on tokens
 // is longer on a busy engine. The line through recent observations tells both.
-// Where a few long delays would spoil a least-squares line, a robust one is
-// used.
 #ifndef CORIANDERPOST_DECISIONS_FIRST_EVENT_MODEL_H_
 #define CORIANDERPOST_DECISIONS_FIRST_EVENT_MODEL_H_
 
-#include "decisions/robust_line_fit.h"
-
 namespace corianderpost {
 
 // Not thread-safe.
@@ -25,25 +21,20 @@
   // engine that had to read `tokens` before it.
   void Add(double tokens, double seconds);
 
-  // Selects the robust line instead of the least-squares one.
-  void SetRobust(bool is_robust) { is_robust_ = is_robust; }
-
-  double idle_seconds() const { return line().constant; }
-  double seconds_per_token() const { return line().slope; }
-  double Predict(double tokens) const { return line().At(tokens); }
+  double idle_seconds() const { return idle_seconds_; }
+  double seconds_per_token() const { return seconds_per_token_; }
+  double Predict(double tokens) const {
+    return idle_seconds_ + tokens * seconds_per_token_;
+  }
 
  private:
-  const Line& line() const {
-    return is_robust_ ? robust_fit_.line() : least_squares_;
-  }
   void AddWeighted(double weight, double tokens, double seconds);
   void Fit();
 
   const double prior_idle_seconds_;
   const double prior_seconds_per_token_;
-  bool is_robust_ = false;
-  RobustLineFit robust_fit_;
-  Line least_squares_;
+  double idle_seconds_;
+  double seconds_per_token_;
   // Weighted sums over the observations.
   double weight_ = 0;
   double tokens_ = 0;
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -229,12 +229,16 @@
 }
 
 FirstEventModel& Scheduler::FirstEventModelOf(const std::string& service) {
-  FirstEventModel& model = first_event_models_
-                               .try_emplace(service, kIdleFirstEventSeconds,
-                                            SecondsPerToken(service))
-                               .first->second;
-  model.SetRobust(adaptive_placement_.IsActive(service));
-  return model;
+  return first_event_models_
+      .try_emplace(service, kIdleFirstEventSeconds, SecondsPerToken(service))
+      .first->second;
+}
+
+FirstEventPredictor& Scheduler::PredictorOf(const std::string& service) {
+  return predictors_
+      .try_emplace(service, kIdleFirstEventSeconds, SecondsPerToken(service),
+                   kCrossRegionSeconds)
+      .first->second;
 }
 
 void Scheduler::RecordRequest(TimePoint now, const ScheduledRequest& request) {
@@ -373,6 +377,13 @@
       model.idle_seconds() +
       unshared_tokens * seconds_per_token * std::min(1.0, slowness) +
       region_latency_seconds;
+  candidate.load = {candidate.prefill_tokens,
+                    target.pending_prefill_tokens.Sum(now) +
+                        target.peer_load.pending_prefill_tokens,
+                    mean_peer_load.pending_prefill_tokens, !candidate.is_local};
+  if (adaptive_placement_.IsActive(request.service)) {
+    PredictFromParts(request.service, slowness, candidate);
+  }
   // Recomputing also delays the other requests on the target.
   candidate.cost = candidate.predicted_seconds +
                    kRecomputeCostFactor * uncached_shared_tokens *
@@ -392,6 +403,22 @@
   return candidate;
 }
 
+void Scheduler::PredictFromParts(const std::string& service, double slowness,
+                                 Candidate& candidate) {
+  const FirstEventPredictor& predictor = PredictorOf(service);
+  const double distance = candidate.is_local ? 0.0 : predictor.remote_seconds();
+  const auto scaled = [slowness, distance](double seconds) {
+    return (seconds - distance) * slowness + distance;
+  };
+  candidate.predicted_from_load_seconds = predictor.Predict(candidate.load);
+  candidate.predicted_seconds = scaled(candidate.predicted_from_load_seconds) +
+                                candidate.slot_wait_seconds;
+  candidate.queueing_seconds =
+      predictor.QueueingSeconds(candidate.load) * slowness +
+      candidate.slot_wait_seconds;
+  candidate.predicted_idle_seconds = predictor.IdleSeconds(candidate.load);
+}
+
 bool Scheduler::FitsLinkBudget(TimePoint now, std::size_t bytes) const {
   const double budget =
       link_budget_.BytesPerSecond() *
@@ -849,6 +876,7 @@
   assignment.prefill_tokens = candidate.prefill_tokens;
   assignment.kv_cache_tokens = candidate.kv_cache_tokens;
   assignment.load_tokens = candidate.load_tokens;
+  assignment.load = candidate.load;
   assignment.slot_wait_seconds = candidate.slot_wait_seconds;
   assignment.predicted_from_load =
       FromSeconds(candidate.predicted_from_load_seconds);
@@ -947,6 +975,7 @@
                               Seconds(assignment.predicted_from_load));
     FirstEventModelOf(target->entry.service)
         .Add(assignment.load_tokens, running_seconds);
+    PredictorOf(target->entry.service).Add(assignment.load, running_seconds);
   }
 }
 
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -26,6 +26,7 @@
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
+#include "decisions/first_event_predictor.h"
 #include "decisions/link_budget.h"
 #include "decisions/rate_meter.h"
 #include "decisions/retry_budget.h"
@@ -156,6 +157,7 @@
   // What the prediction was made from: prompt tokens that the target has to
   // read before the first event, and seconds of waiting for a slot.
   double load_tokens = 0;
+  FirstEventLoad load = {};
   double slot_wait_seconds = 0;
   // Time to the first event predicted from load alone, without the target's
   // slowness and the latency between regions.
@@ -278,6 +280,7 @@
     double kv_cache_tokens = 0;
     // As in `Assignment`.
     double load_tokens = 0;
+    FirstEventLoad load = {};
     double slot_wait_seconds = 0;
     double predicted_from_load_seconds = 0;
     // Infinite if the target is full.
@@ -388,6 +391,10 @@
                      const Candidate& candidate);
   double SecondsPerToken(const std::string& service) const;
   FirstEventModel& FirstEventModelOf(const std::string& service);
+  FirstEventPredictor& PredictorOf(const std::string& service);
+  // Replaces the prediction of `candidate` by that of the service's predictor.
+  void PredictFromParts(const std::string& service, double slowness,
+                        Candidate& candidate);
   // Scales the configured throughput to the engines that can serve now.
   void UpdateCapacity(TimePoint now, const std::string& service);
   // Returns the throughput of an engine as a fraction of that of a warm one
@@ -426,6 +433,7 @@
   std::map<std::string, double> seconds_per_token_;
   // By service.
   std::map<std::string, FirstEventModel> first_event_models_;
+  std::map<std::string, FirstEventPredictor> predictors_;
   std::map<std::string, SlotWait> slot_waits_;
   std::minstd_rand random_;
   // Units and number of model requests per second at this router, for the
