Do not admit requests that read everything again as if that were needed

A large prompt may queue a little on a target whose idle prediction already exceeds the limit; that prediction is meant for a target with all shared parts cached, and the new one counted the parts to be read again, so that each such request passed. It no longer does.

--- a/src/decisions/first_event_predictor.cc
+++ b/src/decisions/first_event_predictor.cc
@@ -17,7 +17,8 @@
 
 // Bounds of the coefficients as multiples of the assumed ones.
 constexpr double kMinRatio = 0.2;
-constexpr double kMaxRatio = 4.0;
+constexpr double kMaxTimeRatio = 5.0;
+constexpr double kMaxSecondsPerTokenRatio = 2.0;
 // Sizes at which the assumed coefficients count as observed.
 constexpr double kSmallTokens = 500;
 constexpr double kLargeTokens = 8000;
@@ -45,10 +46,12 @@
 
 Vector MaxCoefficients(const Vector& prior) {
   Vector max{};
-  for (std::size_t i = 0; i < prior.size(); ++i) {
-    max[i] = kMaxRatio * prior[i];
+  for (const Feature it : {kConstant, kRemote}) {
+    max[it] = kMaxTimeRatio * prior[it];
+  }
+  for (const Feature it : {kOwnTokens, kQueuedTokens, kMeanQueuedTokens}) {
+    max[it] = kMaxSecondsPerTokenRatio * prior[kOwnTokens];
   }
-  max[kMeanQueuedTokens] = prior[kOwnTokens];
   return max;
 }
 
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -382,7 +382,7 @@
                         target.peer_load.pending_prefill_tokens,
                     mean_peer_load.pending_prefill_tokens, !candidate.is_local};
   if (adaptive_placement_.IsActive(request.service)) {
-    PredictFromParts(request.service, slowness, candidate);
+    PredictFromParts(request.service, unshared_tokens, slowness, candidate);
   }
   // Recomputing also delays the other requests on the target.
   candidate.cost = candidate.predicted_seconds +
@@ -403,20 +403,26 @@
   return candidate;
 }
 
-void Scheduler::PredictFromParts(const std::string& service, double slowness,
+void Scheduler::PredictFromParts(const std::string& service,
+                                 double unshared_tokens, double slowness,
                                  Candidate& candidate) {
   const FirstEventPredictor& predictor = PredictorOf(service);
   const double distance = candidate.is_local ? 0.0 : predictor.remote_seconds();
-  const auto scaled = [slowness, distance](double seconds) {
-    return (seconds - distance) * slowness + distance;
+  const auto scaled = [distance](double seconds, double factor) {
+    return (seconds - distance) * factor + distance;
   };
   candidate.predicted_from_load_seconds = predictor.Predict(candidate.load);
-  candidate.predicted_seconds = scaled(candidate.predicted_from_load_seconds) +
-                                candidate.slot_wait_seconds;
+  candidate.predicted_seconds =
+      scaled(candidate.predicted_from_load_seconds, slowness) +
+      candidate.slot_wait_seconds;
   candidate.queueing_seconds =
       predictor.QueueingSeconds(candidate.load) * slowness +
       candidate.slot_wait_seconds;
-  candidate.predicted_idle_seconds = predictor.IdleSeconds(candidate.load);
+  // A target that has all shared parts cached, as above.
+  FirstEventLoad idle_load = candidate.load;
+  idle_load.own_tokens = unshared_tokens;
+  candidate.predicted_idle_seconds =
+      scaled(predictor.IdleSeconds(idle_load), std::min(1.0, slowness));
 }
 
 bool Scheduler::FitsLinkBudget(TimePoint now, std::size_t bytes) const {
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -393,8 +393,8 @@
   FirstEventModel& FirstEventModelOf(const std::string& service);
   FirstEventPredictor& PredictorOf(const std::string& service);
   // Replaces the prediction of `candidate` by that of the service's predictor.
-  void PredictFromParts(const std::string& service, double slowness,
-                        Candidate& candidate);
+  void PredictFromParts(const std::string& service, double unshared_tokens,
+                        double slowness, Candidate& candidate);
   // Scales the configured throughput to the engines that can serve now.
   void UpdateCapacity(TimePoint now, const std::string& service);
   // Returns the throughput of an engine as a fraction of that of a warm one
