--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -1,5 +1,6 @@
 #include "peers/peer_report.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/status/status.h"
@@ -46,6 +47,46 @@
           MillisecondsField(list.at(offset + 4))};
 }
 
+constexpr std::size_t kFieldsPerRouterOut = 2;
+
+// Encodes the routers that are out of rotation, by address and number. Earlier
+// versions expect a fixed number of elements for each listed router.
+Json EncodeRoutersOut(const PeerReport& report) {
+  Json list = Json::array();
+  const auto append = [&list](const RouterInfo& it) {
+    if (it.left_rotation) {
+      list.push_back(it.vm);
+      list.push_back(*it.left_rotation);
+    }
+  };
+  append(report.sender);
+  std::for_each(report.live_routers.begin(), report.live_routers.end(), append);
+  return list;
+}
+
+// Sets the state of the sender and of the listed routers, which must have been
+// decoded.
+void DecodeRoutersOut(const Json& crashes, PeerReport& report) {
+  // Absent while no router is out, and in reports of earlier versions.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("routers_out")) {
+    return;
+  }
+  const Json& list = crashes.back().at("routers_out");
+  std::map<std::string, LeaveNumber> numbers;
+  for (std::size_t i = 0; i + kFieldsPerRouterOut <= list.size();
+       i += kFieldsPerRouterOut) {
+    numbers[NameField(list[i])] =
+        std::min(UnsignedField<LeaveNumber>(list[i + 1]), kMaxLeaveNumber);
+  }
+  const auto apply = [&numbers](RouterInfo& it) {
+    if (const auto number = numbers.find(it.vm); number != numbers.end()) {
+      it.left_rotation = number->second;
+    }
+  };
+  apply(report.sender);
+  std::for_each(report.live_routers.begin(), report.live_routers.end(), apply);
+}
+
 // Flags of one crash in a report.
 constexpr unsigned kConfirmedFlag = 1;
 constexpr unsigned kRefutedFlag = 2;
@@ -155,6 +196,10 @@
   if (!report.version_uses.empty()) {
     extensions["versions"] = EncodeVersionUses(report.version_uses);
   }
+  Json routers_out = EncodeRoutersOut(report);
+  if (!routers_out.empty()) {
+    extensions["routers_out"] = std::move(routers_out);
+  }
   if (report.operator_keys) {
     const OperatorKeysState& keys = *report.operator_keys;
     extensions["operator_keys"] = {
@@ -402,6 +447,7 @@
          i += kFieldsPerRouter) {
       report.live_routers.push_back(RouterInfoAt(json[12], i));
     }
+    DecodeRoutersOut(json[10], report);
     report.link_use = NumberField(json[13]);
     report.link_budget = NumberField(json[14]);
     report.sent_at = IntegerField(json[15], 0, kMaxMicros);
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -16,6 +16,7 @@
 #include "decisions/fair_share.h"
 #include "decisions/target_table.h"
 #include "decisions/version_history.h"
+#include "decisions/zone_rotation.h"
 #include "model/store_batch.h"
 
 namespace corianderpost {
@@ -41,6 +42,10 @@
   int cpu_millicores = 0;
   // Time since any router last received a report from this one.
   Duration age{0};
+  // Place in the order in which routers of the zone left rotation; absent while
+  // the router is in rotation, and in reports of earlier versions of the
+  // router.
+  std::optional<LeaveNumber> left_rotation = std::nullopt;
   friend bool operator==(const RouterInfo&, const RouterInfo&) = default;
 };
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -114,7 +114,8 @@
   return peer.has_info && now - peer.last_heard_at <= kLivenessTimeout;
 }
 
-void PeerTable::ApplyRouterInfo(TimePoint now, const RouterInfo& info) {
+void PeerTable::ApplyRouterInfo(TimePoint now, const RouterInfo& info,
+                                bool tells_rotation) {
   if (info.vm == self_.vm || info.age > kLivenessTimeout ||
       (peers_.size() >= kMaxPeers && !peers_.contains(info.vm))) {
     return;
@@ -122,10 +123,16 @@
   Peer& peer = peers_[info.vm];
   const TimePoint last_heard_at = now - std::max(Duration(0), info.age);
   if (!peer.has_info || last_heard_at > peer.last_heard_at) {
+    const auto left_rotation = peer.info.left_rotation;
     peer.info = info;
+    peer.info.left_rotation = left_rotation;
     peer.has_info = true;
     peer.last_heard_at = last_heard_at;
   }
+  if (tells_rotation && last_heard_at >= peer.rotation_known_at) {
+    peer.info.left_rotation = info.left_rotation;
+    peer.rotation_known_at = last_heard_at;
+  }
 }
 
 bool PeerTable::ApplyReport(TimePoint now, const PeerReport& report) {
@@ -142,9 +149,14 @@
                      report.sequence <= known->second.sequence))) {
     return false;
   }
-  ApplyRouterInfo(now, report.sender);
+  // The rotation state is taken from the router itself or from the relay of
+  // this zone. A report that waited on the link between regions looks newer
+  // than it is.
+  const bool is_from_relay =
+      report.scope == ReportScope::kFleet && report.sender.zone == self_.zone;
+  ApplyRouterInfo(now, report.sender, true);
   for (const RouterInfo& it : report.live_routers) {
-    ApplyRouterInfo(now, it);
+    ApplyRouterInfo(now, it, is_from_relay);
   }
   const auto it = peers_.find(vm);
   if (it == peers_.end()) {
@@ -199,6 +211,17 @@
   return live_peers;
 }
 
+std::vector<ZonePeer> PeerTable::ZonePeers(TimePoint now) const {
+  std::vector<ZonePeer> zone_peers;
+  for (const auto& [vm, peer] : peers_) {
+    if (peer.has_info && peer.info.zone == self_.zone) {
+      zone_peers.push_back(
+          {vm, now - peer.rotation_known_at, peer.info.left_rotation});
+    }
+  }
+  return zone_peers;
+}
+
 std::vector<std::string> PeerTable::SilentPeers(TimePoint now) const {
   std::vector<std::string> silent_peers;
   for (const auto& [vm, peer] : peers_) {
--- a/src/peers/peer_table.h
+++ b/src/peers/peer_table.h
@@ -37,6 +37,8 @@
   const RouterInfo& self() const { return self_; }
   // Live routers except this one, ordered by address.
   std::vector<RouterInfo> LivePeers(TimePoint now) const;
+  // Known routers of this zone except this one, silent ones included.
+  std::vector<ZonePeer> ZonePeers(TimePoint now) const;
   // Known addresses at which no router is known to be alive.
   std::vector<std::string> SilentPeers(TimePoint now) const;
   // Number of live routers including this one, and the zero-based position of
@@ -104,6 +106,8 @@
     // False for a seed address that has not been heard from.
     bool has_info = false;
     TimePoint last_heard_at;
+    // Since when `info.left_rotation` is known.
+    TimePoint rotation_known_at;
     // Last reports from this router about itself and about its zone, with the
     // times of receipt.
     std::optional<PeerReport> router_report;
@@ -117,7 +121,9 @@
   bool IsAlive(TimePoint now, const Peer& peer) const;
   std::vector<RouterInfo> RelayCandidates(TimePoint now,
                                           const std::string& zone) const;
-  void ApplyRouterInfo(TimePoint now, const RouterInfo& info);
+  // `tells_rotation` tells whether to take over the router's rotation state.
+  void ApplyRouterInfo(TimePoint now, const RouterInfo& info,
+                       bool tells_rotation);
 
   const RouterInfo self_;
   // By address.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -383,6 +383,63 @@
   }
 }
 
+// Routers of two versions run side by side while a fleet is replaced.
+TEST_CASE("An earlier version reads a report with routers out of rotation") {
+  constexpr std::size_t kSenderField = 2;
+  constexpr std::size_t kCrashesField = 10;
+  constexpr std::size_t kRoutersField = 12;
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
+  report.live_routers = {MakeRouterInfo("10.0.0.2", "a"),
+                         MakeRouterInfo("10.0.0.3", "a")};
+  nlohmann::json json = nlohmann::json::from_msgpack(EncodeReport(report));
+  CHECK_FALSE(json[kCrashesField].back().contains("routers_out"));
+
+  report.sender.left_rotation = kOutForOtherReason;
+  report.live_routers[1].left_rotation = 12;
+  const std::string bytes = EncodeReport(report);
+  CHECK(*DecodeReport(bytes) == report);
+  json = nlohmann::json::from_msgpack(bytes);
+  CHECK(json[kSenderField].size() == 5);
+  CHECK(json[kRoutersField].size() == 10);
+
+  // Its own reports lack the state.
+  json[kCrashesField].back().erase("routers_out");
+  const std::vector<std::uint8_t> former = nlohmann::json::to_msgpack(json);
+  const auto decoded = DecodeReport(std::string(former.begin(), former.end()));
+  REQUIRE(decoded.ok());
+  CHECK_FALSE(decoded->sender.left_rotation);
+  CHECK_FALSE(decoded->live_routers[1].left_rotation);
+}
+
+TEST_CASE("Members of a zone learn through their relay who is out") {
+  const RouterInfo relay = MakeRouterInfo("10.0.0.1", "a", 500);
+  RouterInfo out = MakeRouterInfo("10.0.0.2", "a");
+  out.left_rotation = 3;
+  PeerTable relay_table(relay);
+  relay_table.ApplyReport(kStart, MakeReport(out, 1, 0));
+
+  PeerTable table(MakeRouterInfo("10.0.0.3", "a"));
+  const TimePoint now = kStart + milliseconds(200);
+  PeerReport report =
+      relay_table.FleetReportFor(now, "10.0.0.3", MakeReport(relay, 1, 0));
+  report.live_routers = relay_table.LivePeers(now);
+  table.ApplyReport(now, *DecodeReport(EncodeReport(report)));
+  const std::vector<ZonePeer> expected = {
+      {"10.0.0.1", Duration(0), std::nullopt},
+      {"10.0.0.2", milliseconds(200), LeaveNumber{3}}};
+  CHECK(table.ZonePeers(now) == expected);
+
+  // Guards against a report that waited on a full link: it lists the router as
+  // it was long ago.
+  PeerReport late = MakeReport(MakeRouterInfo("10.0.1.1", "b"), 1, 0);
+  late.scope = ReportScope::kZone;
+  late.live_routers = {MakeRouterInfo("10.0.0.2", "a")};
+  table.ApplyReport(now + milliseconds(50), late);
+  CHECK(table.ZonePeers(now)[1] == expected[1]);
+  // A router that falls silent stays listed, with the age of its state.
+  CHECK(table.ZonePeers(now + seconds(5))[1].age == milliseconds(5200));
+}
+
 TEST_CASE("The target list is copied from the zone's peers first") {
   PeerTable table(MakeRouterInfo("10.0.0.1", "a"));
   const auto apply = [&table](const char* vm, const char* zone,
