Keep saturated routers in rotation that their zone can't spare

The code for load (overload detector, processor admission, log lines) moves from Router to LoadControl, which asks ZoneRotation whether a saturated or overloaded router may fail its readiness checks. A router in a zone of one or two never does. Stopping routers and those without a configuration are reported as out, so that the zone spares fewer saturated ones. Lines and metrics tell when a router leaves, returns, yields or has to stay. `router is overloaded; leaving rotation` is now `router is overloaded`, since it may stay.

--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -20,7 +20,7 @@
 #include "peers/replica_batch.h"
 #include "peers/store_reader.h"
 #include "router/listener.h"
-#include "router/overload_detector.h"
+#include "router/load_control.h"
 #include "router/share_log.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
@@ -114,9 +114,6 @@
 // Time for the last written responses to reach their callers before the process
 // exits.
 constexpr Duration kFlushTime = milliseconds(150);
-// From this mean timer lag on, first events are handled too late to measure
-// targets' latency with them.
-constexpr double kUnreliableTimingLagMs = 10;
 // File descriptors reserved for files and internal sockets.
 constexpr int kReservedDescriptors = 300;
 
@@ -294,7 +291,9 @@
 
   TextReply HandleReadiness();
   TextReply HandleControl(const HttpRequest& request);
-  bool IsReady() const;
+  // Whether the router could serve if it is not saturated.
+  bool CanServe() const;
+  bool IsReady() const { return CanServe() && load_control_.is_in_rotation(); }
   void RecordUnansweredClose(const UnansweredClose& close);
   void SetMemoryMetrics();
 
@@ -388,7 +387,7 @@
   asio::signal_set signals_;
 
   TimePoint tick_due_;
-  OverloadDetector overload_detector_;
+  LoadControl load_control_;
   TimePoint next_housekeeping_at_;
   TimePoint next_target_record_at_;
   std::optional<TimePoint> target_list_loaded_at_;
@@ -450,6 +449,9 @@
                  settings.peer_port, scheduler_, metrics_,
                  [this](TimePoint now, PeerReport& report) {
                    AddReplicaState(now, report);
+                   report.sender.left_rotation =
+                       CanServe() ? load_control_.left_rotation()
+                                  : kOutForOtherReason;
                    report.version_uses = stream_directory_.ReportedUses(now);
                  }),
       stream_directory_(messenger_.peers().self(), clock_, messenger_, metrics_,
@@ -482,7 +484,9 @@
       control_listener_(loop_, settings.control_address, control_handler_,
                         clock_),
       tick_timer_(loop_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      load_control_(plane_.processor_admission, caller_listener_,
+                    messenger_.peers(), metrics_) {
   plane_.stream_directory = &stream_directory_;
   plane_.memory = &memory_;
   pool_.SetMemoryBudget(&memory_);
@@ -502,11 +506,9 @@
   }
 }
 
-bool Router::Impl::IsReady() const {
+bool Router::Impl::CanServe() const {
   return plane_.configuration != nullptr && has_verified_operator_keys_ &&
-         target_list_reader_.replica().is_loaded() && !plane_.drain &&
-         !overload_detector_.is_overloaded() &&
-         !plane_.processor_admission.is_limiting();
+         target_list_reader_.replica().is_loaded() && !plane_.drain;
 }
 
 TextReply Router::Impl::HandleReadiness() {
@@ -679,8 +681,6 @@
 }
 
 void Router::Impl::CheckLoad(TimePoint now) {
-  const bool was_busy = overload_detector_.is_busy();
-  const bool was_overloaded = overload_detector_.is_overloaded();
   const Duration lag = now - tick_due_;
   if (lag >= kMaxOnTimeLag) {
     for (const auto& [caller, exchange] : exchanges_) {
@@ -689,36 +689,10 @@
     pool_.ExcuseLag(lag);
     fetcher_.ExcuseLag(lag);
   }
-  overload_detector_.RecordTick(now, lag);
-  const bool was_limiting = plane_.processor_admission.is_limiting();
-  plane_.processor_admission.RecordTick(
-      now, std::max(lag, caller_listener_.AcceptDelay(now)));
-  if (was_limiting != plane_.processor_admission.is_limiting()) {
-    Log(LogLevel::kInfo,
-        was_limiting ? "processor has headroom; no longer limiting requests"
-                     : "processor is saturated; limiting requests",
-        {{"late_ms", overload_detector_.mean_lag_ms()},
-         {"limit_per_second", plane_.processor_admission.limit_per_second()},
-         {"open_requests", exchanges_.size()},
-         {"callers", caller_listener_.size()}});
-  }
-  scheduler_.SetEventLoopLagging(overload_detector_.mean_lag_ms() >=
-                                 kUnreliableTimingLagMs);
-  if (!was_busy && overload_detector_.is_busy()) {
-    Log(LogLevel::kInfo, "router is busy",
-        {{"late_ms", overload_detector_.mean_lag_ms()},
-         {"open_requests", exchanges_.size()}});
-  }
-  if (!was_overloaded && overload_detector_.is_overloaded()) {
-    Log(LogLevel::kWarning, "router is overloaded; leaving rotation",
-        {{"late_ms", std::chrono::duration_cast<milliseconds>(lag).count()},
-         {"open_requests", exchanges_.size()},
-         {"callers", caller_listener_.size()},
-         {"max_accepts_per_turn", caller_listener_.TakeMaxAcceptsPerTurn()}});
-  }
-  if (was_overloaded && !overload_detector_.is_overloaded()) {
-    Log(LogLevel::kInfo, "router is no longer overloaded");
+  if (load_control_.RecordTick(now, lag, exchanges_.size())) {
+    messenger_.ReportAtNextTick();
   }
+  scheduler_.SetEventLoopLagging(load_control_.has_unreliable_timing());
 }
 
 void Router::Impl::ScheduleTick() {
