Hand on a deadline to the other region that allows for the link's delay

A target counts the time that it is given from the arrival, so a router now subtracts the measured queueing delay of the link if the target is in another region. Routers that report to a relay measure no round trips and subtract nothing.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_format.h"
+#include "decisions/forwarded_deadline.h"
 #include "decisions/stream_records.h"
 
 namespace corianderpost {
@@ -498,7 +499,8 @@
   attempt_events_ = 0;
   stalled_at_.reset();
   ForwardedContext context;
-  context.remaining = RemainingTime(now);
+  context.remaining =
+      ForwardedTime(plane_.scheduler, assignment, RemainingTime(now));
   context.target_id = assignment.target_id;
   if (scheduled_.customer != nullptr) {
     context.customer = scheduled_.customer->name;
