Let customers that are equally ahead use spare capacity

Cause: a customer that is ahead of its share may use spare capacity only while it is admitted less than a payback factor times any other customer with unmet demand. Two customers that were ahead alike waited for each other.

Change: while every customer with unmet demand is admitted its share, payback counts relative to that of the other customer.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -167,15 +167,30 @@
   if (it == fleet_rates_.end()) {
     return true;
   }
+  // While all have their shares, a customer waits only for others that are less
+  // ahead. Otherwise two that are equally ahead would wait for each other.
+  const bool is_every_share_served = IsEveryShareServed();
   for (const auto& [other, rates] : fleet_rates_) {
-    if (other != customer && HasUnmetDemand(rates) &&
-        it->second.admitted > kMaxAdmittedRatio * payback * rates.admitted) {
+    if (other == customer || !HasUnmetDemand(rates)) {
+      continue;
+    }
+    const double part = is_every_share_served
+                            ? std::min(1.0, payback / PaybackFactor(other))
+                            : payback;
+    if (it->second.admitted > kMaxAdmittedRatio * part * rates.admitted) {
       return false;
     }
   }
   return true;
 }
 
+bool FairShare::IsEveryShareServed() const {
+  return std::all_of(
+      fleet_rates_.begin(), fleet_rates_.end(), [this](const auto& it) {
+        return !HasUnmetDemand(it.second) || it.second.admitted >= level_;
+      });
+}
+
 bool FairShare::IsAboveEqualPart(TimePoint now, CustomerId customer) {
   UpdateLevel(now);
   const auto it = fleet_rates_.find(customer);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -114,6 +114,9 @@
   void UpdateAhead(double elapsed_seconds);
   // Returns whether a customer above the level asks for more than it gets.
   bool HasUnmetDemand(const CustomerRates& rates) const;
+  // Returns whether all customers with unmet demand are admitted at least their
+  // shares at all routers together.
+  bool IsEveryShareServed() const;
   // Returns the part of its share that a customer gets until it is no longer
   // ahead.
   double PaybackFactor(CustomerId customer) const;
