Learn the engines' capacity beyond the configured throughput

Cause: the share level follows the configured throughput. Where engines can serve more, requests were rejected as over_share while engines were idle.

Change: EngineCapacity takes over the count of usable engines from the scheduler. For services with adaptive decisions it adds a factor from 1 to 3, a function of the customers' demand and admitted rates and of the engines' queues, slots and KV cache at all routers. Elsewhere the capacity is as before.

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -71,10 +71,6 @@
 // admitted if it queues no longer than this fraction of the queueing limit.
 // Otherwise such prompts would always be rejected.
 constexpr double kLargePromptQueueFraction = 0.3;
-// Interval between counts of the usable engines.
-constexpr Duration kCapacityUpdateInterval = milliseconds(100);
-// Throughput of a cold engine as a fraction of that of a warm one.
-constexpr double kColdCapacityFraction = 0.5;
 // Peer reports are some hundred milliseconds old: since then, other routers
 // have chosen targets that looked idle and avoided those that looked busy. So
 // a target's reported load gets this weight, and the mean of its region's
@@ -224,8 +220,8 @@
 }
 
 double Scheduler::SecondsPerToken(const std::string& service) const {
-  const auto it = seconds_per_token_.find(service);
-  return it == seconds_per_token_.end() ? kDefaultSecondsPerToken : it->second;
+  return engine_capacity_.SecondsPerUnit(service).value_or(
+      kDefaultSecondsPerToken);
 }
 
 FirstEventModel& Scheduler::FirstEventModelOf(const std::string& service) {
@@ -244,8 +240,7 @@
         configuration_->FindService(request.service);
     if (service != nullptr && service->engine) {
       fair_share_.RecordDemand(now, request.customer->id, UnitsOf(request));
-      requested_units_.Add(now, UnitsOf(request));
-      requests_.Add(now, 1);
+      engine_capacity_.RecordRequest(now, UnitsOf(request));
       adaptive_placement_.RecordRequest(
           request.service, *service->engine,
           UnsharedTokensOf(request) +
@@ -444,49 +439,31 @@
                                      random_);
 }
 
-double Scheduler::CapacityFraction(TimePoint now,
-                                   const TargetState& target) const {
-  const double fraction =
-      targets_.IsCold(now, target) ? kColdCapacityFraction : 1.0;
-  const auto it = seconds_per_token_.find(target.entry.service);
-  const double requests = requests_.PerSecond(now);
-  if (!target.named_rate_limit || it == seconds_per_token_.end() ||
-      requests <= 0) {
-    return fraction;
-  }
-  const double units_per_request = requested_units_.PerSecond(now) / requests;
-  return std::min(fraction,
-                  *target.named_rate_limit * units_per_request * it->second);
-}
-
-void Scheduler::UpdateCapacity(TimePoint now, const std::string& service) {
-  EngineCapacity& capacity = capacities_[service];
-  if (capacity.updated_at != TimePoint() &&
-      now - capacity.updated_at < kCapacityUpdateInterval) {
+void Scheduler::UpdateCapacity(TimePoint now, const std::string& service,
+                               const EngineProfile& engine) {
+  if (!engine_capacity_.NeedsUpdate(now, service)) {
     return;
   }
-  capacity.updated_at = now;
-  double usable_engines = 0;
-  for (const TargetState* it : targets_.OfService(service)) {
-    if (targets_.IsInRotation(now, *it) && now >= it->ejected_until &&
-        !TargetTable::IsPaused(now, *it)) {
-      usable_engines += CapacityFraction(now, *it);
+  EngineCapacityInputs inputs;
+  inputs.configured_rate = configuration_->engine_tokens_per_second();
+  inputs.engine = engine;
+  inputs.is_measured = adaptive_placement_.IsActive(service);
+  if (inputs.is_measured) {
+    for (const auto& [customer, rates] : fair_share_.FleetRates(now)) {
+      inputs.demand += rates.demand;
+      inputs.admitted += rates.admitted;
+    }
+    inputs.goal_seconds = ShortestLatencyGoal(service);
+    // The model starts from the configured time per unit.
+    if (engine_capacity_.SecondsPerUnit(service)) {
+      inputs.seconds_per_prompt_token =
+          FirstEventModelOf(service).seconds_per_token();
     }
   }
-  capacity.usable_engines = usable_engines;
-  capacity.peak_engines = std::max(capacity.peak_engines, usable_engines);
-  // The configured throughput is that of the engines of all services together.
-  double total_usable_engines = 0;
-  double total_peak_engines = 0;
-  for (const auto& [name, it] : capacities_) {
-    total_usable_engines += it.usable_engines;
-    total_peak_engines += it.peak_engines;
-  }
-  const double throughput = configuration_->engine_tokens_per_second();
-  if (throughput > 0 && total_usable_engines > 0) {
-    seconds_per_token_[service] = total_peak_engines / throughput;
-    fair_share_.SetCapacity(throughput * total_usable_engines /
-                            total_peak_engines);
+  engine_capacity_.Update(now, service, inputs, targets_);
+  if (const std::optional<double> units = engine_capacity_.UnitsPerSecond();
+      units) {
+    fair_share_.SetCapacity(*units);
   }
 }
 
@@ -508,7 +485,7 @@
   const ServiceProfile* service = configuration_->FindService(request.service);
   const bool is_engine = service != nullptr && service->engine.has_value();
   if (is_engine) {
-    UpdateCapacity(now, request.service);
+    UpdateCapacity(now, request.service, *service->engine);
   }
   // Checked before any target is evaluated, so that rejecting a flood of
   // requests is cheap.
@@ -817,10 +794,11 @@
     ++state.customers;
     state.customers_above_level += rates.demand > level ? 1 : 0;
   }
-  for (const auto& [service, it] : capacities_) {
-    state.usable_engines += it.usable_engines;
-    state.peak_engines += it.peak_engines;
-  }
+  state.usable_engines = engine_capacity_.UsableEngines();
+  state.peak_engines = engine_capacity_.PeakEngines();
+  state.configured_capacity =
+      engine_capacity_.ConfiguredUnitsPerSecond().value_or(0.0);
+  state.capacity_limit = engine_capacity_.LowestLimit();
   return state;
 }
 
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -24,6 +24,7 @@
 #include "corianderpost/ids.h"
 #include "decisions/adaptive_placement.h"
 #include "decisions/crash_suspects.h"
+#include "decisions/engine_capacity.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
 #include "decisions/link_budget.h"
@@ -185,6 +186,10 @@
   int customers_above_level = 0;
   double usable_engines = 0;
   double peak_engines = 0;
+  // `capacity` without the measured factor; zero if unknown.
+  double configured_capacity = 0;
+  // Why the measured capacity is not higher.
+  CapacityLimit capacity_limit = CapacityLimit::kConfigured;
   friend bool operator==(const ShareState&, const ShareState&) = default;
 };
 
@@ -230,6 +235,7 @@
   const AdaptivePlacement& adaptive_placement() const {
     return adaptive_placement_;
   }
+  const EngineCapacity& engine_capacity() const { return engine_capacity_; }
 
   // Counts a caller's request for the retry budget and the customer's demand.
   // Call once per request, before its first `Place`.
@@ -388,11 +394,9 @@
                      const Candidate& candidate);
   double SecondsPerToken(const std::string& service) const;
   FirstEventModel& FirstEventModelOf(const std::string& service);
-  // Scales the configured throughput to the engines that can serve now.
-  void UpdateCapacity(TimePoint now, const std::string& service);
-  // Returns the throughput of an engine as a fraction of that of a warm one
-  // without a rate limit.
-  double CapacityFraction(TimePoint now, const TargetState& target) const;
+  // Updates the capacity of the service's engines and of all together.
+  void UpdateCapacity(TimePoint now, const std::string& service,
+                      const EngineProfile& engine);
   // Records that the target is about to cache the prompt's shared parts.
   void MarkCached(TimePoint now, const ScheduledRequest& request,
                   TargetState& target);
@@ -413,25 +417,11 @@
   FairShare fair_share_;
   CrashSuspects suspects_;
   std::map<std::string, RetryBudget> retry_budgets_;
-  struct EngineCapacity {
-    TimePoint updated_at;
-    double usable_engines = 0;
-    // Maximum of `usable_engines` so far. The configured throughput is taken to
-    // be that of this many engines.
-    double peak_engines = 0;
-  };
-  std::map<std::string, EngineCapacity> capacities_;
-  // Seconds that one engine takes per weighted token (see fair_share.h), by
-  // service.
-  std::map<std::string, double> seconds_per_token_;
+  EngineCapacity engine_capacity_;
   // By service.
   std::map<std::string, FirstEventModel> first_event_models_;
   std::map<std::string, SlotWait> slot_waits_;
   std::minstd_rand random_;
-  // Units and number of model requests per second at this router, for the
-  // throughput that a limit on requests allows.
-  RateMeter requested_units_{std::chrono::seconds(5)};
-  RateMeter requests_{std::chrono::seconds(5)};
 };
 
 }  // namespace corianderpost
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -137,6 +137,7 @@
       options.region_of_zone = {{"a", "west"}, {"b", "east"}};
       options.retry_budget = {0.2, std::chrono::seconds(10), 50};
       options.region_link_bytes_per_second = 18e6;
+      options.adaptive_placement = load.adaptive_placement;
       routers_.push_back(std::make_unique<Scheduler>(options));
       Scheduler& scheduler = *routers_.back();
       scheduler.SetSeed(static_cast<std::uint32_t>(load.seed * 1000) +
--- a/src/decisions/simulated_engines.h
+++ b/src/decisions/simulated_engines.h
@@ -93,6 +93,7 @@
   int cut_off_routers = 0;
   SimulatedEngineOptions engine;
   double capacity_units_per_second = 0;
+  AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
   double seconds = 0;
   std::uint64_t seed = 1;
   friend bool operator==(const SimulatedLoad&, const SimulatedLoad&) = default;
