Use headroom without payback and spread the retries of rejected callers

Cause: a customer that was ahead of its share was rejected without examining an engine, also while all customers had their shares and engines were idle. All callers rejected at one time were told to return at one time.

Change: where the engines' capacity is measured, payback does not count while the engines have headroom and every customer with unmet demand has its share.

--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -160,16 +160,20 @@
   return it->second.admitted / std::min(level, it->second.demand);
 }
 
-bool FairShare::MayUseSpareCapacity(TimePoint now, CustomerId customer) {
+bool FairShare::MayUseSpareCapacity(TimePoint now, CustomerId customer,
+                                    bool have_engines_headroom) {
   UpdateLevel(now);
-  const double payback = PaybackFactor(customer);
   const auto it = fleet_rates_.find(customer);
   if (it == fleet_rates_.end()) {
     return true;
   }
   // While all have their shares, a customer waits only for others that are less
-  // ahead. Otherwise two that are equally ahead would wait for each other.
+  // ahead, and for none if the engines have headroom. Otherwise two that are
+  // equally ahead would wait for each other.
   const bool is_every_share_served = IsEveryShareServed();
+  const double payback = is_every_share_served && have_engines_headroom
+                             ? 1.0
+                             : PaybackFactor(customer);
   for (const auto& [other, rates] : fleet_rates_) {
     if (other == customer || !HasUnmetDemand(rates)) {
       continue;
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -74,7 +74,10 @@
   double AdmittedFraction(TimePoint now, CustomerId customer);
   // Returns whether a customer above its share may use spare capacity, which
   // requires that no other customer with unmet demand is admitted much less.
-  bool MayUseSpareCapacity(TimePoint now, CustomerId customer);
+  // While all customers have their shares and the engines have headroom, what
+  // the customer was admitted beyond its share before does not count.
+  bool MayUseSpareCapacity(TimePoint now, CustomerId customer,
+                           bool have_engines_headroom = false);
   // Returns whether the customer is admitted more, at all routers together,
   // than an equal part of the capacity for each customer with demand. Known
   // before the demand exceeds the capacity.
--- a/src/decisions/fair_share_test.cc
+++ b/src/decisions/fair_share_test.cc
@@ -167,6 +167,28 @@
   CHECK(admitted > 0.95 * kServedPerSecond * 10);
 }
 
+// Guards against idle engines while a customer pays back what cost nobody
+// anything.
+TEST_CASE("A customer that is ahead may use engines with headroom") {
+  FairShare share;
+  share.SetCapacity(100'000);
+  for (int step = 0; step < 20; ++step) {
+    // The customer was ahead for a second; the other one never was.
+    const double admitted = step < 10 ? 400'000 : 55'000;
+    share.SetPeerRates(
+        {{kOther, {200'000, 50'000}}, {kCustomer, {600'000, admitted}}});
+    share.ShareLevel(kStart + milliseconds(100 * step));
+  }
+  const TimePoint now = kStart + milliseconds(1900);
+  CHECK_FALSE(share.MayUseSpareCapacity(now, kCustomer));
+  CHECK(share.MayUseSpareCapacity(now, kCustomer, true));
+  // Somebody has less than its share.
+  share.SetPeerRates(
+      {{kOther, {200'000, 45'000}}, {kCustomer, {600'000, 55'000}}});
+  CHECK_FALSE(
+      share.MayUseSpareCapacity(now + milliseconds(100), kCustomer, true));
+}
+
 TEST_CASE("A silent customer has no part of the capacity") {
   FairShare share;
   share.SetCapacity(100'000);
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -9,6 +9,7 @@
 #include "corianderpost/ids.h"
 #include "decisions/candidate_sample.h"
 #include "decisions/prompt_homes.h"
+#include "decisions/retry_spread.h"
 
 namespace corianderpost {
 namespace {
@@ -493,8 +494,9 @@
   const bool has_share_credit =
       !is_engine || request.customer == nullptr || request.was_admitted ||
       fair_share_.HasCredit(now, request.customer->id);
-  if (!has_share_credit &&
-      !fair_share_.MayUseSpareCapacity(now, request.customer->id)) {
+  if (!has_share_credit && !fair_share_.MayUseSpareCapacity(
+                               now, request.customer->id,
+                               engine_capacity_.HasHeadroom(request.service))) {
     return Reject(now, request, RejectionReason::kOverShare, 0, 0, {});
   }
   const std::vector<TargetState*> usable = UsableTargets(now, request);
@@ -776,9 +778,18 @@
     retry_after = std::max(
         retry_after, fair_share_.TimeUntilCredit(now, request.customer->id));
   }
+  retry_after = std::min(retry_after, kMaxRetryAfter);
+  if (adaptive_placement_.IsActive(request.service)) {
+    if (reason != RejectionReason::kOverShare) {
+      retry_after =
+          std::clamp(engine_capacity_.TimeUntilHeadroom(request.service),
+                     retry_after, kMaxRetryAfter);
+    }
+    retry_after = SpreadRetry(retry_after, kMaxRetryAfter, random_);
+  }
   const double level = fair_share_.ShareLevel(now);
   return Rejection{
-      reason, std::min(retry_after, kMaxRetryAfter),
+      reason, retry_after,
       std::isfinite(best_seconds) ? FromSeconds(best_seconds) : Duration(0),
       std::isfinite(level) ? level : 0.0, excluded};
 }
