--- a/src/decisions/engine_capacity.h
+++ b/src/decisions/engine_capacity.h
@@ -87,8 +87,8 @@
 
   // Returns the measured factor of the service; 1 if unknown.
   double Factor(const std::string& service) const;
-  // Returns whether the service's engines could serve more than they do. False
-  // if the capacity is not measured.
+  // Returns whether the service's engines have at least half of their headroom.
+  // False if the capacity is not measured.
   bool HasHeadroom(const std::string& service) const;
   // Returns the time until the prompt tokens queued at the service's engines
   // leave headroom, as of the last update; zero if they do or if it is unknown.
--- a/src/decisions/engine_capacity_test.cc
+++ b/src/decisions/engine_capacity_test.cc
@@ -108,8 +108,9 @@
   CHECK(fleet.first().Limit("engines") == CapacityLimit::kDemand);
 }
 
-// Customers ask for four times the configured throughput, and the engines
-// could serve twice of it. The last customer asks for less than its share.
+// Customers ask for nearly five times the configured throughput, and the
+// engines can serve twice of it. The last customer asks for less than its
+// share.
 SimulatedLoad ExcessLoad(std::uint64_t seed, AdaptiveMode mode) {
   SimulatedLoad load;
   load.engines = 18;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -525,6 +525,13 @@
                       static_cast<double>(caller_listener_.size()));
     metrics_.SetGauge("corianderpost_peers",
                       messenger_.peers().FleetSize(clock_.Now()) - 1);
+    const ShareState share = scheduler_.CurrentShareState(clock_.Now());
+    metrics_.SetGauge("corianderpost_capacity_units_per_second",
+                      share.capacity);
+    metrics_.SetGauge("corianderpost_configured_capacity_units_per_second",
+                      share.configured_capacity);
+    metrics_.SetGauge("corianderpost_share_level_units_per_second",
+                      share.level);
     metrics_.SetGauge("corianderpost_store_era",
                       static_cast<double>(operator_reader_.replica().era()));
     metrics_.SetGauge("corianderpost_store_restores",
@@ -836,6 +843,9 @@
     Log(LogLevel::kInfo, "demand exceeds the capacity",
         {{"share_level", static_cast<std::int64_t>(share.level)},
          {"capacity", static_cast<std::int64_t>(share.capacity)},
+         {"configured_capacity",
+          static_cast<std::int64_t>(share.configured_capacity)},
+         {"capacity_limit", ToString(share.capacity_limit)},
          {"demand", static_cast<std::int64_t>(share.demand)},
          {"admitted", static_cast<std::int64_t>(share.admitted)},
          {"customers", share.customers},
