--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -74,7 +74,10 @@
   double AdmittedFraction(TimePoint now, CustomerId customer);
   // Returns whether a customer above its share may use spare capacity, which
   // requires that no other customer with unmet demand is admitted much less.
-  bool MayUseSpareCapacity(TimePoint now, CustomerId customer);
+  // While all customers have their shares and the engines have headroom, what
+  // the customer was admitted beyond its share before does not count.
+  bool MayUseSpareCapacity(TimePoint now, CustomerId customer,
+                           bool have_engines_headroom = false);
   // Returns whether the customer is admitted more, at all routers together,
   // than an equal part of the capacity for each customer with demand. Known
   // before the demand exceeds the capacity.
@@ -114,6 +117,9 @@
   void UpdateAhead(double elapsed_seconds);
   // Returns whether a customer above the level asks for more than it gets.
   bool HasUnmetDemand(const CustomerRates& rates) const;
+  // Returns whether all customers with unmet demand are admitted at least their
+  // shares at all routers together.
+  bool IsEveryShareServed() const;
   // Returns the part of its share that a customer gets until it is no longer
   // ahead.
   double PaybackFactor(CustomerId customer) const;
