Learn each engine's lasting speed and predict with it

A single slowness factor stood for both lasting speed and the load of the moment, damped by an exponent of 0.4, so that predictions for slow engines were too low by most of the difference.

EngineSpeed keeps both: the slowness over 4 s as before (moved from TargetTable), and a lasting speed over 30 s with the weight of the observations behind it. It is relative to the mean of the service's engines and shrunk towards it; one observation counts with at most a factor of 1.8; a new incarnation starts anew. Routers add up their sums: TargetLoad and the peer report have a second pair of sums, an extension by name that earlier versions skip and that defaults to unknown.

AdaptivePlacement gets the ratio of speeds. Where it finds them uneven, or is set to on, the prediction uses the speed in full and damps the rest only. The arithmetic moved from Scheduler::Evaluate to engine_prediction.h. Elsewhere the result is the same.

--- a/src/decisions/adaptive_placement.cc
+++ b/src/decisions/adaptive_placement.cc
@@ -70,6 +70,11 @@
   return it != traits_.end() && it->second.has_uneven_speeds;
 }
 
+bool AdaptivePlacement::UsesEngineSpeeds(const std::string& service) const {
+  return mode_ == AdaptiveMode::kOn ||
+         (mode_ == AdaptiveMode::kAuto && HasUnevenSpeeds(service));
+}
+
 bool AdaptivePlacement::IsActive(const std::string& service) const {
   switch (mode_) {
     case AdaptiveMode::kOn:
--- a/src/decisions/adaptive_placement.h
+++ b/src/decisions/adaptive_placement.h
@@ -43,6 +43,8 @@
 
   bool IsMemoryScarce(const std::string& service) const;
   bool HasUnevenSpeeds(const std::string& service) const;
+  // Returns whether decisions depend on each engine's lasting speed.
+  bool UsesEngineSpeeds(const std::string& service) const;
   // Returns whether adaptive decisions take effect for the service.
   bool IsActive(const std::string& service) const;
 
--- /dev/null
+++ b/src/decisions/engine_prediction.cc
@@ -0,0 +1,59 @@
+#include "decisions/engine_prediction.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderpost {
+namespace {
+
+// Peer reports are some hundred milliseconds old: since then, other routers
+// have chosen targets that looked idle and avoided those that looked busy. So
+// a target's reported load gets this weight, and the mean of its region's
+// targets gets the rest.
+constexpr double kPeerReportWeight = 0.2;
+// For the same reason a part of what looks like slowness is load that the
+// reports don't show.
+constexpr double kSlownessExponent = 0.4;
+// Weight of recomputing in a candidate's cost, on top of the request's own
+// delay: recomputing delays the other requests on the target equally, and
+// evicts parts that other requests then have to recompute.
+constexpr double kRecomputeCostFactor = 6.0;
+
+}  // namespace
+
+double EstimateLoad(double local, double reported, double mean) {
+  return local + kPeerReportWeight * reported +
+         (1.0 - kPeerReportWeight) * mean;
+}
+
+double SlownessFactor(const EngineSpeed& speed, bool uses_lasting_speed) {
+  if (!uses_lasting_speed) {
+    return std::pow(speed.slowness(), kSlownessExponent);
+  }
+  return std::pow(speed.slowness() * speed.speed(), kSlownessExponent) /
+         speed.speed();
+}
+
+EnginePrediction PredictEngine(const FirstEventModel& model,
+                               const EngineWork& work, double slowness_factor) {
+  const double seconds_per_token = model.seconds_per_token();
+  EnginePrediction prediction;
+  prediction.load_tokens =
+      work.pending_tokens + work.unshared_tokens + work.uncached_shared_tokens;
+  prediction.from_load = model.Predict(prediction.load_tokens);
+  prediction.first_event = prediction.from_load * slowness_factor +
+                           work.slot_wait_seconds + work.region_latency_seconds;
+  prediction.queueing =
+      work.pending_tokens * seconds_per_token * slowness_factor +
+      work.slot_wait_seconds;
+  prediction.idle_first_event = model.idle_seconds() +
+                                work.unshared_tokens * seconds_per_token *
+                                    std::min(1.0, slowness_factor) +
+                                work.region_latency_seconds;
+  prediction.cost = prediction.first_event +
+                    kRecomputeCostFactor * work.uncached_shared_tokens *
+                        seconds_per_token * slowness_factor;
+  return prediction;
+}
+
+}  // namespace corianderpost
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -8,6 +8,7 @@
 
 #include "corianderpost/ids.h"
 #include "decisions/candidate_sample.h"
+#include "decisions/engine_prediction.h"
 #include "decisions/prompt_homes.h"
 
 namespace corianderpost {
@@ -75,18 +76,11 @@
 constexpr Duration kCapacityUpdateInterval = milliseconds(100);
 // Throughput of a cold engine as a fraction of that of a warm one.
 constexpr double kColdCapacityFraction = 0.5;
-// Peer reports are some hundred milliseconds old: since then, other routers
-// have chosen targets that looked idle and avoided those that looked busy. So
-// a target's reported load gets this weight, and the mean of its region's
-// targets gets the rest.
-constexpr double kPeerReportWeight = 0.2;
-// The same for the difference between a region's mean and that of all targets.
-// Routers that all prefer the region that was less busy would only exchange the
-// two regions' roles.
+// Weight of the difference between a region's mean reported load and that of
+// all targets; the rest is the mean of all. Reports are some hundred
+// milliseconds old. Routers that all prefer the region that was less busy would
+// only exchange the two regions' roles.
 constexpr double kRegionReportWeight = 0.25;
-// For the same reason a part of what looks like slowness is load that the
-// reports don't show.
-constexpr double kSlownessExponent = 0.4;
 // Fraction of the queueing limit up to which a target of the wider sample gets
 // a request that no target of the sample can take, and the weight of the
 // difference between the regions there.
@@ -96,10 +90,6 @@
 constexpr Duration kCacheRetention = std::chrono::seconds(15);
 // Expired entries are erased once a target has more than this many.
 constexpr std::size_t kMaxCachedChains = 4096;
-// Weight of recomputing in a candidate's cost, on top of the request's own
-// delay: recomputing delays the other requests on the target equally, and
-// evicts parts that other requests then have to recompute.
-constexpr double kRecomputeCostFactor = 6.0;
 // Fraction of a chain that is assumed to be uncached on the home in a region if
 // the fleet's home is in the other region.
 constexpr double kRegionHomeUncachedFraction = 0.5;
@@ -344,39 +334,31 @@
   }
   const double unshared_tokens = UnsharedTokensOf(request);
   candidate.is_mostly_recompute = uncached_shared_tokens > unshared_tokens;
-  const FirstEventModel& model = FirstEventModelOf(request.service);
-  const double seconds_per_token = model.seconds_per_token();
-  const double slowness = std::pow(target.slowness, kSlownessExponent);
   candidate.prefill_tokens = unshared_tokens + uncached_shared_tokens;
   candidate.kv_cache_tokens = unshared_tokens + uncached_shared_tokens +
                               static_cast<double>(request.max_output_tokens);
-  const auto estimate = [](double local, double reported, double mean) {
-    return local + kPeerReportWeight * reported +
-           (1.0 - kPeerReportWeight) * mean;
-  };
-  const double pending_tokens =
-      estimate(target.pending_prefill_tokens.Sum(now),
-               target.peer_load.pending_prefill_tokens,
-               mean_peer_load.pending_prefill_tokens);
-  candidate.slot_wait_seconds = slot_waits_[request.service].Seconds(
+  EngineWork work;
+  work.pending_tokens = EstimateLoad(target.pending_prefill_tokens.Sum(now),
+                                     target.peer_load.pending_prefill_tokens,
+                                     mean_peer_load.pending_prefill_tokens);
+  work.unshared_tokens = unshared_tokens;
+  work.uncached_shared_tokens = uncached_shared_tokens;
+  work.slot_wait_seconds = slot_waits_[request.service].Seconds(
       service->engine->slots,
-      estimate(target.local_load.in_flight, target.peer_load.in_flight,
-               mean_peer_load.in_flight));
-  candidate.load_tokens = pending_tokens + candidate.prefill_tokens;
-  candidate.predicted_from_load_seconds = model.Predict(candidate.load_tokens);
-  candidate.predicted_seconds =
-      candidate.predicted_from_load_seconds * slowness +
-      candidate.slot_wait_seconds + region_latency_seconds;
-  candidate.queueing_seconds = pending_tokens * seconds_per_token * slowness +
-                               candidate.slot_wait_seconds;
-  candidate.predicted_idle_seconds =
-      model.idle_seconds() +
-      unshared_tokens * seconds_per_token * std::min(1.0, slowness) +
-      region_latency_seconds;
-  // Recomputing also delays the other requests on the target.
-  candidate.cost = candidate.predicted_seconds +
-                   kRecomputeCostFactor * uncached_shared_tokens *
-                       seconds_per_token * slowness;
+      EstimateLoad(target.local_load.in_flight, target.peer_load.in_flight,
+                   mean_peer_load.in_flight));
+  work.region_latency_seconds = region_latency_seconds;
+  const EnginePrediction prediction = PredictEngine(
+      FirstEventModelOf(request.service), work,
+      SlownessFactor(target.speed,
+                     adaptive_placement_.UsesEngineSpeeds(request.service)));
+  candidate.slot_wait_seconds = work.slot_wait_seconds;
+  candidate.load_tokens = prediction.load_tokens;
+  candidate.predicted_from_load_seconds = prediction.from_load;
+  candidate.predicted_seconds = prediction.first_event;
+  candidate.queueing_seconds = prediction.queueing;
+  candidate.predicted_idle_seconds = prediction.idle_first_event;
+  candidate.cost = prediction.cost;
   const double used_kv_cache_tokens = target.local_load.kv_cache_tokens +
                                       target.peer_load.kv_cache_tokens +
                                       candidate.kv_cache_tokens;
@@ -941,12 +923,28 @@
     return;
   }
   if (!is_event_loop_lagging_) {
+    const std::string& service = target->entry.service;
+    adaptive_placement_.SetSpeedRatio(service, targets_.SpeedRatio(service));
     const double running_seconds =
         std::max(0.0, observed_seconds - assignment.slot_wait_seconds);
-    targets_.RecordFirstEvent(now, *target, running_seconds,
-                              Seconds(assignment.predicted_from_load));
-    FirstEventModelOf(target->entry.service)
-        .Add(assignment.load_tokens, running_seconds);
+    const double expected_seconds = Seconds(assignment.predicted_from_load);
+    FirstEventModel& model = FirstEventModelOf(service);
+    const double expected_as_reported_seconds =
+        model.Predict(assignment.waiting_tokens + assignment.prefill_tokens);
+    // What comes over the link between the regions shows the link's state, not
+    // the engine's.
+    const double speed_weight =
+        target->is_in_local_region
+            ? assignment.prefill_tokens * model.seconds_per_token() /
+                  (expected_as_reported_seconds + assignment.slot_wait_seconds)
+            : 0.0;
+    target->speed.Record(now, {running_seconds, expected_seconds,
+                               expected_as_reported_seconds, speed_weight});
+    // The line is that of an engine of mean speed.
+    model.Add(assignment.load_tokens,
+              running_seconds * (adaptive_placement_.UsesEngineSpeeds(service)
+                                     ? target->speed.speed()
+                                     : 1.0));
   }
 }
 
--- a/src/decisions/target_table.cc
+++ b/src/decisions/target_table.cc
@@ -26,19 +26,10 @@
 // Failed attempts per second, at all routers together, below which a target is
 // not ejected for its failure rate.
 constexpr double kMinFleetFailures = 3;
-// Weight, in first events per second, of the assumption that a target is as
-// fast as the targets of its service are on average.
-constexpr double kSlownessPriorWeight = 1.0;
-// Bounds of one slowness observation. These bounds, and the averaging of
-// logarithms, limit the effect of a single outlier, such as a first event
-// delayed by another request's long prompt.
-constexpr double kMinSlowness = 0.3;
-constexpr double kMaxSlowness = 20.0;
-// Lower bound of the expected time to first event, which is a divisor.
-constexpr double kMinExpectedSeconds = 1e-3;
-// Targets with fewer ended attempts per second and no requests in flight are
-// left out of peer reports.
+// Targets with fewer ended attempts per second, no requests in flight and fewer
+// observations of their speed are left out of peer reports.
 constexpr double kMinReportedRate = 0.05;
+constexpr double kMinReportedObservations = 0.2;
 // Minimum number of outcomes for a meaningful failure rate. Also the minimum
 // rate of ended attempts per second at all routers together.
 constexpr int kMinOutcomes = 5;
@@ -165,7 +156,7 @@
     target.cached_chains.clear();
     target.named_rate_limit.reset();
     target.rate_limit_named_at = now;
-    target.slowness = 1.0;
+    target.speed.Reset();
     target.failure_rate = 0;
     target.outcome_count = 0;
     target.ejected_until = TimePoint();
@@ -346,18 +337,29 @@
     const double ended = target.ended_attempts.PerSecond(now);
     const LimitUse limit_use =
         target.named_rate_limit ? target.rate_limit.LocalUse(now) : LimitUse{};
-    if (target.local_load.in_flight == 0 && ended < kMinReportedRate &&
-        limit_use.wanted < kMinReportedRate) {
+    const FirstEventSums sums = target.speed.LocalSums(now);
+    const bool is_speed_known =
+        sums.speed_observations >= kMinReportedObservations;
+    const bool is_in_use = target.local_load.in_flight > 0 ||
+                           ended >= kMinReportedRate ||
+                           limit_use.wanted >= kMinReportedRate;
+    if (!is_in_use && !is_speed_known) {
       continue;
     }
     TargetLoad& local = load[target.id];
-    local = target.local_load;
-    local.pending_prefill_tokens = target.pending_prefill_tokens.Sum(now);
-    local.ended_attempts = ended;
-    local.failed_attempts = target.failed_attempts.PerSecond(now);
-    local.first_events = target.first_events.PerSecond(now);
-    local.log_slowness = target.log_slowness.PerSecond(now);
-    local.limit_use = limit_use;
+    if (is_in_use) {
+      local = target.local_load;
+      local.pending_prefill_tokens = target.pending_prefill_tokens.Sum(now);
+      local.ended_attempts = ended;
+      local.failed_attempts = target.failed_attempts.PerSecond(now);
+      local.first_events = sums.first_events;
+      local.log_slowness = sums.log_slowness;
+      local.limit_use = limit_use;
+    }
+    if (is_speed_known) {
+      local.speed_observations = sums.speed_observations;
+      local.log_speed = sums.log_speed;
+    }
   }
   return load;
 }
@@ -429,14 +431,9 @@
   return limits;
 }
 
-void TargetTable::RecordFirstEvent(TimePoint now, TargetState& target,
-                                   double measured_seconds,
-                                   double expected_seconds) {
-  const double ratio = std::clamp(
-      measured_seconds / std::max(kMinExpectedSeconds, expected_seconds),
-      kMinSlowness, kMaxSlowness);
-  target.first_events.Add(now, 1);
-  target.log_slowness.Add(now, std::log(ratio));
+double TargetTable::SpeedRatio(const std::string& service) const {
+  const auto it = speed_ratios_.find(service);
+  return it == speed_ratios_.end() ? 1.0 : it->second;
 }
 
 double TargetTable::MaxFailureRate(const std::string& service) const {
@@ -450,25 +447,29 @@
   struct Rates {
     double ended_attempts = 0;
     double failed_attempts = 0;
-    double first_events = 0;
-    double log_slowness = 0;
   };
   std::map<std::string, Rates> rates_by_service;
+  std::map<std::string, ServiceSpeeds> speeds_by_service;
   const auto fleet_rates = [now](const TargetState& target) {
     return Rates{
         target.ended_attempts.PerSecond(now) + target.peer_load.ended_attempts,
         target.failed_attempts.PerSecond(now) +
-            target.peer_load.failed_attempts,
-        target.first_events.PerSecond(now) + target.peer_load.first_events,
-        target.log_slowness.PerSecond(now) + target.peer_load.log_slowness};
+            target.peer_load.failed_attempts};
   };
   for (auto& [id, target] : targets_) {
     const Rates rates = fleet_rates(target);
     Rates& service_rates = rates_by_service[target.entry.service];
     service_rates.ended_attempts += rates.ended_attempts;
     service_rates.failed_attempts += rates.failed_attempts;
-    service_rates.first_events += rates.first_events;
-    service_rates.log_slowness += rates.log_slowness;
+    FirstEventSums sums = target.speed.LocalSums(now);
+    sums += {target.peer_load.first_events, target.peer_load.log_slowness,
+             target.peer_load.speed_observations, target.peer_load.log_speed};
+    speeds_by_service[target.entry.service].Add(target.speed, sums);
+  }
+  speed_ratios_.clear();
+  for (auto& [service, speeds] : speeds_by_service) {
+    speeds.Evaluate();
+    speed_ratios_[service] = speeds.SpeedRatio();
   }
   service_failure_rates_.clear();
   for (const auto& [service, rates] : rates_by_service) {
@@ -478,13 +479,6 @@
   }
   for (auto& [id, target] : targets_) {
     const Rates rates = fleet_rates(target);
-    const Rates& service_rates = rates_by_service[target.entry.service];
-    const double service_log_slowness =
-        service_rates.log_slowness /
-        (service_rates.first_events + kSlownessPriorWeight);
-    target.slowness = std::exp(
-        (rates.log_slowness + service_log_slowness * kSlownessPriorWeight) /
-        (rates.first_events + kSlownessPriorWeight));
     if (rates.ended_attempts >= kMinOutcomes &&
         rates.failed_attempts >= kMinFleetFailures &&
         rates.failed_attempts >
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -16,6 +16,7 @@
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
+#include "decisions/engine_speed.h"
 #include "decisions/pending_work.h"
 #include "decisions/rate_limit.h"
 #include "decisions/rate_meter.h"
@@ -44,6 +45,10 @@
   double log_slowness = 0;
   // Use of the rate limit that the target names.
   LimitUse limit_use = {};
+  // Observations of the target's lasting speed; see `FirstEventSums`. Zero in
+  // reports of earlier versions of the router.
+  double speed_observations = 0;
+  double log_speed = 0;
   friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
 };
 
@@ -134,11 +139,6 @@
 // (`VersionHistory::IsFresh`) and the delay of an entry in the list.
 constexpr Duration kNewVersionHoldTime = std::chrono::milliseconds(4500);
 
-// Time constant of the rates of first events and slowness. It is longer because
-// a queue that builds up and drains does not mean that the target's speed has
-// changed.
-inline constexpr Duration kFirstEventRateTimeConstant = std::chrono::seconds(4);
-
 // State of one target. The scheduler reads it and updates the fields on the
 // work that it has placed.
 struct TargetState {
@@ -182,12 +182,8 @@
   // Meters of the rates in the local load, by the names of its fields.
   RateMeter ended_attempts{kOutcomeRateTimeConstant};
   RateMeter failed_attempts{kOutcomeRateTimeConstant};
-  RateMeter first_events{kFirstEventRateTimeConstant};
-  RateMeter log_slowness{kFirstEventRateTimeConstant};
-
-  // Time to first event relative to that expected from the load alone, as seen
-  // by all routers; 1 if as expected, above 1 if slower.
-  double slowness = 1.0;
+  // Slowness and lasting speed, as seen by all routers.
+  EngineSpeed speed;
   // Exponentially weighted fraction of this router's attempts that failed.
   double failure_rate = 0;
   // Number of attempts that `failure_rate` is based on.
@@ -291,10 +287,9 @@
   TargetState* RecordLeaving(const LeavingTarget& leaving);
   // Returns the targets that leave, for the reports to peers.
   std::vector<LeavingTarget> LeavingTargets() const;
-  // Records a measured time to first event and the time expected from the load
-  // alone, both in seconds.
-  void RecordFirstEvent(TimePoint now, TargetState& target,
-                        double measured_seconds, double expected_seconds);
+  // Returns the ratio of the fast to the slow engines' lasting speed; see
+  // `ServiceSpeeds::SpeedRatio`. 1 if unknown.
+  double SpeedRatio(const std::string& service) const;
   // Returns this router's load on the targets. Targets without requests in
   // flight and without recent attempts are left out.
   std::map<TargetId, TargetLoad> LocalLoad(TimePoint now) const;
@@ -361,8 +356,8 @@
   std::string NameOfVersion(const std::string& service, VersionId version);
 
  private:
-  // Updates each target's slowness and ejects targets with too many failures,
-  // based on the rates of all routers.
+  // Updates each target's speed and ejects targets with too many failures,
+  // based on the observations of all routers.
   void EvaluateTargets(TimePoint now);
   // Returns the fraction of failed attempts above which a target of the service
   // is ejected.
@@ -392,6 +387,8 @@
   std::map<std::string, std::vector<TargetState*>> by_service_;
   // Fraction of failed attempts at all targets of a service together.
   std::map<std::string, double> service_failure_rates_;
+  // By service.
+  std::map<std::string, double> speed_ratios_;
   std::map<std::string, std::string> region_of_zone_;
   std::string local_region_;
   std::set<std::string> evacuated_zones_;
--- a/src/decisions/target_table_test.cc
+++ b/src/decisions/target_table_test.cc
@@ -461,16 +461,16 @@
   load.first_events = 40;
   load.log_slowness = 40 * std::log(4.0);
   table.SetPeerLoad(kStart, {{TargetId::FromName("slow"), load}});
-  CHECK(table.Find("slow")->slowness > 3.0);
+  CHECK(table.Find("slow")->speed.slowness() > 3.0);
   table.SetPeerLoad(kStart + seconds(5), {});
-  CHECK(table.Find("slow")->slowness == doctest::Approx(1.0));
+  CHECK(table.Find("slow")->speed.slowness() == doctest::Approx(1.0));
 }
 
 TEST_CASE("TargetTable reports recent observations and drops old ones") {
   TargetTable table;
   table.ApplyEntry(kStart, MakeEntry("t"));
   table.RecordOutcome(kStart, *table.Find("t"), AttemptOutcome::kBroken);
-  table.RecordFirstEvent(kStart, *table.Find("t"), 0.4, 0.2);
+  table.Find("t")->speed.Record(kStart, {0.4, 0.2, 0.2, 0.5});
   const TargetLoad reported =
       table.LocalLoad(kStart).at(TargetId::FromName("t"));
   CHECK(reported.failed_attempts == doctest::Approx(1));
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -1,5 +1,6 @@
 #include "peers/peer_report.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/status/status.h"
@@ -105,6 +106,26 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerSpeed = 2;
+// Observations of speeds are encoded in hundredths: they are many, and three
+// bytes then hold each.
+constexpr double kSpeedScale = 100.0;
+
+// Encodes the observations of speeds in the order of the report's targets,
+// without their ids, which are in the report already. Empty if there are none.
+Json EncodeSpeeds(const LoadByTarget& load) {
+  Json list = Json::array();
+  bool is_any_known = false;
+  for (const auto& [id, it] : load) {
+    const auto observations =
+        static_cast<std::int64_t>(kSpeedScale * it.speed_observations);
+    is_any_known = is_any_known || observations > 0;
+    list.push_back(observations);
+    list.push_back(static_cast<std::int64_t>(kSpeedScale * it.log_speed));
+  }
+  return is_any_known ? list : Json::array();
+}
+
 constexpr std::size_t kFieldsPerCurrentDemand = 2;
 
 Json EncodeCurrentDemand(const RatesByCustomer& rates) {
@@ -152,6 +173,9 @@
     leaving.push_back(it.incarnation);
   }
   extensions["leaving"] = std::move(leaving);
+  if (Json speeds = EncodeSpeeds(report.load); !speeds.empty()) {
+    extensions["speeds"] = std::move(speeds);
+  }
   if (!report.version_uses.empty()) {
     extensions["versions"] = EncodeVersionUses(report.version_uses);
   }
@@ -253,6 +277,26 @@
   }
 }
 
+// `targets` is the encoded load. Adds to the targets' load, which must have
+// been decoded.
+void DecodeSpeeds(const Json& targets, const Json& crashes,
+                  PeerReport& report) {
+  // Absent while no speed is known, and in reports of earlier versions.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("speeds")) {
+    return;
+  }
+  const Json& speeds = crashes.back().at("speeds");
+  const std::size_t count = std::min(speeds.size() / kFieldsPerSpeed,
+                                     targets.size() / kFieldsPerTarget);
+  for (std::size_t i = 0; i < count; ++i) {
+    TargetLoad& load = report.load[TargetId(
+        UnsignedField<std::uint32_t>(targets[i * kFieldsPerTarget]))];
+    load.speed_observations =
+        std::max(0.0, NumberField(speeds[i * kFieldsPerSpeed]) / kSpeedScale);
+    load.log_speed = NumberField(speeds[i * kFieldsPerSpeed + 1]) / kSpeedScale;
+  }
+}
+
 std::vector<SuspectReport> DecodeSuspects(const Json& crashes) {
   constexpr std::size_t kFieldsPerSuspect = 5;
   std::vector<SuspectReport> suspects;
@@ -389,6 +433,7 @@
     }
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
+    DecodeSpeeds(json[8], json[10], report);
     DecodeCurrentDemand(json[10], report);
     DecodeLeaving(json[10], report);
     DecodeVersionUses(json[10], report);
@@ -427,6 +472,8 @@
     total.log_slowness += load.log_slowness;
     total.limit_use.wanted += load.limit_use.wanted;
     total.limit_use.sent += load.limit_use.sent;
+    total.speed_observations += load.speed_observations;
+    total.log_speed += load.log_speed;
   }
 }
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -42,6 +42,8 @@
     total.log_slowness -= load.log_slowness;
     subtract(load.limit_use.wanted, total.limit_use.wanted);
     subtract(load.limit_use.sent, total.limit_use.sent);
+    subtract(load.speed_observations, total.speed_observations);
+    total.log_speed -= load.log_speed;
     if (total == TargetLoad{}) {
       sum.erase(it);
     }
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -59,8 +59,8 @@
   report.sent_at = 99;
   report.echoed_sent_at = 98;
   report.echo_delay = milliseconds(3);
-  report.load[TargetId::FromName("t")] = {3,   1000, 2000, 4.5,
-                                          0.5, 1.25, 1.5,  {7.5, 2.25}};
+  report.load[TargetId::FromName("t")] = {3,    1000, 2000,        4.5,  0.5,
+                                          1.25, 1.5,  {7.5, 2.25}, 12.5, -3.25};
   report.live_routers = {MakeRouterInfo("10.0.0.2", "b", 500)};
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
@@ -131,6 +131,25 @@
   CHECK(table.ApplyReport(kStart + milliseconds(200), report));
 }
 
+TEST_CASE("A report without speeds has the former format") {
+  constexpr std::size_t kCrashesField = 10;
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3);
+  nlohmann::json json = nlohmann::json::from_msgpack(EncodeReport(report));
+  CHECK_FALSE(json[kCrashesField].back().contains("speeds"));
+
+  report.load[kTarget].speed_observations = 4;
+  report.load[kTarget].log_speed = 1.5;
+  json = nlohmann::json::from_msgpack(EncodeReport(report));
+  REQUIRE(json[kCrashesField].back().contains("speeds"));
+  // A former version ignores the name; its reports lack it.
+  json[kCrashesField].back().erase("speeds");
+  const std::vector<std::uint8_t> former = nlohmann::json::to_msgpack(json);
+  const auto decoded = DecodeReport(std::string(former.begin(), former.end()));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->load.at(kTarget).speed_observations == 0);
+  CHECK(decoded->load.at(kTarget).in_flight == 3);
+}
+
 TEST_CASE("DecodeReport rejects truncated and corrupted reports") {
   const std::string encoded =
       EncodeReport(MakeReport(MakeRouterInfo("10.0.0.1", "a"), 7, 3));
