Weight homes and random candidates by speed, from a subset per router

Engines of all speeds were homes of equally many chains and were drawn equally often, so that slow ones got as much work as fast ones; and each router drew from all engines, so that a small one opened many connections.

Where engine speeds are used, rendezvous hashing is weighted by the speed, quantized in steps of 1.25 with hysteresis so that routers agree, and random candidates are drawn by speed from a fixed subset of about 12 to 23 engines of each region (deterministic subsetting by the router's position). Elsewhere the order and the draws stay the same.

--- a/src/decisions/prompt_homes.h
+++ b/src/decisions/prompt_homes.h
@@ -21,9 +21,21 @@
 // the last; zero if there are none.
 std::uint64_t ChainOf(const std::vector<PromptPart>& prompt);
 
+// How much of the chains a target gets.
+enum class HomeWeighting {
+  // All targets get equal parts.
+  kEqual,
+  // In proportion to the target's quantized speed.
+  kBySpeed,
+};
+
 // Returns the weight of a target in the rendezvous order of `chain`; the home
-// is the target with the highest.
-std::uint64_t RendezvousWeight(const std::string& id, std::uint64_t chain);
+// is the target with the highest. With `kBySpeed`, a target is the home of a
+// part of all chains in proportion to its speed, and if its speed changes, only
+// the chains that it gains or loses move (weighted rendezvous hashing). Weights
+// of different `weighting` are not comparable.
+double RendezvousWeight(const TargetState& target, std::uint64_t chain,
+                        HomeWeighting weighting);
 
 // The targets that should cache a chain: of all targets, of those in the local
 // region, and of those in other regions; null if there is none. Routers that
@@ -36,7 +48,8 @@
 
 // Returns the homes of `chain` among `targets`. There are none if `chain` is
 // zero.
-Homes FindHomes(const std::vector<TargetState*>& targets, std::uint64_t chain);
+Homes FindHomes(const std::vector<TargetState*>& targets, std::uint64_t chain,
+                HomeWeighting weighting = HomeWeighting::kEqual);
 
 }  // namespace corianderpost
 
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -511,8 +511,13 @@
   // A request that was sent before has few targets left.
   const bool is_sampled =
       is_engine && !is_continuation && request.tried_targets.empty();
+  const auto speed_sampling =
+      adaptive_placement_.UsesEngineSpeeds(request.service)
+          ? std::optional(SpeedSampling{fleet_position_})
+          : std::nullopt;
   const std::vector<TargetState*> sample =
-      is_sampled ? SampleCandidates(usable, ChainOf(request.prompt), random_)
+      is_sampled ? SampleCandidates(usable, ChainOf(request.prompt), random_,
+                                    speed_sampling)
                  : usable;
   PlacementFailure failure;
   std::optional<Decision> decision = Choose(
@@ -525,11 +530,12 @@
     PlacementLimits wider_limits = limits;
     wider_limits.queueing *= kWiderSampleQueueFraction;
     failure = PlacementFailure();
-    decision = Choose(now, request, is_engine, wider_limits,
-                      EvaluateAll(now, request, service,
-                                  ExtendSample(usable, sample, random_), usable,
-                                  kWiderSampleRegionWeight),
-                      failure);
+    decision = Choose(
+        now, request, is_engine, wider_limits,
+        EvaluateAll(now, request, service,
+                    ExtendSample(usable, sample, random_, speed_sampling),
+                    usable, kWiderSampleRegionWeight),
+        failure);
     if (!decision && failure.limited_rate > 0) {
       // Each router has a small part of each target's rate limit, so that few
       // targets have credit here at any time.
@@ -599,7 +605,11 @@
     TimePoint now, const ScheduledRequest& request,
     const ServiceProfile* service, const std::vector<TargetState*>& targets,
     const std::vector<TargetState*>& usable, double region_weight) {
-  const Homes homes = FindHomes(usable, ChainOf(request.prompt));
+  const Homes homes =
+      FindHomes(usable, ChainOf(request.prompt),
+                adaptive_placement_.UsesEngineSpeeds(request.service)
+                    ? HomeWeighting::kBySpeed
+                    : HomeWeighting::kEqual);
   // One mean per region: load differences between regions last longer than the
   // delay of peer reports.
   const MeanPeerLoads means = MeanPeerLoadsOf(usable, region_weight);
