--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -19,6 +19,9 @@
 constexpr int kPrefillChunkTokens = 2048;
 // Tokens in the first event of a stream.
 constexpr int kFirstEventTokens = 5;
+// Part of the interval between slow periods by which those of successive
+// engines are apart (the golden ratio spreads them evenly).
+constexpr double kSlowPeriodOffset = 0.618;
 // Work of an engine before a request's first step.
 constexpr double kSetupSeconds = 0.025;
 constexpr double kNetworkSeconds = 0.002;
@@ -137,6 +140,7 @@
       options.region_of_zone = {{"a", "west"}, {"b", "east"}};
       options.retry_budget = {0.2, std::chrono::seconds(10), 50};
       options.region_link_bytes_per_second = 18e6;
+      options.adaptive_placement = load.adaptive_placement;
       routers_.push_back(std::make_unique<Scheduler>(options));
       Scheduler& scheduler = *routers_.back();
       scheduler.SetSeed(static_cast<std::uint32_t>(load.seed * 1000) +
@@ -390,6 +394,17 @@
     });
   }
 
+  double SpeedOf(double now, std::size_t engine_index) const {
+    const SimulatedEngineOptions& engine = load_.engine;
+    const double speed = engine.speeds[engine_index % engine.speeds.size()];
+    const double offset = kSlowPeriodOffset * static_cast<double>(engine_index);
+    const double intervals = now / engine.slow_interval_seconds + offset;
+    const bool is_slow =
+        (intervals - std::floor(intervals)) * engine.slow_interval_seconds <
+        engine.slow_seconds;
+    return is_slow ? speed / engine.slow_factor : speed;
+  }
+
   void Step(double now, std::size_t engine_index) {
     Engine& engine = engines_[engine_index];
     while (!engine.waiting.empty() &&
@@ -417,10 +432,11 @@
         decoding.push_back(it);
       }
     }
-    const double duration = load_.engine.step_seconds +
-                            load_.engine.step_seconds_per_request *
-                                static_cast<double>(engine.running.size()) +
-                            read / load_.engine.prefill_tokens_per_second;
+    const double duration = (load_.engine.step_seconds +
+                             load_.engine.step_seconds_per_request *
+                                 static_cast<double>(engine.running.size()) +
+                             read / load_.engine.prefill_tokens_per_second) /
+                            SpeedOf(now, engine_index);
     Schedule(now + duration,
              [this, engine_index, decoding = std::move(decoding)](double time) {
                for (const auto& it : decoding) {
@@ -492,6 +508,8 @@
           total.failed_attempts += it.failed_attempts;
           total.first_events += it.first_events;
           total.log_slowness += it.log_slowness;
+          total.speed_observations += it.speed_observations;
+          total.log_speed += it.log_speed;
         }
       }
       routers_[i]->targets().SetPeerLoad(At(now), load);
--- a/src/decisions/simulated_engines.h
+++ b/src/decisions/simulated_engines.h
@@ -31,6 +31,13 @@
   double step_seconds_per_request = 0.0001;
   double prefill_tokens_per_second = 112'000;
   double kv_cache_tokens = 330'000;
+  // Speeds of the engines in turn, relative to the times above.
+  std::vector<double> speeds = {1.0};
+  // Once in each interval, an engine is slowed by the factor for
+  // `slow_seconds`, each engine at another time; never if zero.
+  double slow_factor = 1;
+  double slow_seconds = 0;
+  double slow_interval_seconds = 20;
   friend bool operator==(const SimulatedEngineOptions&,
                          const SimulatedEngineOptions&) = default;
 };
@@ -93,6 +100,7 @@
   int cut_off_routers = 0;
   SimulatedEngineOptions engine;
   double capacity_units_per_second = 0;
+  AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
   double seconds = 0;
   std::uint64_t seed = 1;
   friend bool operator==(const SimulatedLoad&, const SimulatedLoad&) = default;
