Show engine speeds and reused connections, and describe both

Metrics by engine: lasting speed and the weight of its observations; and the connections to targets opened and reused. Gauges can have labels. A log line tells when placement begins or ceases to use a service's speeds. Sums of speeds are bounded, since a damaged report could make all speeds look extreme.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -410,6 +410,7 @@
       continue;
     }
     if (idle_time < max_idle_time) {
+      ++reuse_count_;
       return connection;
     }
     if (idle_time >= connection->keep_alive() - kKeepAliveMargin) {
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -162,6 +162,8 @@
   std::size_t open_connections() const { return connections_.size(); }
   // Number of connections created so far.
   std::uint64_t connect_count() const { return connect_count_; }
+  // Number of times that an idle connection was used again.
+  std::uint64_t reuse_count() const { return reuse_count_; }
 
  private:
   friend class UpstreamConnection;
@@ -174,6 +176,7 @@
       idle_by_address_;
   std::vector<std::weak_ptr<UpstreamConnection>> connections_;
   std::uint64_t connect_count_ = 0;
+  std::uint64_t reuse_count_ = 0;
   MemoryBudget* memory_ = nullptr;
 };
 
--- a/src/decisions/engine_speed.cc
+++ b/src/decisions/engine_speed.cc
@@ -35,6 +35,10 @@
 constexpr double kLogLevelStep = 0.2231;
 // Deviation from a quantized speed, in steps, from which the next one is used.
 constexpr double kLevelHysteresis = 0.75;
+// Bound of the mean logarithmic speed in an engine's sums. Larger ones come
+// from rounding where sums of few observations are subtracted, or from a
+// damaged report.
+constexpr double kMaxMeanLogSpeed = 4.0;
 // Lasting speeds are bounded by this factor and its inverse.
 constexpr double kMaxLogSpeed = 1.61;
 
@@ -102,7 +106,12 @@
 }
 
 void ServiceSpeeds::Add(EngineSpeed& engine, const FirstEventSums& fleet) {
-  members_.push_back({&engine, fleet});
+  Member member{&engine, fleet};
+  double& observations = member.fleet.speed_observations;
+  observations = std::max(0.0, observations);
+  const double bound = kMaxMeanLogSpeed * observations;
+  member.fleet.log_speed = std::clamp(fleet.log_speed, -bound, bound);
+  members_.push_back(member);
   total_ += fleet;
 }
 
@@ -120,7 +129,7 @@
   const double mean = weights > 0 ? log_speeds / weights : 0.0;
   for (const Member& it : members_) {
     EngineSpeed& engine = *it.engine;
-    const double observations = std::max(0.0, it.fleet.speed_observations);
+    const double observations = it.fleet.speed_observations;
     const double log_speed = (it.fleet.log_speed - mean * observations) /
                              (observations + kSpeedPriorWeight);
     engine.SetSlowness(it.fleet, total_);
--- a/src/decisions/engine_speed_test.cc
+++ b/src/decisions/engine_speed_test.cc
@@ -138,6 +138,21 @@
   CHECK(fleet.SpeedOf(0, 0).observations() < 5);
 }
 
+// Guards against one damaged report that makes all other speeds look extreme.
+TEST_CASE("Sums without observations or out of range are bounded") {
+  std::vector<EngineSpeed> engines(10);
+  ServiceSpeeds speeds;
+  for (EngineSpeed& it : engines) {
+    speeds.Add(it, &it == &engines[0]   ? FirstEventSums{0, 0, 50, -1e12}
+                   : &it == &engines[1] ? FirstEventSums{0, 0, -1, 0.5}
+                                        : FirstEventSums{0, 0, 50, 0});
+  }
+  speeds.Evaluate();
+  CHECK(engines[0].speed() < 0.3);
+  CHECK(engines[1].speed() == 1.0);
+  CHECK(engines[2].speed() < 1.6);
+}
+
 // Guards against a rotation of homes by noise about the bound of two levels.
 TEST_CASE("A quantized speed has hysteresis") {
   std::vector<EngineSpeed> engines(2);
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -19,6 +19,7 @@
 #include "peers/peer_messenger.h"
 #include "peers/replica_batch.h"
 #include "peers/store_reader.h"
+#include "router/engine_report.h"
 #include "router/listener.h"
 #include "router/overload_detector.h"
 #include "router/share_log.h"
@@ -371,6 +372,7 @@
   internal::Metrics metrics_;
   Scheduler scheduler_;
   UpstreamPool pool_;
+  EngineReport engine_report_;
   Fetcher fetcher_;
   DataPlane plane_;
   PeerMessenger messenger_;
@@ -521,6 +523,7 @@
     metrics_.SetGauge("corianderpost_open_requests",
                       static_cast<double>(exchanges_.size()));
     SetMemoryMetrics();
+    SetEngineMetrics(scheduler_, pool_, metrics_);
     metrics_.SetGauge("corianderpost_callers",
                       static_cast<double>(caller_listener_.size()));
     metrics_.SetGauge("corianderpost_peers",
@@ -830,6 +833,7 @@
   }
   malformed_items_ = 0;
   LogCrashReports();
+  engine_report_.LogChanges(scheduler_);
   const std::size_t accepts = caller_listener_.TakeMaxAcceptsPerTurn();
   const ShareState share = scheduler_.CurrentShareState(now);
   if (share.level > 0) {
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -62,27 +62,35 @@
   summary->Add(std::chrono::duration<double>(value).count());
 }
 
-void Metrics::SetGauge(const std::string& name, double value) {
+void Metrics::SetGauge(const std::string& name, double value,
+                       const std::string& labels) {
   const std::lock_guard lock(mutex_);
-  gauges_[name] = value;
+  gauges_[{name, labels}] = value;
+}
+
+void Metrics::RemoveGauges(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  std::erase_if(gauges_,
+                [&name](const auto& it) { return it.first.name == name; });
 }
 
 std::string Metrics::ToText() const {
   const std::lock_guard lock(mutex_);
   std::ostringstream out;
-  std::string last_name;
-  for (const auto& [key, value] : counters_) {
-    if (key.name != last_name) {
-      out << "# TYPE " << key.name << " counter\n";
-      last_name = key.name;
+  const auto write = [&out](const auto& series, std::string_view type) {
+    std::string last_name;
+    for (const auto& [key, value] : series) {
+      if (key.name != last_name) {
+        out << "# TYPE " << key.name << " " << type << "\n";
+        last_name = key.name;
+      }
+      out << key.name
+          << (key.labels.empty() ? std::string() : "{" + key.labels + "}")
+          << " " << value << "\n";
     }
-    out << key.name
-        << (key.labels.empty() ? std::string() : "{" + key.labels + "}") << " "
-        << value << "\n";
-  }
-  for (const auto& [name, value] : gauges_) {
-    out << "# TYPE " << name << " gauge\n" << name << " " << value << "\n";
-  }
+  };
+  write(counters_, "counter");
+  write(gauges_, "gauge");
   for (const auto& [name, summary] : summaries_) {
     summary->Write(name, out);
   }
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -25,8 +25,11 @@
                         std::uint64_t amount = 1);
   // Adds a duration to a summary, which is exported in seconds.
   void Observe(const std::string& name, Duration value);
-  // Sets the value of a gauge.
-  void SetGauge(const std::string& name, double value);
+  // Sets the value of a gauge. `labels` is empty or like `engine="a"`.
+  void SetGauge(const std::string& name, double value,
+                const std::string& labels = "");
+  // Removes the gauges of a name, with all labels.
+  void RemoveGauges(const std::string& name);
 
   // Returns all metrics in the Prometheus text format.
   std::string ToText() const;
@@ -40,7 +43,7 @@
   };
   mutable std::mutex mutex_;
   std::map<SeriesKey, std::uint64_t> counters_;
-  std::map<std::string, double> gauges_;
+  std::map<SeriesKey, double> gauges_;
   std::map<std::string, std::unique_ptr<Summary>> summaries_;
 };
 
