--- a/src/decisions/engine_prediction.cc
+++ b/src/decisions/engine_prediction.cc
@@ -26,6 +26,54 @@
          (1.0 - kPeerReportWeight) * mean;
 }
 
+MeanPeerLoads MeanPeerLoadsOf(const std::vector<TargetState*>& targets,
+                              double region_weight) {
+  MeanPeerLoads means;
+  MeanPeerLoad sum;
+  double local_count = 0;
+  for (const TargetState* it : targets) {
+    MeanPeerLoad& mean = it->is_in_local_region ? means.local : means.remote;
+    mean.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
+    mean.in_flight += it->peer_load.in_flight;
+    sum.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
+    sum.in_flight += it->peer_load.in_flight;
+    local_count += it->is_in_local_region ? 1 : 0;
+  }
+  const auto count = static_cast<double>(targets.size());
+  const auto damp = [&sum, count, region_weight](double region_sum,
+                                                 double region_count,
+                                                 double MeanPeerLoad::*field) {
+    return region_weight * region_sum / std::max(1.0, region_count) +
+           (1.0 - region_weight) * sum.*field / std::max(1.0, count);
+  };
+  for (const bool is_local : {true, false}) {
+    MeanPeerLoad& mean = is_local ? means.local : means.remote;
+    const double region_count = is_local ? local_count : count - local_count;
+    mean.pending_prefill_tokens =
+        damp(mean.pending_prefill_tokens, region_count,
+             &MeanPeerLoad::pending_prefill_tokens);
+    mean.in_flight =
+        damp(mean.in_flight, region_count, &MeanPeerLoad::in_flight);
+  }
+  return means;
+}
+
+FirstEventObservation ObserveFirstEvent(const FirstEventModel& model,
+                                        double running_seconds,
+                                        const PlacedWork& work) {
+  const double expected_as_reported_seconds =
+      model.Predict(work.waiting_tokens + work.prefill_tokens);
+  // What comes over the link between the regions shows the link's state, not
+  // the engine's.
+  const double speed_weight =
+      work.is_in_local_region
+          ? work.prefill_tokens * model.seconds_per_token() /
+                (expected_as_reported_seconds + work.slot_wait_seconds)
+          : 0.0;
+  return {running_seconds, work.predicted_from_load_seconds,
+          expected_as_reported_seconds, speed_weight};
+}
+
 double SlownessFactor(const EngineSpeed& speed, bool uses_lasting_speed) {
   if (!uses_lasting_speed) {
     return std::pow(speed.slowness(), kSlownessExponent);
--- a/src/decisions/engine_prediction.h
+++ b/src/decisions/engine_prediction.h
@@ -3,8 +3,11 @@
 #ifndef CORIANDERPOST_DECISIONS_ENGINE_PREDICTION_H_
 #define CORIANDERPOST_DECISIONS_ENGINE_PREDICTION_H_
 
+#include <vector>
+
 #include "decisions/engine_speed.h"
 #include "decisions/first_event_model.h"
+#include "decisions/target_table.h"
 
 namespace corianderpost {
 
@@ -46,6 +49,43 @@
 // peers' part as reported, and the mean of the peers' parts in the region.
 double EstimateLoad(double local, double reported, double mean);
 
+// Means of what peers report, over the targets of a region.
+struct MeanPeerLoad {
+  double pending_prefill_tokens = 0;
+  double in_flight = 0;
+  friend bool operator==(const MeanPeerLoad&, const MeanPeerLoad&) = default;
+};
+
+struct MeanPeerLoads {
+  MeanPeerLoad local;
+  MeanPeerLoad remote;
+  friend bool operator==(const MeanPeerLoads&, const MeanPeerLoads&) = default;
+};
+
+// Returns the means over `targets`. The difference between a region's mean and
+// the mean of all has the weight `region_weight`, from 0 to 1.
+MeanPeerLoads MeanPeerLoadsOf(const std::vector<TargetState*>& targets,
+                              double region_weight);
+
+// What was known of a request when it was placed.
+struct PlacedWork {
+  // Prompt tokens that the engine was expected to read for the request itself,
+  // and those of other requests that waited there as reported.
+  double prefill_tokens = 0;
+  double waiting_tokens = 0;
+  double slot_wait_seconds = 0;
+  // `EnginePrediction::from_load`.
+  double predicted_from_load_seconds = 0;
+  bool is_in_local_region = false;
+  friend bool operator==(const PlacedWork&, const PlacedWork&) = default;
+};
+
+// Returns what the first event of a request shows of its engine's speed.
+// `running_seconds` is the time to it without the wait for a slot.
+FirstEventObservation ObserveFirstEvent(const FirstEventModel& model,
+                                        double running_seconds,
+                                        const PlacedWork& work);
+
 // Returns the factor by which an engine's first events take longer than on an
 // engine of mean speed. If `uses_lasting_speed`, the lasting speed counts in
 // full and only the remaining slowness of the moment is damped.
--- a/src/decisions/engine_prediction_test.cc
+++ b/src/decisions/engine_prediction_test.cc
@@ -49,5 +49,19 @@
   CHECK(slow.idle_first_event == mean.idle_first_event);
 }
 
+// Guards against speeds that follow the queue or the link between the regions.
+TEST_CASE("An observation is compared with the reported load") {
+  const FirstEventModel model(0.04, 20e-6);
+  const PlacedWork work{3000, 2000, 0.06, 0.09, true};
+  const FirstEventObservation local = ObserveFirstEvent(model, 0.2, work);
+  CHECK(local.measured_seconds == 0.2);
+  CHECK(local.expected_seconds == 0.09);
+  CHECK(local.expected_as_reported_seconds == doctest::Approx(0.14));
+  CHECK(local.speed_weight == doctest::Approx(0.3));
+  PlacedWork remote = work;
+  remote.is_in_local_region = false;
+  CHECK(ObserveFirstEvent(model, 0.2, remote).speed_weight == 0);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -8,7 +8,6 @@
 
 #include "corianderpost/ids.h"
 #include "decisions/candidate_sample.h"
-#include "decisions/engine_prediction.h"
 #include "decisions/prompt_homes.h"
 
 namespace corianderpost {
@@ -569,38 +568,6 @@
                 failure.best_seconds, limits.first_event, failure.excluded);
 }
 
-Scheduler::MeanPeerLoads Scheduler::MeanPeerLoadsOf(
-    const std::vector<TargetState*>& targets, double region_weight) {
-  MeanPeerLoads means;
-  MeanPeerLoad sum;
-  double local_count = 0;
-  for (const TargetState* it : targets) {
-    MeanPeerLoad& mean = it->is_in_local_region ? means.local : means.remote;
-    mean.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
-    mean.in_flight += it->peer_load.in_flight;
-    sum.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
-    sum.in_flight += it->peer_load.in_flight;
-    local_count += it->is_in_local_region ? 1 : 0;
-  }
-  const auto count = static_cast<double>(targets.size());
-  const auto damp = [&sum, count, region_weight](double region_sum,
-                                                 double region_count,
-                                                 double MeanPeerLoad::*field) {
-    return region_weight * region_sum / std::max(1.0, region_count) +
-           (1.0 - region_weight) * sum.*field / std::max(1.0, count);
-  };
-  for (const bool is_local : {true, false}) {
-    MeanPeerLoad& mean = is_local ? means.local : means.remote;
-    const double region_count = is_local ? local_count : count - local_count;
-    mean.pending_prefill_tokens =
-        damp(mean.pending_prefill_tokens, region_count,
-             &MeanPeerLoad::pending_prefill_tokens);
-    mean.in_flight =
-        damp(mean.in_flight, region_count, &MeanPeerLoad::in_flight);
-  }
-  return means;
-}
-
 std::vector<Scheduler::Candidate> Scheduler::EvaluateAll(
     TimePoint now, const ScheduledRequest& request,
     const ServiceProfile* service, const std::vector<TargetState*>& targets,
@@ -937,19 +904,14 @@
     adaptive_placement_.SetSpeedRatio(service, targets_.SpeedRatio(service));
     const double running_seconds =
         std::max(0.0, observed_seconds - assignment.slot_wait_seconds);
-    const double expected_seconds = Seconds(assignment.predicted_from_load);
     FirstEventModel& model = FirstEventModelOf(service);
-    const double expected_as_reported_seconds =
-        model.Predict(assignment.waiting_tokens + assignment.prefill_tokens);
-    // What comes over the link between the regions shows the link's state, not
-    // the engine's.
-    const double speed_weight =
-        target->is_in_local_region
-            ? assignment.prefill_tokens * model.seconds_per_token() /
-                  (expected_as_reported_seconds + assignment.slot_wait_seconds)
-            : 0.0;
-    target->speed.Record(now, {running_seconds, expected_seconds,
-                               expected_as_reported_seconds, speed_weight});
+    target->speed.Record(
+        now,
+        ObserveFirstEvent(model, running_seconds,
+                          {assignment.prefill_tokens, assignment.waiting_tokens,
+                           assignment.slot_wait_seconds,
+                           Seconds(assignment.predicted_from_load),
+                           target->is_in_local_region}));
     // The line is that of an engine of mean speed.
     model.Add(assignment.load_tokens,
               running_seconds * (adaptive_placement_.UsesEngineSpeeds(service)
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -24,6 +24,7 @@
 #include "corianderpost/ids.h"
 #include "decisions/adaptive_placement.h"
 #include "decisions/crash_suspects.h"
+#include "decisions/engine_prediction.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
 #include "decisions/link_budget.h"
@@ -293,15 +294,6 @@
     bool is_home = false;
     bool is_probe = false;
   };
-  // Means of what peers report, over the targets of a region.
-  struct MeanPeerLoad {
-    double pending_prefill_tokens = 0;
-    double in_flight = 0;
-  };
-  struct MeanPeerLoads {
-    MeanPeerLoad local;
-    MeanPeerLoad remote;
-  };
   // Limits of one request's placement, in seconds.
   struct PlacementLimits {
     double first_event = 0;
@@ -352,8 +344,6 @@
                                      const std::vector<TargetState*>& targets,
                                      const std::vector<TargetState*>& usable,
                                      double region_weight);
-  static MeanPeerLoads MeanPeerLoadsOf(const std::vector<TargetState*>& targets,
-                                       double region_weight);
   PlacementLimits LimitsOf(TimePoint now, const ScheduledRequest& request,
                            bool is_engine, bool has_share_credit);
   // Returns an assignment to the first candidate within the limits, a rejection
