--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -72,18 +72,11 @@
 // admitted if it queues no longer than this fraction of the queueing limit.
 // Otherwise such prompts would always be rejected.
 constexpr double kLargePromptQueueFraction = 0.3;
-// Peer reports are some hundred milliseconds old: since then, other routers
-// have chosen targets that looked idle and avoided those that looked busy. So
-// a target's reported load gets this weight, and the mean of its region's
-// targets gets the rest.
-constexpr double kPeerReportWeight = 0.2;
-// The same for the difference between a region's mean and that of all targets.
-// Routers that all prefer the region that was less busy would only exchange the
-// two regions' roles.
+// Weight of the difference between a region's mean reported load and that of
+// all targets; the rest is the mean of all. Reports are some hundred
+// milliseconds old. Routers that all prefer the region that was less busy would
+// only exchange the two regions' roles.
 constexpr double kRegionReportWeight = 0.25;
-// For the same reason a part of what looks like slowness is load that the
-// reports don't show.
-constexpr double kSlownessExponent = 0.4;
 // Fraction of the queueing limit up to which a target of the wider sample gets
 // a request that no target of the sample can take, and the weight of the
 // difference between the regions there.
@@ -93,10 +86,6 @@
 constexpr Duration kCacheRetention = std::chrono::seconds(15);
 // Expired entries are erased once a target has more than this many.
 constexpr std::size_t kMaxCachedChains = 4096;
-// Weight of recomputing in a candidate's cost, on top of the request's own
-// delay: recomputing delays the other requests on the target equally, and
-// evicts parts that other requests then have to recompute.
-constexpr double kRecomputeCostFactor = 6.0;
 // Fraction of a chain that is assumed to be uncached on the home in a region if
 // the fleet's home is in the other region.
 constexpr double kRegionHomeUncachedFraction = 0.5;
@@ -231,6 +220,12 @@
       .first->second;
 }
 
+double Scheduler::SpeedOf(const TargetState& target) const {
+  return adaptive_placement_.UsesEngineSpeeds(target.entry.service)
+             ? target.speed.speed()
+             : 1.0;
+}
+
 FirstEventPredictor& Scheduler::PredictorOf(const std::string& service) {
   return predictors_
       .try_emplace(service, kIdleFirstEventSeconds, SecondsPerToken(service),
@@ -345,35 +340,31 @@
   }
   const double unshared_tokens = UnsharedTokensOf(request);
   candidate.is_mostly_recompute = uncached_shared_tokens > unshared_tokens;
-  const FirstEventModel& model = FirstEventModelOf(request.service);
-  const double seconds_per_token = model.seconds_per_token();
-  const double slowness = std::pow(target.slowness, kSlownessExponent);
   candidate.prefill_tokens = unshared_tokens + uncached_shared_tokens;
   candidate.kv_cache_tokens = unshared_tokens + uncached_shared_tokens +
                               static_cast<double>(request.max_output_tokens);
-  const auto estimate = [](double local, double reported, double mean) {
-    return local + kPeerReportWeight * reported +
-           (1.0 - kPeerReportWeight) * mean;
-  };
-  const double pending_tokens =
-      estimate(target.pending_prefill_tokens.Sum(now),
-               target.peer_load.pending_prefill_tokens,
-               mean_peer_load.pending_prefill_tokens);
-  candidate.slot_wait_seconds = slot_waits_[request.service].Seconds(
+  EngineWork work;
+  work.pending_tokens = EstimateLoad(target.pending_prefill_tokens.Sum(now),
+                                     target.peer_load.pending_prefill_tokens,
+                                     mean_peer_load.pending_prefill_tokens);
+  work.unshared_tokens = unshared_tokens;
+  work.uncached_shared_tokens = uncached_shared_tokens;
+  work.slot_wait_seconds = slot_waits_[request.service].Seconds(
       service->engine->slots,
-      estimate(target.local_load.in_flight, target.peer_load.in_flight,
-               mean_peer_load.in_flight));
-  candidate.load_tokens = pending_tokens + candidate.prefill_tokens;
-  candidate.predicted_from_load_seconds = model.Predict(candidate.load_tokens);
-  candidate.predicted_seconds =
-      candidate.predicted_from_load_seconds * slowness +
-      candidate.slot_wait_seconds + region_latency_seconds;
-  candidate.queueing_seconds = pending_tokens * seconds_per_token * slowness +
-                               candidate.slot_wait_seconds;
-  candidate.predicted_idle_seconds =
-      model.idle_seconds() +
-      unshared_tokens * seconds_per_token * std::min(1.0, slowness) +
-      region_latency_seconds;
+      EstimateLoad(target.local_load.in_flight, target.peer_load.in_flight,
+                   mean_peer_load.in_flight));
+  work.region_latency_seconds = region_latency_seconds;
+  const EnginePrediction prediction = PredictEngine(
+      FirstEventModelOf(request.service), work,
+      SlownessFactor(target.speed,
+                     adaptive_placement_.UsesEngineSpeeds(request.service)));
+  candidate.slot_wait_seconds = work.slot_wait_seconds;
+  candidate.load_tokens = prediction.load_tokens;
+  candidate.predicted_from_load_seconds = prediction.from_load;
+  candidate.predicted_seconds = prediction.first_event;
+  candidate.queueing_seconds = prediction.queueing;
+  candidate.predicted_idle_seconds = prediction.idle_first_event;
+  candidate.cost = prediction.cost;
   candidate.load = {candidate.prefill_tokens,
                     target.pending_prefill_tokens.Sum(now) +
                         target.peer_load.pending_prefill_tokens,
@@ -382,13 +373,10 @@
   // median, since half of the first events come later than that.
   candidate.median_seconds =
       adaptive_placement_.IsActive(request.service)
-          ? PredictorOf(request.service).Predict(candidate.load) +
+          ? PredictorOf(request.service).Predict(candidate.load) /
+                    SpeedOf(target) +
                 candidate.slot_wait_seconds
           : candidate.predicted_seconds;
-  // Recomputing also delays the other requests on the target.
-  candidate.cost = candidate.predicted_seconds +
-                   kRecomputeCostFactor * uncached_shared_tokens *
-                       seconds_per_token * slowness;
   const double used_kv_cache_tokens = target.local_load.kv_cache_tokens +
                                       target.peer_load.kv_cache_tokens +
                                       candidate.kv_cache_tokens;
@@ -524,8 +512,13 @@
   // A request that was sent before has few targets left.
   const bool is_sampled =
       is_engine && !is_continuation && request.tried_targets.empty();
+  const auto speed_sampling =
+      adaptive_placement_.UsesEngineSpeeds(request.service)
+          ? std::optional(SpeedSampling{fleet_position_})
+          : std::nullopt;
   const std::vector<TargetState*> sample =
-      is_sampled ? SampleCandidates(usable, ChainOf(request.prompt), random_)
+      is_sampled ? SampleCandidates(usable, ChainOf(request.prompt), random_,
+                                    speed_sampling)
                  : usable;
   PlacementFailure failure;
   std::optional<Decision> decision = Choose(
@@ -538,11 +531,12 @@
     PlacementLimits wider_limits = limits;
     wider_limits.queueing *= kWiderSampleQueueFraction;
     failure = PlacementFailure();
-    decision = Choose(now, request, is_engine, wider_limits,
-                      EvaluateAll(now, request, service,
-                                  ExtendSample(usable, sample, random_), usable,
-                                  kWiderSampleRegionWeight),
-                      failure);
+    decision = Choose(
+        now, request, is_engine, wider_limits,
+        EvaluateAll(now, request, service,
+                    ExtendSample(usable, sample, random_, speed_sampling),
+                    usable, kWiderSampleRegionWeight),
+        failure);
     if (!decision && failure.limited_rate > 0) {
       // Each router has a small part of each target's rate limit, so that few
       // targets have credit here at any time.
@@ -576,43 +570,15 @@
                 failure.best_seconds, limits.first_event, failure.excluded);
 }
 
-Scheduler::MeanPeerLoads Scheduler::MeanPeerLoadsOf(
-    const std::vector<TargetState*>& targets, double region_weight) {
-  MeanPeerLoads means;
-  MeanPeerLoad sum;
-  double local_count = 0;
-  for (const TargetState* it : targets) {
-    MeanPeerLoad& mean = it->is_in_local_region ? means.local : means.remote;
-    mean.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
-    mean.in_flight += it->peer_load.in_flight;
-    sum.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
-    sum.in_flight += it->peer_load.in_flight;
-    local_count += it->is_in_local_region ? 1 : 0;
-  }
-  const auto count = static_cast<double>(targets.size());
-  const auto damp = [&sum, count, region_weight](double region_sum,
-                                                 double region_count,
-                                                 double MeanPeerLoad::*field) {
-    return region_weight * region_sum / std::max(1.0, region_count) +
-           (1.0 - region_weight) * sum.*field / std::max(1.0, count);
-  };
-  for (const bool is_local : {true, false}) {
-    MeanPeerLoad& mean = is_local ? means.local : means.remote;
-    const double region_count = is_local ? local_count : count - local_count;
-    mean.pending_prefill_tokens =
-        damp(mean.pending_prefill_tokens, region_count,
-             &MeanPeerLoad::pending_prefill_tokens);
-    mean.in_flight =
-        damp(mean.in_flight, region_count, &MeanPeerLoad::in_flight);
-  }
-  return means;
-}
-
 std::vector<Scheduler::Candidate> Scheduler::EvaluateAll(
     TimePoint now, const ScheduledRequest& request,
     const ServiceProfile* service, const std::vector<TargetState*>& targets,
     const std::vector<TargetState*>& usable, double region_weight) {
-  const Homes homes = FindHomes(usable, ChainOf(request.prompt));
+  const Homes homes =
+      FindHomes(usable, ChainOf(request.prompt),
+                adaptive_placement_.UsesEngineSpeeds(request.service)
+                    ? HomeWeighting::kBySpeed
+                    : HomeWeighting::kEqual);
   // One mean per region: load differences between regions last longer than the
   // delay of peer reports.
   const MeanPeerLoads means = MeanPeerLoadsOf(usable, region_weight);
@@ -947,13 +913,22 @@
     return;
   }
   if (!is_event_loop_lagging_) {
+    const std::string& service = target->entry.service;
+    adaptive_placement_.SetSpeedRatio(service, targets_.SpeedRatio(service));
     const double running_seconds =
         std::max(0.0, observed_seconds - assignment.slot_wait_seconds);
-    targets_.RecordFirstEvent(now, *target, running_seconds,
-                              Seconds(assignment.predicted_from_load));
-    FirstEventModelOf(target->entry.service)
-        .Add(assignment.load_tokens, running_seconds);
-    PredictorOf(target->entry.service).Add(assignment.load, running_seconds);
+    FirstEventModel& model = FirstEventModelOf(service);
+    target->speed.Record(
+        now,
+        ObserveFirstEvent(model, running_seconds,
+                          {assignment.prefill_tokens, assignment.waiting_tokens,
+                           assignment.slot_wait_seconds,
+                           Seconds(assignment.predicted_from_load),
+                           target->is_in_local_region}));
+    // The models are those of an engine of mean speed.
+    const double seconds_at_mean_speed = running_seconds * SpeedOf(*target);
+    model.Add(assignment.load_tokens, seconds_at_mean_speed);
+    PredictorOf(service).Add(assignment.load, seconds_at_mean_speed);
   }
 }
 
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -25,6 +25,7 @@
 #include "decisions/adaptive_placement.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/engine_capacity.h"
+#include "decisions/engine_prediction.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
 #include "decisions/first_event_predictor.h"
@@ -306,15 +307,6 @@
     bool is_home = false;
     bool is_probe = false;
   };
-  // Means of what peers report, over the targets of a region.
-  struct MeanPeerLoad {
-    double pending_prefill_tokens = 0;
-    double in_flight = 0;
-  };
-  struct MeanPeerLoads {
-    MeanPeerLoad local;
-    MeanPeerLoad remote;
-  };
   // Limits of one request's placement, in seconds.
   struct PlacementLimits {
     double first_event = 0;
@@ -365,8 +357,6 @@
                                      const std::vector<TargetState*>& targets,
                                      const std::vector<TargetState*>& usable,
                                      double region_weight);
-  static MeanPeerLoads MeanPeerLoadsOf(const std::vector<TargetState*>& targets,
-                                       double region_weight);
   PlacementLimits LimitsOf(TimePoint now, const ScheduledRequest& request,
                            bool is_engine, bool has_share_credit);
   // Returns an assignment to the first candidate within the limits, a rejection
@@ -401,6 +391,9 @@
                      const Candidate& candidate);
   double SecondsPerToken(const std::string& service) const;
   FirstEventModel& FirstEventModelOf(const std::string& service);
+  // Returns the engine's lasting speed relative to the service's mean; 1 where
+  // speeds are not used.
+  double SpeedOf(const TargetState& target) const;
   FirstEventPredictor& PredictorOf(const std::string& service);
   // Updates the capacity of the service's engines and of all together.
   void UpdateCapacity(TimePoint now, const std::string& service,
