--- a/tests/soak/router_process.cc
+++ b/tests/soak/router_process.cc
@@ -1,12 +1,16 @@
 #include "soak/router_process.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdio>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <vector>
 
@@ -46,6 +50,12 @@
   WriteSettings();
 }
 
+void RouterProcess::SetResources(int memory_mb, int max_descriptors) {
+  memory_mb_ = memory_mb;
+  max_descriptors_ = max_descriptors;
+  WriteSettings();
+}
+
 void RouterProcess::WriteSettings() const {
   std::ofstream(settings_path_)
       << "vm: router-" << host_ - 10 << "\nzone: " << zone_
@@ -60,8 +70,8 @@
       << network_.Address(1, kStorePort) << "\ngrace_seconds: "
       << std::chrono::duration_cast<std::chrono::seconds>(grace_period_).count()
       << "\nretry_ratio: 0.2\nretry_window_seconds: 10\n"
-         "retry_slack: 50\nmax_descriptors: 4100\nmemory_mb: "
-      << (kMemoryBytes >> 20)
+         "retry_slack: 50\nmax_descriptors: "
+      << max_descriptors_ << "\nmemory_mb: " << memory_mb_
       << "\n"
          "processor_share: 1\nregion_link_mbit: 30\n";
 }
@@ -134,6 +144,39 @@
              : 0;
 }
 
+std::size_t RouterProcess::UnreadBytes() const {
+  // The kernel writes an address as the hexadecimal number that its bytes are
+  // in the machine's order.
+  const std::string ip = network_.Ip(host_);
+  in_addr address{};
+  inet_pton(AF_INET, ip.c_str(), &address);
+  std::size_t sum = 0;
+  std::ifstream in("/proc/net/tcp");
+  std::string line;
+  while (std::getline(in, line)) {
+    unsigned int local = 0;
+    unsigned int state = 0;
+    unsigned int unread = 0;
+    constexpr unsigned int kListen = 10;
+    // For a listening socket, the queue is that of unaccepted connections.
+    if (std::sscanf(line.c_str(), " %*u: %x:%*x %*x:%*x %x %*x:%x", &local,
+                    &state, &unread) == 3 &&
+        local == address.s_addr && state != kListen) {
+      sum += unread;
+    }
+  }
+  return sum;
+}
+
+std::size_t RouterProcess::Descriptors() const {
+  std::error_code ec;
+  const std::filesystem::directory_iterator entries(
+      "/proc/" + std::to_string(pid_) + "/fd", ec);
+  return pid_ > 0 && !ec ? static_cast<std::size_t>(
+                               std::distance(begin(entries), end(entries)))
+                         : 0;
+}
+
 bool RouterProcess::HasExited() {
   int status = 0;
   if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
--- a/tests/soak/router_process.h
+++ b/tests/soak/router_process.h
@@ -62,8 +62,10 @@
   // Memory of the VM that the settings state.
   static constexpr std::size_t kMemoryBytes = std::size_t{110} << 20;
 
-  // Call before `Start`.
+  // Call before `Start`, as the following ones.
   void SetGracePeriod(std::chrono::seconds grace_period);
+  // Sets the memory and the file descriptors that the settings state.
+  void SetResources(int memory_mb, int max_descriptors);
   // Starts the process, which appends its log to router-<index>.jsonl. Throws
   // std::runtime_error if it cannot be started.
   void Start();
@@ -82,12 +84,23 @@
   const std::vector<ProcessEnd>& ends() const { return ends_; }
   // Resident memory in bytes; zero if no process is running.
   std::size_t ResidentBytes() const;
+  // Bytes that TCP sockets of the router's addresses have received and the
+  // router has not read.
+  std::size_t UnreadBytes() const;
+  // Open file descriptors; zero if no process is running.
+  std::size_t Descriptors() const;
   // Zero if no process is running.
   pid_t pid() const { return pid_; }
   std::string address() const { return network_.Address(host_, kCallersPort); }
   std::string readiness_address() const {
     return network_.Address(host_, kReadinessPort);
   }
+  std::string control_address() const {
+    return network_.Address(host_, kControlPort);
+  }
+  std::string peer_address() const {
+    return network_.Address(host_, kPeerPort);
+  }
 
  private:
   void WriteSettings() const;
@@ -98,6 +111,8 @@
   const int host_;
   const std::string zone_;
   Duration grace_period_ = kGracePeriod;
+  int memory_mb_ = kMemoryBytes >> 20;
+  int max_descriptors_ = 4100;
   pid_t pid_ = 0;
   bool was_paused_ = false;
   bool was_stopped_ = false;
