Account for all memory that connections take, and evict clients

Cause: the budget counted the bytes of messages, not parsed header lines, bytes in receive buffers, unread responses, pipelined input and connections. The check whether a caller has left read up to 64 KB more input for each pipelined request.

Change: MemoryBudget holds all of these. Who makes room is a decision of its own (src/decisions/eviction_order.h): the client that has held the most for the longest. At most 1,024 header lines (431), bounded receive buffers, and the next request of a connection waits until its output is read. At the limit of open connections those are closed that only discard input, whose caller has left, or whose request has been arriving for longest. The checks of used() in caller_test now include the connections' own charge, as exact as before.

--- a/src/dataplane/caller.cc
+++ b/src/dataplane/caller.cc
@@ -1,5 +1,8 @@
 #include "dataplane/caller.h"
 
+#include <netinet/tcp.h>
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -31,7 +34,26 @@
 constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
 // Input of pipelined requests that is buffered during a response; above this,
 // the connection is not read.
-constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
+// Output that a caller may leave unread before the next request of its
+// connection is handled. While the memory is short, none may be left.
+constexpr std::size_t kMaxUnreadOutputBytes = std::size_t{16} * 1024;
+// A caller that has accepted no output for this long may be evicted.
+constexpr Duration kStalledOutputTime = seconds(1);
+// Memory of a connection without messages: the object, its pending handlers and
+// their allocation.
+constexpr std::size_t kConnectionBytes = 2048;
+// Lines of a header with its trailer fields. A header of 16 KB reaches this
+// with lines of less than 16 bytes on average; normal clients send up to a
+// hundred lines.
+constexpr std::size_t kMaxHeaderLines = 1024;
+// Memory of one parsed line beyond its bytes: the node of the parser's list and
+// its allocation.
+constexpr std::size_t kHeaderLineBytes = 96;
+// Receive buffers while a body arrives, and afterwards. The kernel doubles the
+// size that is requested.
+constexpr int kBodyReceiveBytes = 128 * 1024;
+constexpr int kIdleReceiveBytes = 32 * 1024;
 // Callers retry at other routers, which may have memory left.
 constexpr Duration kMemoryRetryAfter = milliseconds(100);
 constexpr Duration kStoppingRetryAfter = milliseconds(1);
@@ -90,6 +112,8 @@
       return "linger_timeout";
     case CloseReason::kConnectionLimit:
       return "connection_limit";
+    case CloseReason::kMemory:
+      return "memory";
     case CloseReason::kDraining:
       return "draining";
     case CloseReason::kExit:
@@ -119,21 +143,40 @@
       clock_(clock),
       idle_since_(clock.Now()),
       idle_timeout_(handler.Limits().idle_timeout),
+      write_progress_at_(clock.Now()),
+      connection_memory_(handler.Memory()),
       request_memory_(handler.Memory()),
       buffer_memory_(handler.Memory()) {}
 
+CallerConnection::~CallerConnection() {
+  if (MemoryBudget* memory = connection_memory_.budget(); memory != nullptr) {
+    memory->Remove(this);
+  }
+}
+
 void CallerConnection::Start() {
+  connection_memory_.Set(kConnectionBytes);
+  if (MemoryBudget* memory = connection_memory_.budget(); memory != nullptr) {
+    memory->Add(this, {[this] { return EvictableBytes(); }, [this] { Evict(); },
+                       [this] { return HeldFor(); }});
+  }
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
   HandleInput();
 }
 
 void CallerConnection::AwaitRead() {
+  if (is_read_pending_ || !socket_.is_open()) {
+    return;
+  }
   const MemoryBudget* memory = handler_.Memory();
-  const std::size_t max_pipelined_bytes =
-      memory != nullptr && memory->IsShort() ? 0 : kMaxPipelinedBytes;
-  if (is_read_pending_ || !socket_.is_open() ||
-      (state_ == State::kResponding && input_.size() > max_pipelined_bytes)) {
+  const bool is_short = memory != nullptr && memory->IsShort();
+  if ((state_ == State::kResponding &&
+       input_.size() >= (is_short ? 1 : kMaxPipelinedBytes)) ||
+      (state_ == State::kIdle && HasUnreadOutput())) {
+    boost::system::error_code ignored;
+    unread_bytes_ = socket_.available(ignored);
+    ChargeBuffers();
     return;
   }
   is_read_pending_ = true;
@@ -164,7 +207,14 @@
   }
   boost::system::error_code ec;
   auto& buffer = SharedReadBuffer();
-  const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
+  const std::size_t max_bytes = ReadLimit();
+  const std::size_t n = socket_.read_some(asio::buffer(buffer, max_bytes), ec);
+  unread_bytes_ = 0;
+  if (n == max_bytes) {
+    // More may be left, and other connections are read before it.
+    boost::system::error_code ignored;
+    unread_bytes_ = socket_.available(ignored);
+  }
   if (ec == asio::error::would_block) {
     return;
   }
@@ -174,6 +224,7 @@
   }
   if (state_ == State::kLingering) {
     has_dropped_input_ = true;
+    ChargeBuffers();
     return;
   }
   input_.append(buffer.data(), n);
@@ -183,15 +234,101 @@
   ChargeBuffers();
 }
 
+std::size_t CallerConnection::ReadLimit() const {
+  if (state_ == State::kLingering ||
+      (state_ == State::kReading && parser_->is_header_done())) {
+    return kReadBufferBytes;
+  }
+  return kMaxPipelinedBytes - std::min(input_.size(), kMaxPipelinedBytes - 1);
+}
+
+bool CallerConnection::HasUnreadOutput() const {
+  const MemoryBudget* memory = handler_.Memory();
+  const bool is_short = memory != nullptr && memory->IsShort();
+  return buffered() > (is_short ? 0 : kMaxUnreadOutputBytes);
+}
+
+void CallerConnection::ResumeInput() {
+  if (state_ != State::kIdle) {
+    return;
+  }
+  try {
+    Feed();
+    ChargeBuffers();
+  } catch (const std::exception& ex) {
+    internal::LogException("connection of a caller", ex);
+    CloseAndNotify(CloseReason::kInternalError);
+    return;
+  }
+  AwaitRead();
+}
+
+Duration CallerConnection::HeldFor() const {
+  return clock_.Now() -
+         (state_ == State::kReading ? first_byte_at_ : write_progress_at_);
+}
+
+std::size_t CallerConnection::EvictableBytes() const {
+  if (is_growing_ || state_ == State::kResponding) {
+    return 0;
+  }
+  const bool is_stalled =
+      buffered() > 0 && clock_.Now() - write_progress_at_ >= kStalledOutputTime;
+  return state_ == State::kReading || is_stalled
+             ? request_memory_.bytes() + buffer_memory_.bytes()
+             : 0;
+}
+
+void CallerConnection::Evict() {
+  const auto self = shared_from_this();
+  internal::Log(
+      internal::LogLevel::kWarning, "client evicted for lack of memory",
+      {{"bytes", EvictableBytes()},
+       {"held_ms", std::chrono::duration_cast<milliseconds>(HeldFor()).count()},
+       {"stage", state_ == State::kReading ? "reading" : "writing"}});
+  if (state_ == State::kReading) {
+    Reject(503, "no memory for the request", kMemoryRetryAfter);
+  } else {
+    Close(CloseReason::kMemory);
+  }
+}
+
+void CallerConnection::SetReceiveBuffer(int bytes) {
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  // The window is bound by the buffer that the connection began with.
+  using WindowClamp =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_WINDOW_CLAMP>;
+  socket_.set_option(WindowClamp(bytes), ignored);
+}
+
+void CallerConnection::GrowReceiveBuffer() {
+  const MemoryBudget* memory = handler_.Memory();
+  if (memory == nullptr ||
+      memory->used() + kBodyReceiveBytes <= memory->limit() / 4) {
+    reserved_bytes_ = kBodyReceiveBytes;
+    SetReceiveBuffer(kBodyReceiveBytes / 2);
+  }
+}
+
+void CallerConnection::ShrinkReceiveBuffer() {
+  if (reserved_bytes_ > 0) {
+    reserved_bytes_ = 0;
+    SetReceiveBuffer(kIdleReceiveBytes / 2);
+  }
+}
+
 void CallerConnection::Feed() {
   if (input_.empty() || state_ == State::kResponding ||
-      state_ == State::kLingering || !socket_.is_open()) {
+      state_ == State::kLingering || !socket_.is_open() ||
+      (state_ == State::kIdle && HasUnreadOutput())) {
     return;
   }
   if (state_ == State::kIdle) {
     state_ = State::kReading;
     first_byte_at_ = clock_.Now();
     header_bytes_ = 0;
+    header_lines_ = 0;
     const CallerLimits& limits = handler_.Limits();
     header_timeout_ = limits.header_timeout;
     parser_.emplace();
@@ -203,9 +340,18 @@
   }
   const bool had_header = parser_->is_header_done();
   const std::size_t unparsed_bytes = input_.size();
+  const std::size_t unparsed_lines = had_header ? 0 : BufferedHeaderLines();
+  if (header_lines_ + unparsed_lines > kMaxHeaderLines) {
+    Reject(431, "too many header lines");
+    return;
+  }
   boost::system::error_code ec = Parse();
   if (!had_header) {
     header_bytes_ += unparsed_bytes - input_.size();
+    header_lines_ += unparsed_lines;
+    if (!parser_->is_header_done()) {
+      header_lines_ -= BufferedHeaderLines();
+    }
   }
   if (!ec && !had_header && parser_->is_header_done()) {
     const http::fields& header = parser_->get();
@@ -230,10 +376,20 @@
     Reject(431, "chunk or trailer fields too large");
     return;
   }
-  if (!request_memory_.TrySet(RequestBytes())) {
+  if (HasTooManyFields()) {
+    Reject(431, "too many trailer fields");
+    return;
+  }
+  is_growing_ = true;
+  const bool has_memory = request_memory_.TrySet(RequestBytes(), HeldFor());
+  is_growing_ = false;
+  if (!has_memory) {
     Reject(503, "no memory for the request", kMemoryRetryAfter);
     return;
   }
+  if (!had_header && parser_->is_header_done() && !parser_->is_done()) {
+    GrowReceiveBuffer();
+  }
   if (!had_header && parser_->is_header_done() && !parser_->is_done() &&
       parser_->get()[http::field::expect] == "100-continue") {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -246,6 +402,7 @@
     return;
   }
   state_ = State::kResponding;
+  ShrinkReceiveBuffer();
   request_id_.clear();
   wants_close_ = !parser_->get().keep_alive();
   ReceivedRequest request{parser_->release(), first_byte_at_,
@@ -270,22 +427,47 @@
   return ec == http::error::need_more ? boost::system::error_code() : ec;
 }
 
+std::size_t CallerConnection::BufferedHeaderLines() const {
+  constexpr std::string_view kLineEnd = "\r\n";
+  constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+  std::string_view text = input_;
+  if (text.starts_with(kLineEnd)) {
+    return 0;
+  }
+  text = text.substr(0, text.find(kHeaderEnd));
+  return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+bool CallerConnection::HasTooManyFields() const {
+  if (!parser_->is_done() || !parser_->chunked()) {
+    return false;
+  }
+  const auto& fields = parser_->get();
+  return std::distance(fields.begin(), fields.end()) >
+         static_cast<std::ptrdiff_t>(kMaxHeaderLines);
+}
+
 bool CallerConnection::HasDisconnected() {
   boost::system::error_code ec;
   auto& buffer = SharedReadBuffer();
-  const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
+  const std::size_t max_bytes =
+      kMaxPipelinedBytes - std::min(input_.size(), kMaxPipelinedBytes - 1);
+  const std::size_t n = socket_.read_some(asio::buffer(buffer, max_bytes), ec);
   input_.append(buffer.data(), n);
   return ec && ec != asio::error::would_block;
 }
 
 std::size_t CallerConnection::RequestBytes() const {
-  return header_bytes_ + parser_->get().body().size() +
+  return header_bytes_ + header_lines_ * kHeaderLineBytes +
+         // Without a length, the body's buffer doubles as it grows.
+         (parser_->chunked() ? parser_->get().body().capacity()
+                             : parser_->get().body().size()) +
          (parser_->is_done() ? 0 : input_.size());
 }
 
 void CallerConnection::ChargeBuffers() {
-  buffer_memory_.Set(buffered() +
-                     (state_ == State::kResponding ? input_.size() : 0));
+  buffer_memory_.Set(buffered() + std::max(unread_bytes_, reserved_bytes_) +
+                     (state_ == State::kReading ? 0 : input_.size()));
 }
 
 void CallerConnection::Reject(int status, const std::string& reason,
@@ -296,6 +478,7 @@
   std::string().swap(input_);
   request_memory_.Set(0);
   state_ = State::kResponding;
+  ShrinkReceiveBuffer();
   LocalReply reply;
   reply.status = status;
   reply.reason = reason;
@@ -328,6 +511,7 @@
     return;
   }
   is_write_pending_ = true;
+  write_progress_at_ = clock_.Now();
   output_in_flight_ = std::move(output_);
   output_.clear();
   asio::async_write(
@@ -349,6 +533,7 @@
         if (self->output_.empty() && self->state_ == State::kResponding) {
           self->handler_.OnOutputFlushed(*self);
         }
+        self->ResumeInput();
       });
 }
 
@@ -372,11 +557,8 @@
   if (!input_.empty()) {
     // Deferred, since the handler that finished this response may still be on
     // the call stack.
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      if (self->state_ == State::kIdle) {
-        self->Feed();
-      }
-    });
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->ResumeInput(); });
   }
   AwaitRead();
 }
@@ -423,6 +605,24 @@
   }
 }
 
+void CallerConnection::CloseIfLingering(CloseReason reason) {
+  if (state_ == State::kLingering && buffered() == 0) {
+    Close(reason);
+    return;
+  }
+  // Without a read that is pending, the end of the connection is not noticed.
+  if (!is_read_pending_ && socket_.is_open()) {
+    pollfd descriptor{socket_.native_handle(), POLLRDHUP, 0};
+    if (poll(&descriptor, 1, 0) > 0) {
+      CloseAndNotify(CloseReason::kCallerClosed);
+    }
+  }
+}
+
+std::optional<Duration> CallerConnection::UnfinishedFor() const {
+  return state_ == State::kReading ? std::optional(HeldFor()) : std::nullopt;
+}
+
 void CallerConnection::HandleSocketError(const boost::system::error_code& ec) {
   if (!socket_.is_open()) {
     return;
@@ -486,16 +686,31 @@
   std::string().swap(input_);
   std::string().swap(output_);
   request_memory_.Set(0);
+  unread_bytes_ = 0;
+  reserved_bytes_ = 0;
+  connection_memory_.Set(0);
   ChargeBuffers();
 }
 
 void CallerConnection::Tick(TimePoint now) {
   const CallerLimits& limits = handler_.Limits();
+  if (socket_.is_open()) {
+    boost::system::error_code ignored;
+    unread_bytes_ = socket_.available(ignored);
+    ChargeBuffers();
+    if (state_ == State::kIdle || state_ == State::kResponding) {
+      // The memory may no longer be short.
+      AwaitRead();
+    }
+  }
   switch (state_) {
     case State::kIdle:
       idle_timeout_ = std::max(idle_timeout_, limits.idle_timeout);
       if (now - idle_since_ >= idle_timeout_) {
         CloseIfIdle(CloseReason::kIdleTimeout);
+        if (buffered() > 0 && now - write_progress_at_ >= idle_timeout_) {
+          Close(CloseReason::kIdleTimeout);
+        }
       }
       break;
     case State::kReading: {
--- a/src/dataplane/caller.h
+++ b/src/dataplane/caller.h
@@ -45,6 +45,8 @@
   // The response was not written in time.
   kLingerTimeout,
   kConnectionLimit,
+  // The memory is short, and the caller held much of it.
+  kMemory,
   kDraining,
   // The process exits.
   kExit,
@@ -115,6 +117,9 @@
  public:
   CallerConnection(boost::asio::ip::tcp::socket socket, CallerHandler& handler,
                    const Clock& clock);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   // Starts to read requests.
   void Start();
@@ -132,6 +137,14 @@
   // Closes the connection if it has no request in progress, no unread input and
   // no buffered output.
   void CloseIfIdle(CloseReason reason);
+  // Closes the connection if its last response is written and further input is
+  // discarded, or if the caller has closed it while no input is read.
+  void CloseIfLingering(CloseReason reason);
+  // Time since the first byte of a request that has not arrived completely;
+  // nullopt if there is none.
+  std::optional<Duration> UnfinishedFor() const;
+  // Closes the connection whatever its state, in favor of others.
+  void CloseForLimit() { CloseAndNotify(CloseReason::kConnectionLimit); }
   // Rejects, as not executed, a request that has not arrived completely.
   void RejectUnfinished(const std::string& reason);
   // Closes the connection whatever its state, since the process exits.
@@ -184,11 +197,35 @@
   // Reads what has arrived, and awaits more. An exception ends the connection.
   void HandleInput();
   void ReadAvailable();
+  // Largest number of bytes to read at once in this state.
+  std::size_t ReadLimit() const;
+  // Whether the caller has left so much output unread that no further request
+  // of its connection is handled or read.
+  bool HasUnreadOutput() const;
+  // Handles input that waited for the output to be read, and awaits more.
+  void ResumeInput();
+  // Memory that is freed if the connection is evicted; zero if the caller has
+  // completed its message and reads its response, or a response is in progress.
+  std::size_t EvictableBytes() const;
+  // Time since the caller last completed a message or accepted output.
+  Duration HeldFor() const;
+  // Frees the memory of the connection in favor of others. A request that is
+  // being read is rejected, as not executed.
+  void Evict();
+  // Lets the receive buffer hold more while a body arrives, unless a quarter of
+  // the memory is in use, and charges what it may hold.
+  void GrowReceiveBuffer();
+  void ShrinkReceiveBuffer();
+  void SetReceiveBuffer(int bytes);
   // Parses the buffered input and dispatches a request that is complete.
   void Feed();
   // Gives the buffered input to the parser. Returns the error of a malformed
   // request; input that is incomplete is none.
   boost::system::error_code Parse();
+  // Lines of the header that is being read that are in the buffered input.
+  std::size_t BufferedHeaderLines() const;
+  // Whether the request has too many header lines and trailer fields.
+  bool HasTooManyFields() const;
   // Reads once more and returns whether the caller has closed its side of the
   // connection after it sent its request. Such a request is not executed, since
   // nobody waits for its response.
@@ -239,6 +276,15 @@
   std::string request_id_;
   // Of the request that is being read.
   std::size_t header_bytes_ = 0;
+  std::size_t header_lines_ = 0;
+  // Bytes in the socket when they were last counted, zero after each read.
+  std::size_t unread_bytes_ = 0;
+  // What the receive buffer may hold of a body that is arriving.
+  std::size_t reserved_bytes_ = 0;
+  // Memory for the request in progress is being sought.
+  bool is_growing_ = false;
+  // The connection itself, without messages.
+  MemoryCharge connection_memory_;
   MemoryCharge request_memory_;
   MemoryCharge buffer_memory_;
   std::string input_;
--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -373,11 +373,14 @@
   const std::string body(200'000, 'x');
   const std::string head = "Content-Length: 200000\r\n";
   tcp::socket first = fixture.Connect();
+  // An open connection takes memory of its own.
+  const std::size_t idle = fixture.memory.used();
+  CHECK(idle < 4096);
   Send(first, Request("/1", head) + body);
   while (fixture.requests.empty() && fixture.RunLoop() > 0) {
   }
   REQUIRE(fixture.requests == "/1");
-  CHECK(fixture.memory.used() == 0);
+  CHECK(fixture.memory.used() == idle);
   // What the handler keeps of the first request.
   MemoryCharge kept(&fixture.memory);
   REQUIRE(kept.TrySet(200'000));
@@ -386,7 +389,7 @@
   const std::string response = fixture.ReadAll(second);
   CHECK(response.starts_with("HTTP/1.1 503"));
   CHECK(response.find("Retry-After: ") != std::string::npos);
-  CHECK(fixture.memory.used() == 200'000);
+  CHECK(fixture.memory.used() == 200'000 + 2 * idle);
   fixture.answers = true;
   tcp::socket small = fixture.Connect();
   Send(small, Request("/3"));
@@ -394,6 +397,89 @@
   CHECK(fixture.requests == "/1/3");
 }
 
+// Guards against headers of legal size that take many times their bytes once
+// parsed: 300 clients took 99 MiB with lines of four bytes.
+TEST_CASE("A request with too many header lines is refused with 431") {
+  Fixture fixture;
+  const auto lines = [](std::size_t n) {
+    std::string text;
+    for (std::size_t i = 0; i < n; ++i) {
+      text += "a:\r\n";
+    }
+    return text;
+  };
+  tcp::socket caller = fixture.Connect();
+  SUBCASE("at once") { Send(caller, Request("/1", lines(1100))); }
+  SUBCASE("in parts") {
+    const std::string request = Request("/1", lines(1100));
+    for (std::size_t i = 0; i < request.size(); i += 333) {
+      Send(caller, request.substr(i, 333));
+      fixture.RunLoop();
+    }
+  }
+  SUBCASE("in trailer fields") {
+    Send(caller, Request("/1", "Transfer-Encoding: chunked\r\n") + "0\r\n" +
+                     lines(1100) + "\r\n");
+  }
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 431"));
+  CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("Headers inside the limits are served, and their lines charged") {
+  Fixture fixture;
+  std::string lines;
+  while (lines.size() < 16'000) {
+    lines += "X-Feature-" + std::to_string(lines.size()) + ": on\r\n";
+  }
+  tcp::socket caller = fixture.Connect();
+  Send(caller, Request("/1", lines + "Content-Length: 1\r\n"));
+  fixture.RunLoop();
+  CHECK(fixture.memory.used() > 4 * lines.size());
+  Send(caller, "x");
+  CHECK(fixture.ReadAll(caller).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a caller that pipelines requests and reads no response: all
+// responses were kept.
+TEST_CASE("Requests wait while their caller leaves responses unread") {
+  Fixture fixture;
+  fixture.body = std::string(100'000, 'x');
+  tcp::socket caller = fixture.Connect();
+  caller.set_option(asio::socket_base::receive_buffer_size(256 * 1024));
+  std::string requests;
+  for (int i = 0; i < 300; ++i) {
+    requests += Request("/1");
+  }
+  Send(caller, requests);
+  for (int i = 0; i < 50; ++i) {
+    fixture.RunLoop();
+  }
+  CHECK(fixture.memory.peak() < 500'000);
+  const std::string responses = fixture.ReadAll(caller);
+  CHECK(responses.size() > 300 * fixture.body.size());
+}
+
+// Guards against clients that stop short of the end of their requests until
+// ordinary callers are refused.
+TEST_CASE("An unfinished request is rejected in favor of an ordinary one") {
+  Fixture fixture;
+  fixture.memory.SetLimit(400'000);
+  const std::string head = "Content-Length: 250000\r\n";
+  tcp::socket stalled = fixture.Connect();
+  Send(stalled, Request("/1", head) + std::string(249'999, 'x'));
+  fixture.RunLoop();
+  CHECK(fixture.memory.used() > 249'999);
+  fixture.TickAfter(seconds(2));
+  tcp::socket ordinary = fixture.Connect();
+  Send(ordinary, Request("/2", head) + std::string(250'000, 'x'));
+  CHECK(fixture.ReadAll(ordinary).starts_with("HTTP/1.1 200"));
+  const std::string rejection = fixture.ReadAll(stalled);
+  CHECK(rejection.starts_with("HTTP/1.1 503"));
+  CHECK(rejection.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.requests == "/2");
+  CHECK(fixture.memory.evicted_count() == 1);
+}
+
 TEST_CASE("A chunked request without end is refused") {
   Fixture fixture;
   fixture.limits.max_header_bytes = 4096;
--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -30,6 +30,13 @@
 // Maximum idle time of a connection for a request that is not safe to retry.
 constexpr Duration kMaxIdleIfNotSafeToRetry = milliseconds(1500);
 constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
+// Memory of a connection without messages: the object, its pending handlers and
+// their allocation.
+constexpr std::size_t kConnectionBytes = 2048;
+// Receive buffer of a connection; the kernel doubles it. Without a bound, the
+// kernel lets it grow to several megabytes while reading is paused for a slow
+// caller. This one lets a target 30 ms away send 4 MB/s.
+constexpr int kReceiveBufferBytes = 128 * 1024;
 // Maximum sizes of a response; that of the body also limits streams.
 constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024;
 constexpr std::uint64_t kMaxResponseBodyBytes = 64ULL * 1024 * 1024;
@@ -94,7 +101,10 @@
 
 UpstreamConnection::UpstreamConnection(asio::io_context& loop,
                                        UpstreamPool& pool, std::string address)
-    : pool_(pool), socket_(loop), address_(std::move(address)) {}
+    : pool_(pool),
+      socket_(loop),
+      address_(std::move(address)),
+      connection_memory_(pool.memory()) {}
 
 void UpstreamConnection::ResetParser() {
   parser_.emplace();
@@ -147,7 +157,10 @@
     });
     return;
   }
+  connection_memory_.Set(kConnectionBytes);
   ConfigureSocket(socket_, kTcpUserTimeout);
+  socket_.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
   connect_deadline_ = pool_.clock().Now() + kConnectTimeout;
   socket_.async_connect(
       *endpoint, [self = shared_from_this()](boost::system::error_code ec) {
@@ -388,6 +401,7 @@
 void UpstreamConnection::Close() {
   boost::system::error_code ignored;
   socket_.close(ignored);
+  connection_memory_.Set(0);
   is_connected_ = false;
 }
 
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -106,6 +106,8 @@
   UpstreamPool& pool_;
   boost::asio::ip::tcp::socket socket_;
   const std::string address_;
+  // The connection itself, without messages.
+  MemoryCharge connection_memory_;
   bool is_connected_ = false;
   bool is_read_pending_ = false;
   bool is_paused_ = false;
--- a/src/decisions/memory_budget.cc
+++ b/src/decisions/memory_budget.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
+
+#include "decisions/eviction_order.h"
 
 namespace corianderpost {
 
@@ -12,6 +15,9 @@
 bool MemoryBudget::ReclaimLargerThan(std::size_t bytes) {
   const void* largest = nullptr;
   for (const auto& [owner, it] : reclaimables_) {
+    if (it.held_for) {
+      continue;
+    }
     if (const std::size_t n = it.bytes(); n > bytes) {
       bytes = n;
       largest = owner;
@@ -28,9 +34,35 @@
   return true;
 }
 
-bool MemoryBudget::TryGrow(std::size_t from, std::size_t to) {
+bool MemoryBudget::EvictFor(std::size_t bytes, Duration held_for) {
+  std::vector<const void*> owners;
+  std::vector<HeldMemory> held;
+  for (const auto& [owner, it] : reclaimables_) {
+    if (it.held_for) {
+      owners.push_back(owner);
+      held.push_back({it.bytes(), it.held_for()});
+    }
+  }
+  const auto chosen = ChooseEviction(held, {bytes, held_for});
+  if (!chosen) {
+    return false;
+  }
+  const Reclaimable client =
+      std::move(reclaimables_.extract(owners[*chosen]).mapped());
+  ++evicted_count_;
+  client.reclaim();
+  return true;
+}
+
+void MemoryBudget::MakeRoom() {
+  while (used_ > limit_ && EvictFor(0, Duration(0))) {
+  }
+}
+
+bool MemoryBudget::TryGrow(std::size_t from, std::size_t to,
+                           Duration held_for) {
   while (used_ - from + to > LimitFor(to)) {
-    if (!ReclaimLargerThan(to)) {
+    if (!EvictFor(to, held_for) && !ReclaimLargerThan(to)) {
       ++refused_count_;
       return false;
     }
@@ -55,9 +87,9 @@
   return *this;
 }
 
-bool MemoryCharge::TrySet(std::size_t bytes) {
+bool MemoryCharge::TrySet(std::size_t bytes, Duration held_for) {
   if (budget_ != nullptr && bytes > bytes_ &&
-      !budget_->TryGrow(bytes_, bytes)) {
+      !budget_->TryGrow(bytes_, bytes, held_for)) {
     return false;
   }
   Set(bytes);
--- a/src/decisions/memory_budget_test.cc
+++ b/src/decisions/memory_budget_test.cc
@@ -100,5 +100,42 @@
   CHECK(complete.bytes() == 2 * kLarge);
 }
 
+// Guards against clients that keep unfinished messages until ordinary callers
+// are refused.
+TEST_CASE("The client that held the most for the longest makes room") {
+  MemoryBudget budget(kLimit);
+  MemoryCharge recent(&budget);
+  MemoryCharge stalled(&budget);
+  CHECK(recent.TrySet(kLarge));
+  CHECK(stalled.TrySet(2 * kLarge));
+  const auto add = [&budget](MemoryCharge& it, Duration held_for) {
+    budget.Add(&it, {[&it] { return it.bytes(); }, [&it] { it.Set(0); },
+                     [held_for] { return held_for; }});
+  };
+  add(recent, std::chrono::milliseconds(10));
+  add(stalled, std::chrono::seconds(3));
+  MemoryCharge other(&budget);
+  CHECK(other.TrySet(kLarge));
+  CHECK(stalled.bytes() == 0);
+  CHECK(recent.bytes() == kLarge);
+  CHECK(budget.evicted_count() == 1);
+  CHECK(budget.reclaimed_count() == 0);
+  // The client that grows has held more for longer.
+  CHECK_FALSE(other.TrySet(3 * kLarge, std::chrono::seconds(1)));
+  CHECK(recent.bytes() == kLarge);
+}
+
+TEST_CASE("Charges beyond the limit that can't be refused evict clients") {
+  MemoryBudget budget(kLimit);
+  MemoryCharge client(&budget);
+  client.Set(2 * kLimit);
+  budget.Add(&client, {[&] { return client.bytes(); }, [&] { client.Set(0); },
+                       [] { return std::chrono::seconds(1); }});
+  budget.MakeRoom();
+  CHECK(budget.used() == 0);
+  budget.MakeRoom();
+  CHECK(budget.evicted_count() == 1);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/router/listener.cc
+++ b/src/router/listener.cc
@@ -25,6 +25,13 @@
 // time, since finding the longest idle ones scans all connections.
 constexpr std::size_t kCloseDivisor = 16;
 
+// A request that has been arriving for less is not closed for a new connection.
+constexpr Duration kMinUnfinishedTime = std::chrono::seconds(1);
+// Receive buffer of a connection, in bytes as requested of the kernel, which
+// doubles it. Holds a few requests. A connection gets a larger one while it
+// sends a body, see CallerConnection.
+constexpr int kReceiveBufferBytes = 16 * 1024;
+
 }  // namespace
 
 Listener::Listener(asio::io_context& loop, const std::string& address,
@@ -43,6 +50,11 @@
   if (!ec) {
     acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
   }
+  if (!ec) {
+    // Inherited by connections, also while they wait to be accepted.
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
+  }
   if (!ec) {
     acceptor_.bind(*endpoint, ec);
   }
@@ -109,6 +121,10 @@
     ++accepted;
     if (connections_.size() >= max_connections_) {
       CloseLongestIdle();
+      CloseLingering();
+      if (connections_.size() >= max_connections_ + max_connections_ / 4) {
+        CloseLongestUnfinished();
+      }
     }
     auto connection =
         std::make_shared<CallerConnection>(std::move(socket), handler_, clock_);
@@ -153,11 +169,35 @@
                 {{"closed", n}, {"left", connections_.size()}});
 }
 
+void Listener::CloseLingering() {
+  std::erase_if(connections_, [](const auto& it) {
+    it->CloseIfLingering(CloseReason::kConnectionLimit);
+    return !it->is_open();
+  });
+}
+
+void Listener::CloseLongestUnfinished() {
+  const auto longest =
+      std::max_element(connections_.begin(), connections_.end(),
+                       [](const auto& a, const auto& b) {
+                         return a->UnfinishedFor().value_or(Duration(0)) <
+                                b->UnfinishedFor().value_or(Duration(0));
+                       });
+  if (longest != connections_.end() &&
+      (*longest)->UnfinishedFor() >= kMinUnfinishedTime) {
+    (*longest)->CloseForLimit();
+    connections_.erase(longest);
+  }
+}
+
 void Listener::Tick(TimePoint now) {
   std::erase_if(connections_, [now](const auto& it) {
     it->Tick(now);
     return !it->is_open();
   });
+  if (MemoryBudget* memory = handler_.Memory(); memory != nullptr) {
+    memory->MakeRoom();
+  }
 }
 
 std::uint16_t Listener::port() const {
--- a/src/router/listener.h
+++ b/src/router/listener.h
@@ -24,8 +24,10 @@
            CallerHandler& handler, const Clock& clock);
 
   // Sets a soft limit on open connections. At the limit, each new connection
-  // causes the connections that have been idle longest to be closed; it is
-  // accepted even if none is idle.
+  // causes the connections that have been idle longest to be closed, and those
+  // whose last response is written and whose further input is discarded. From a
+  // quarter above the limit on, so is the one whose request has been arriving
+  // for longest. The new connection is accepted even if there are none.
   void SetMaxConnections(std::size_t connections) {
     max_connections_ = connections;
   }
@@ -64,6 +66,10 @@
   bool AcceptAvailable();
   // Closes the longest idle connections, unless that was done just before.
   void CloseLongestIdle();
+  // Closes the connection whose request has been arriving for longest.
+  void CloseLongestUnfinished();
+  // Closes all connections whose last response is written.
+  void CloseLingering();
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -1,5 +1,6 @@
 #include "router/router.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <time.h>
 
@@ -130,6 +131,13 @@
 // its tables, and buffers while they grow.
 constexpr double kMessageMemoryShare = 0.5;
 
+// Connections of probes, operators and peers to each internal listener. A relay
+// in the largest fleets has a few of these at a time.
+constexpr std::size_t kMaxInternalConnections = 64;
+
+// Largest body of a request to the readiness and control addresses.
+constexpr std::size_t kMaxInternalBodyBytes = std::size_t{16} * 1024;
+
 std::size_t MessageMemoryOf(const RouterSettings& settings) {
   return static_cast<std::size_t>(kMessageMemoryShare * settings.memory_mb *
                                   1024 * 1024);
@@ -273,7 +281,8 @@
    private:
     Responder respond_;
     MemoryBudget& memory_;
-    const CallerLimits limits_;
+    // These requests have no body.
+    const CallerLimits limits_{.max_body_bytes = kMaxInternalBodyBytes};
   };
 
   // How a change of the store came about.
@@ -297,6 +306,8 @@
   bool IsReady() const;
   void RecordUnansweredClose(const UnansweredClose& close);
   void SetMemoryMetrics();
+  // Returns freed memory to the system if memory was short since the last call.
+  void TrimMemory();
 
   void ScheduleTick();
   void Tick();
@@ -362,6 +373,7 @@
 
   // Before the event loop, whose handlers own charges.
   MemoryBudget memory_;
+  std::uint64_t trimmed_at_count_ = 0;
   asio::io_context loop_{1};
   SystemClock clock_;
   RouterSettings settings_;
@@ -496,6 +508,9 @@
   // Leaves two fifths of the unreserved descriptors for connections to targets.
   caller_listener_.SetMaxConnections(static_cast<std::size_t>(std::max(
       64, (settings_.max_descriptors - kReservedDescriptors) * 3 / 5)));
+  for (Listener* it : {&readiness_listener_, &control_listener_}) {
+    it->SetMaxConnections(kMaxInternalConnections);
+  }
   total_suspended_ = clock_.Now().time_since_epoch() - MonotonicNow();
   for (const std::string& it : settings_.seeds) {
     messenger_.AddSeed(it.substr(0, it.find(':')));
@@ -563,6 +578,15 @@
   return {404, "text/plain", "not found\n"};
 }
 
+void Router::Impl::TrimMemory() {
+  const std::uint64_t count = memory_.evicted_count() + memory_.refused_count();
+  if (count != trimmed_at_count_) {
+    trimmed_at_count_ = count;
+    // The allocator keeps the pages of the many small blocks that were freed.
+    malloc_trim(0);
+  }
+}
+
 void Router::Impl::SetMemoryMetrics() {
   metrics_.SetGauge("corianderpost_message_bytes",
                     static_cast<double>(memory_.used()));
@@ -574,6 +598,8 @@
                     static_cast<double>(memory_.refused_count()));
   metrics_.SetGauge("corianderpost_messages_reclaimed",
                     static_cast<double>(memory_.reclaimed_count()));
+  metrics_.SetGauge("corianderpost_clients_evicted",
+                    static_cast<double>(memory_.evicted_count()));
   metrics_.SetGauge("corianderpost_exceptions",
                     static_cast<double>(internal::LoggedExceptions()));
 }
@@ -763,6 +789,7 @@
     caller_listener_.Tick(now);
     readiness_listener_.Tick(now);
     control_listener_.Tick(now);
+    TrimMemory();
     scheduler_.targets().Expire(now);
     scheduler_.suspects().Expire(now);
     messenger_.Expire(now);
