--- a/src/model/request.h
+++ b/src/model/request.h
@@ -38,6 +38,9 @@
   std::string model;
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
+  // The caller's estimate of the output, in tokens; absent if it states none or
+  // an invalid one.
+  std::optional<std::int64_t> output_hint;
   // Parts in order. The last one is specific to the request or its session; the
   // others may be shared with other requests.
   std::vector<PromptPart> prompt;
