Charge shares the expected cost and settle it with the output

Requests were charged twice their declared maximum output, several times what they generate, so that customers were rejected as over their share while engines had headroom. Where adaptive decisions take effect, demand and charge now use the learned output (request_cost.h), and Scheduler::Finish corrects the charge by what the stream generated, however the attempt ended. FairShare::Settle changes demand and admitted rate alike; what is owed for streams that cost more than expected is paid before the bucket is refilled. Until the tokens per event are known, the declared maximum counts as before. Unit costs leave the scheduler.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -234,6 +234,7 @@
   scheduled_.prompt = meta_.prompt;
   scheduled_.prompt_tokens = meta_.prompt_tokens;
   scheduled_.max_output_tokens = meta_.max_output_tokens;
+  scheduled_.output_hint = meta_.output_hint;
   scheduled_.body_bytes = request_.body().size();
   scheduled_.traits =
       TraitsOf(FingerprintOf(request_, scheduled_.customer == nullptr
@@ -746,6 +747,9 @@
   }
   plane_.scheduler.RecordFirstEvent(last_progress_at_, *assignment_,
                                     scheduled_);
+  if (!IsComment(event)) {
+    plane_.scheduler.RecordEvent(*assignment_);
+  }
   std::string out;
   if (IsResumableStream()) {
     if (!has_stream_begun_) {
@@ -983,7 +987,8 @@
         {"remote", excluded_.remote},
         {"cold", excluded_.cold},
         {"rate_limit", excluded_.rate_limit}}},
-      {"units", static_cast<std::int64_t>(Scheduler::UnitsOf(scheduled_))},
+      {"units",
+       static_cast<std::int64_t>(plane_.scheduler.CostOf(scheduled_).units())},
       {"list_age_ms",
        ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
       {"configuration", configuration_ ? configuration_->version() : 0}};
--- a/src/decisions/event_size.cc
+++ b/src/decisions/event_size.cc
@@ -37,9 +37,10 @@
   }
   std::sort(lowest_.begin(), lowest_.end());
   const bool do_agree = lowest_.back() <= kAgreement * lowest_.front();
-  if (do_agree && (tokens_per_event_ <= 1 || count_ >= kStreams ||
+  if (do_agree && (!is_known_ || count_ >= kStreams ||
                    lowest_.back() < tokens_per_event_)) {
     tokens_per_event_ = lowest_[kAgreeing / 2];
+    is_known_ = true;
   }
   if (count_ >= kStreams) {
     count_ = 0;
--- a/src/decisions/event_size.h
+++ b/src/decisions/event_size.h
@@ -21,6 +21,7 @@
   void RecordStream(std::int64_t max_tokens, int events);
   // Returns the tokens per event; 1 until it is known.
   double tokens_per_event() const { return tokens_per_event_; }
+  bool is_known() const { return is_known_; }
 
  private:
   // The lowest ratios of the streams that are counted at present.
@@ -28,6 +29,7 @@
   std::array<double, kAgreeing> lowest_{};
   int count_ = 0;
   double tokens_per_event_ = 1;
+  bool is_known_ = false;
 };
 
 }  // namespace corianderpost
--- a/src/decisions/fair_share.cc
+++ b/src/decisions/fair_share.cc
@@ -28,6 +28,10 @@
 constexpr double kMinDemand = 1.0;
 // Maximum debt of a token bucket, in seconds of its refill rate.
 constexpr double kMaxDebtSeconds = 1.0;
+// The same for corrections of charges. They are owed for requests that have
+// already run, so little of them is forgiven, but a customer must not be
+// rejected for most of a window in which shares must be fair.
+constexpr double kMaxOwedSeconds = 2.0;
 // Maximum units by which a customer counts as ahead of its share, in seconds of
 // the share level: the length of the window in which shares must be fair.
 constexpr double kMaxAheadSeconds = 6.0;
@@ -70,7 +74,8 @@
   }
   return accounts_
       .emplace(customer, Account{ArrivalRate(kDemandTimeConstant),
-                                 RateMeter(kAdmittedTimeConstant), 0, now})
+                                 RateMeter(kAdmittedTimeConstant), 0, 0,
+                                 RateMeter(kDemandTimeConstant), now})
       .first->second;
 }
 
@@ -78,6 +83,15 @@
   FindOrCreateAccount(now, customer).demand.Add(now, units);
 }
 
+double FairShare::AdmittedRate(TimePoint now, const Account& account) {
+  return std::max(0.0, account.admitted.PerSecond(now));
+}
+
+double FairShare::DemandRate(TimePoint now, const Account& account) {
+  return std::max(
+      0.0, account.demand.Rising(now) + account.settled_demand.PerSecond(now));
+}
+
 void FairShare::UpdateLevel(TimePoint now) {
   if (has_level_ && now - level_updated_at_ < kLevelInterval) {
     return;
@@ -85,8 +99,8 @@
   fleet_rates_ = peer_rates_;
   for (const auto& [customer, account] : accounts_) {
     CustomerRates& rates = fleet_rates_[customer];
-    rates.demand += account.demand.Rising(now);
-    rates.admitted += account.admitted.PerSecond(now);
+    rates.demand += DemandRate(now, account);
+    rates.admitted += AdmittedRate(now, account);
   }
   std::vector<double> demands;
   demands.reserve(fleet_rates_.size());
@@ -192,7 +206,7 @@
   const auto it = peer_rates_.find(customer);
   const CustomerRates peer =
       it == peer_rates_.end() ? CustomerRates() : it->second;
-  if (account.demand.Rising(now) + peer.demand <= level) {
+  if (DemandRate(now, account) + peer.demand <= level) {
     return std::numeric_limits<double>::infinity();
   }
   const double local_demand = account.demand.Current(now);
@@ -208,10 +222,14 @@
   account.refilled_at = now;
   if (rate == std::numeric_limits<double>::infinity()) {
     account.credit_units = 0;
+    account.owed_units = 0;
     return;
   }
-  account.credit_units =
-      std::min(account.credit_units + rate * elapsed, rate * kBucketSeconds);
+  const double paid = std::min(account.owed_units, rate * elapsed);
+  account.owed_units =
+      std::min(account.owed_units - paid, rate * kMaxOwedSeconds);
+  account.credit_units = std::min(account.credit_units + rate * elapsed - paid,
+                                  rate * kBucketSeconds);
   account.credit_units =
       std::max(account.credit_units, -rate * kMaxDebtSeconds);
 }
@@ -221,7 +239,7 @@
   Refill(now, customer, account);
   return LocalRefillRate(now, customer, account) ==
              std::numeric_limits<double>::infinity() ||
-         account.credit_units >= 0;
+         account.credit_units >= account.owed_units;
 }
 
 void FairShare::Charge(TimePoint now, CustomerId customer, double units) {
@@ -231,30 +249,44 @@
   account.admitted.Add(now, units);
 }
 
+void FairShare::Settle(TimePoint now, CustomerId customer, double units) {
+  Account& account = FindOrCreateAccount(now, customer);
+  Refill(now, customer, account);
+  if (units >= 0) {
+    account.owed_units += units;
+  } else {
+    const double paid = std::min(account.owed_units, -units);
+    account.owed_units -= paid;
+    account.credit_units -= units + paid;
+  }
+  account.admitted.Add(now, units);
+  account.settled_demand.Add(now, units);
+}
+
 Duration FairShare::TimeUntilCredit(TimePoint now, CustomerId customer) {
   Account& account = FindOrCreateAccount(now, customer);
   Refill(now, customer, account);
   const double rate = LocalRefillRate(now, customer, account);
-  if (account.credit_units >= 0 || rate <= 0 ||
+  const double missing = account.owed_units - account.credit_units;
+  if (missing <= 0 || rate <= 0 ||
       rate == std::numeric_limits<double>::infinity()) {
     return Duration(0);
   }
-  const double seconds =
-      std::min(-account.credit_units / rate, kMaxCreditWaitSeconds);
+  const double seconds = std::min(missing / rate, kMaxCreditWaitSeconds);
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
 double FairShare::Credit(TimePoint now, CustomerId customer) {
   Account& account = FindOrCreateAccount(now, customer);
   Refill(now, customer, account);
-  return account.credit_units;
+  return account.credit_units - account.owed_units;
 }
 
 RatesByCustomer FairShare::LocalRates(TimePoint now) const {
   RatesByCustomer local_rates;
   for (const auto& [customer, account] : accounts_) {
-    const CustomerRates rates{account.demand.Rising(now),
-                              account.admitted.PerSecond(now),
+    const CustomerRates rates{DemandRate(now, account),
+                              AdmittedRate(now, account),
                               account.demand.Current(now)};
     if (rates.demand >= kMinDemand) {
       local_rates.emplace(customer, rates);
--- a/src/decisions/fair_share.h
+++ b/src/decisions/fair_share.h
@@ -83,6 +83,11 @@
   // debt, but only to a bound, so that a customer that used spare capacity
   // regains credit soon.
   void Charge(TimePoint now, CustomerId customer, double units);
+  // Corrects an earlier charge by `units`, negative for a refund, once the
+  // cost of an admitted request is known. Demand and admitted rate change with
+  // it, so that a customer whose requests cost more than expected is limited
+  // to its share.
+  void Settle(TimePoint now, CustomerId customer, double units);
   // Returns the time until the bucket is out of debt, up to an upper bound;
   // zero if it is not in debt.
   Duration TimeUntilCredit(TimePoint now, CustomerId customer);
@@ -106,8 +111,18 @@
     RateMeter admitted;
     // Fill of the token bucket; negative if in debt.
     double credit_units = 0;
+    // Corrections of charges for requests that cost more than expected, which
+    // are paid from the refill before the bucket gets any.
+    double owed_units = 0;
+    // Corrections of demand that was recorded.
+    RateMeter settled_demand;
     TimePoint refilled_at;
   };
+  // Returns the admitted rate in units per second. Refunds may exceed what was
+  // charged recently.
+  static double AdmittedRate(TimePoint now, const Account& account);
+  // Returns the demand in units per second.
+  static double DemandRate(TimePoint now, const Account& account);
   // Recomputes the fleet's rates and the level if they are out of date.
   void UpdateLevel(TimePoint now);
   // Adds the time since the last update to what customers are ahead.
--- a/src/decisions/fair_share_test.cc
+++ b/src/decisions/fair_share_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <deque>
 #include <map>
 #include <random>
 #include <utility>
@@ -315,5 +316,36 @@
   }
 }
 
+// Sends requests of `units` each, at five times the share level of 1,000 units
+// per second, that are charged `charged` at first and settled half a second
+// later. Returns the units per second admitted in the last 10 of 15 seconds.
+double SettledRate(double units, double charged) {
+  FairShare share;
+  share.SetCapacity(1000);
+  std::deque<TimePoint> running;
+  const auto gap = Duration(static_cast<int>(units / 5000 * 1e6));
+  double admitted = 0;
+  for (TimePoint now = kStart; now < kStart + seconds(15); now += gap) {
+    for (; !running.empty() && running.front() <= now; running.pop_front()) {
+      share.Settle(now, kCustomer, units - charged);
+    }
+    share.RecordDemand(now, kCustomer, charged);
+    if (share.HasCredit(now, kCustomer)) {
+      share.Charge(now, kCustomer, charged);
+      running.push_back(now + milliseconds(500));
+      admitted += now >= kStart + seconds(5) ? units : 0;
+    }
+  }
+  return admitted / 10;
+}
+
+// Without settlement 5,000 and 500.
+TEST_CASE("A wrong estimate gets a customer neither more nor less") {
+  CHECK(SettledRate(20, 20) == doctest::Approx(1000).epsilon(0.1));
+  CHECK(SettledRate(20, 4) < 1300);
+  CHECK(SettledRate(20, 40) > 750);
+  CHECK(SettledRate(20, 40) < 1300);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -148,12 +148,6 @@
   return request.customer == nullptr ? CustomerId() : request.customer->id;
 }
 
-double UnsharedTokensOf(const ScheduledRequest& request) {
-  return static_cast<double>(request.prompt.empty()
-                                 ? request.prompt_tokens
-                                 : request.prompt.back().tokens);
-}
-
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
@@ -218,9 +212,8 @@
   fleet_position_ = fleet_position;
 }
 
-double Scheduler::UnitsOf(const ScheduledRequest& request) {
-  return UnsharedTokensOf(request) +
-         2.0 * static_cast<double>(request.max_output_tokens);
+RequestCost Scheduler::CostOf(const ScheduledRequest& request) const {
+  return costs_.Cost(request, adaptive_placement_.IsActive(request.service));
 }
 
 double Scheduler::SecondsPerToken(const std::string& service) const {
@@ -243,13 +236,14 @@
     const ServiceProfile* service =
         configuration_->FindService(request.service);
     if (service != nullptr && service->engine) {
-      fair_share_.RecordDemand(now, request.customer->id, UnitsOf(request));
-      requested_units_.Add(now, UnitsOf(request));
+      const double units = CostOf(request).units();
+      fair_share_.RecordDemand(now, request.customer->id, units);
+      requested_units_.Add(now, units);
       requests_.Add(now, 1);
+      const RequestCost declared = RequestCosts::DeclaredCost(request);
       adaptive_placement_.RecordRequest(
           request.service, *service->engine,
-          UnsharedTokensOf(request) +
-              static_cast<double>(request.max_output_tokens));
+          declared.prompt_tokens + declared.output_tokens);
     }
   }
 }
@@ -307,7 +301,8 @@
                                          const ServiceProfile* service,
                                          TargetState& target,
                                          double uncached_fraction,
-                                         const MeanPeerLoad& mean_peer_load) {
+                                         const MeanPeerLoad& mean_peer_load,
+                                         const RequestCost& cost) {
   Candidate candidate;
   candidate.target = &target;
   candidate.is_local = target.is_in_local_region;
@@ -342,14 +337,14 @@
           uncached_fraction * static_cast<double>(request.prompt[i].tokens);
     }
   }
-  const double unshared_tokens = UnsharedTokensOf(request);
+  const double unshared_tokens = cost.prompt_tokens;
   candidate.is_mostly_recompute = uncached_shared_tokens > unshared_tokens;
   const FirstEventModel& model = FirstEventModelOf(request.service);
   const double seconds_per_token = model.seconds_per_token();
   const double slowness = std::pow(target.slowness, kSlownessExponent);
   candidate.prefill_tokens = unshared_tokens + uncached_shared_tokens;
-  candidate.kv_cache_tokens = unshared_tokens + uncached_shared_tokens +
-                              static_cast<double>(request.max_output_tokens);
+  candidate.kv_cache_tokens =
+      unshared_tokens + uncached_shared_tokens + cost.output_tokens;
   const auto estimate = [](double local, double reported, double mean) {
     return local + kPeerReportWeight * reported +
            (1.0 - kPeerReportWeight) * mean;
@@ -621,6 +616,7 @@
   // One mean per region: load differences between regions last longer than the
   // delay of peer reports.
   const MeanPeerLoads means = MeanPeerLoadsOf(usable, region_weight);
+  const RequestCost cost = CostOf(request);
   std::vector<Candidate> candidates;
   candidates.reserve(targets.size());
   for (TargetState* it : targets) {
@@ -632,7 +628,7 @@
                                          : 1.0;
     candidates.push_back(
         Evaluate(now, request, service, *it, uncached_fraction,
-                 it->is_in_local_region ? means.local : means.remote));
+                 it->is_in_local_region ? means.local : means.remote, cost));
     candidates.back().is_home = it == homes.of_fleet;
     if (request.required_version && it->may_be_cold) {
       candidates.back().cost += kContinuationDoubtSeconds;
@@ -872,8 +868,13 @@
   target.local_load.kv_cache_tokens += candidate.kv_cache_tokens;
   target.probes_in_flight += candidate.is_probe ? 1 : 0;
   MarkCached(now, request, target);
-  if (request.customer != nullptr && request.tried_targets.empty()) {
-    fair_share_.Charge(now, request.customer->id, UnitsOf(request));
+  assignment.output = costs_.BeginAttempt(
+      request, adaptive_placement_.IsActive(request.service));
+  if (request.customer != nullptr) {
+    fair_share_.Charge(now, request.customer->id,
+                       request.tried_targets.empty()
+                           ? CostOf(request).units()
+                           : 2.0 * assignment.output.charged_tokens);
   }
   return assignment;
 }
@@ -950,8 +951,17 @@
   }
 }
 
+void Scheduler::RecordEvent(Assignment& assignment) {
+  costs_.RecordEvent(assignment.output);
+}
+
 void Scheduler::Finish(TimePoint now, const Assignment& assignment,
                        AttemptOutcome outcome) {
+  const double correction = costs_.RecordEnd(
+      now, assignment.output, outcome == AttemptOutcome::kCompleted);
+  if (correction != 0 && assignment.output.traits.customer != CustomerId()) {
+    fair_share_.Settle(now, assignment.output.traits.customer, correction);
+  }
   TargetState* target = targets_.Find(assignment.target_id);
   if (target == nullptr) {
     return;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -28,6 +28,7 @@
 #include "decisions/first_event_model.h"
 #include "decisions/link_budget.h"
 #include "decisions/rate_meter.h"
+#include "decisions/request_cost.h"
 #include "decisions/retry_budget.h"
 #include "decisions/slot_wait.h"
 #include "decisions/target_table.h"
@@ -81,6 +82,8 @@
   // Set with `required_version`: time that the caller has waited for the next
   // event, as far as known.
   Duration waited_for_event{0};
+  // The caller's estimate of the output, in tokens.
+  std::optional<std::int64_t> output_hint = std::nullopt;
 };
 
 enum class RejectionReason {
@@ -169,6 +172,7 @@
   bool is_crash_probe = false;
   bool has_first_event = false;
   TimePoint sent_at;
+  AttemptOutput output = {};
 };
 
 using Decision = std::variant<Assignment, Rejection>;
@@ -243,6 +247,8 @@
   // response, arrived. Only the first call for an assignment has an effect.
   void RecordFirstEvent(TimePoint now, Assignment& assignment,
                         const ScheduledRequest& request);
+  // Records an event with output of a stream, including the first one.
+  void RecordEvent(Assignment& assignment);
   // Records that the connection broke. If the target had not begun to answer,
   // the request is a suspect for a crash of the target, and the id of that
   // crash is returned; otherwise zero.
@@ -264,9 +270,9 @@
   void Finish(TimePoint now, const Assignment& assignment,
               AttemptOutcome outcome);
 
-  // Returns the request's cost in fair share units: its unshared prompt tokens
-  // plus twice its maximum output tokens.
-  static double UnitsOf(const ScheduledRequest& request);
+  // Returns what the request costs its customer's share: the expected cost
+  // where adaptive decisions take effect, otherwise the declared one.
+  RequestCost CostOf(const ScheduledRequest& request) const;
 
  private:
   struct Candidate {
@@ -341,7 +347,8 @@
   Candidate Evaluate(TimePoint now, const ScheduledRequest& request,
                      const ServiceProfile* service, TargetState& target,
                      double uncached_fraction,
-                     const MeanPeerLoad& mean_peer_load);
+                     const MeanPeerLoad& mean_peer_load,
+                     const RequestCost& cost);
   // Returns the evaluated `targets`, the one with the lowest cost first.
   // `usable` are those that determine the homes of the request's chain and the
   // regions' means; `region_weight` is that of the difference between a
@@ -411,6 +418,7 @@
   std::map<std::string, double> shortest_goal_seconds_;
   TargetTable targets_;
   FairShare fair_share_;
+  RequestCosts costs_;
   CrashSuspects suspects_;
   std::map<std::string, RetryBudget> retry_budgets_;
   struct EngineCapacity {
