Track and report the remaining output of each target's streams

TargetLoad::output_tokens_left falls with each event of a stream and is zero once its attempt ends; reports carry it in an extension that earlier versions skip. Where adaptive decisions take effect, the KV cache is reserved for the expected output, and for more as a stream exceeds it. The simulated engines send events and can let requests declare more than they generate.

--- a/src/decisions/request_cost.cc
+++ b/src/decisions/request_cost.cc
@@ -53,8 +53,10 @@
   return output;
 }
 
-void RequestCosts::RecordEvent(AttemptOutput& output) const {
+double RequestCosts::RecordEvent(AttemptOutput& output) const {
   const double event_tokens = TokensPerEvent(output.service);
+  const double excess_before =
+      std::max(0.0, output.generated_tokens - output.expected_tokens);
   ++output.events;
   output.generated_tokens =
       std::min(event_tokens * output.events,
@@ -62,6 +64,8 @@
   // A stream that goes on has at least one more event.
   output.tokens_left =
       std::max(event_tokens, output.expected_tokens - output.generated_tokens);
+  return std::max(0.0, output.generated_tokens - output.expected_tokens) -
+         excess_before;
 }
 
 double RequestCosts::RecordEnd(TimePoint now, const AttemptOutput& output,
--- a/src/decisions/request_cost.h
+++ b/src/decisions/request_cost.h
@@ -59,8 +59,9 @@
   // `charged_tokens` of output.
   AttemptOutput BeginAttempt(const ScheduledRequest& request,
                              bool is_adaptive) const;
-  // Records an event with output.
-  void RecordEvent(AttemptOutput& output) const;
+  // Records an event with output. Returns by how many tokens the output
+  // exceeds the expected one since the last event.
+  double RecordEvent(AttemptOutput& output) const;
   // Records the end of an attempt that `has_completed` or was interrupted.
   // Returns the units by which the charge is to be corrected; negative if the
   // output was shorter than expected.
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -854,6 +854,8 @@
   assignment.is_home = candidate.is_home;
   assignment.is_probe = candidate.is_probe;
   assignment.sent_at = now;
+  assignment.output = costs_.BeginAttempt(
+      request, adaptive_placement_.IsActive(request.service));
   if (target.named_rate_limit) {
     target.rate_limit.Spend(now);
   }
@@ -866,10 +868,9 @@
   ++target.local_load.in_flight;
   target.pending_prefill_tokens.Add(now, candidate.prefill_tokens);
   target.local_load.kv_cache_tokens += candidate.kv_cache_tokens;
+  target.local_load.output_tokens_left += assignment.output.tokens_left;
   target.probes_in_flight += candidate.is_probe ? 1 : 0;
   MarkCached(now, request, target);
-  assignment.output = costs_.BeginAttempt(
-      request, adaptive_placement_.IsActive(request.service));
   if (request.customer != nullptr) {
     fair_share_.Charge(now, request.customer->id,
                        request.tried_targets.empty()
@@ -952,7 +953,19 @@
 }
 
 void Scheduler::RecordEvent(Assignment& assignment) {
-  costs_.RecordEvent(assignment.output);
+  const double tokens_left = assignment.output.tokens_left;
+  const double excess_tokens = costs_.RecordEvent(assignment.output);
+  TargetState* target = targets_.Find(assignment.target_id);
+  if (target == nullptr) {
+    return;
+  }
+  double& total = target->local_load.output_tokens_left;
+  total = std::max(0.0, total + assignment.output.tokens_left - tokens_left);
+  if (assignment.output.is_settled) {
+    // The KV cache was reserved for the expected output.
+    assignment.kv_cache_tokens += excess_tokens;
+    target->local_load.kv_cache_tokens += excess_tokens;
+  }
 }
 
 void Scheduler::Finish(TimePoint now, const Assignment& assignment,
@@ -977,6 +990,9 @@
   }
   target->local_load.kv_cache_tokens = std::max(
       0.0, target->local_load.kv_cache_tokens - assignment.kv_cache_tokens);
+  target->local_load.output_tokens_left =
+      std::max(0.0, target->local_load.output_tokens_left -
+                        assignment.output.tokens_left);
   if (assignment.is_probe) {
     target->probes_in_flight = std::max(0, target->probes_in_flight - 1);
   }
--- a/src/decisions/scheduler_test.cc
+++ b/src/decisions/scheduler_test.cc
@@ -151,6 +151,34 @@
   CHECK(used.size() > 1);
 }
 
+// Work that is added and not removed would keep a target from being used.
+TEST_CASE("Remaining output at a target follows the events of its streams") {
+  Fixture fixture({"a"});
+  Scheduler& scheduler = fixture.scheduler();
+  const auto load = [&scheduler]() {
+    return scheduler.targets().Find("t0")->local_load;
+  };
+  const Decision first =
+      scheduler.Place(kStart, fixture.Request("small", 42, 10));
+  const Decision second =
+      scheduler.Place(kStart, fixture.Request("small", 42, 10));
+  Assignment one = std::get<Assignment>(first);
+  const Assignment two = std::get<Assignment>(second);
+  CHECK(load().output_tokens_left == 100);
+  for (int i = 0; i < 40; ++i) {
+    scheduler.RecordEvent(one);
+  }
+  CHECK(load().output_tokens_left == 60);
+  for (int i = 0; i < 40; ++i) {
+    scheduler.RecordEvent(one);
+  }
+  CHECK(load().output_tokens_left == 51);
+  scheduler.Finish(kStart, one, AttemptOutcome::kCompleted);
+  CHECK(load().output_tokens_left == 50);
+  scheduler.Finish(kStart, two, AttemptOutcome::kCancelled);
+  CHECK(load() == TargetLoad{});
+}
+
 TEST_CASE("Scheduler uses no target that has asked for a pause") {
   Fixture fixture({"a", "a"});
   TargetTable& targets = fixture.scheduler().targets();
--- a/src/decisions/share_load_test.cc
+++ b/src/decisions/share_load_test.cc
@@ -94,5 +94,15 @@
   }
 }
 
+// Customers are charged for what their streams are expected to generate.
+TEST_CASE("A burst whose costs are learned gives no customer too much") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    SimulatedLoad load = BurstLoad(6, seed);
+    load.adaptive_placement = AdaptiveMode::kOn;
+    load.declared_factor = 4;
+    CheckShares(load);
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -17,8 +17,8 @@
 // Reports that are this many intervals old are applied.
 constexpr std::size_t kReportDelay = 2;
 constexpr int kPrefillChunkTokens = 2048;
-// Tokens in the first event of a stream.
-constexpr int kFirstEventTokens = 5;
+// Tokens in each event of a stream.
+constexpr int kEventTokens = 5;
 // Work of an engine before a request's first step.
 constexpr double kSetupSeconds = 0.025;
 constexpr double kNetworkSeconds = 0.002;
@@ -137,6 +137,7 @@
       options.region_of_zone = {{"a", "west"}, {"b", "east"}};
       options.retry_budget = {0.2, std::chrono::seconds(10), 50};
       options.region_link_bytes_per_second = 18e6;
+      options.adaptive_placement = load.adaptive_placement;
       routers_.push_back(std::make_unique<Scheduler>(options));
       Scheduler& scheduler = *routers_.back();
       scheduler.SetSeed(static_cast<std::uint32_t>(load.seed * 1000) +
@@ -258,7 +259,10 @@
     call->output_tokens =
         1 + static_cast<int>(std::min(Exponential(kind.output_tokens),
                                       4 * kind.output_tokens));
-    request.max_output_tokens = call->output_tokens;
+    request.max_output_tokens =
+        load_.declared_factor > 0
+            ? 1 + static_cast<int>(load_.declared_factor * kind.output_tokens)
+            : call->output_tokens;
     request.body_bytes = static_cast<std::size_t>(request.prompt_tokens);
     request.remaining = std::chrono::seconds(10);
     ForResults(*call, [](SimulatedResult& it) { ++it.requests; });
@@ -289,7 +293,7 @@
 
   static double TokensOf(const Call& call) {
     return static_cast<double>(call.request.prompt_tokens +
-                               2 * call.request.max_output_tokens);
+                               2 * call.output_tokens);
   }
 
   void Send(double now, const std::shared_ptr<Call>& call) {
@@ -435,7 +439,10 @@
             const std::shared_ptr<Call>& call) {
     --call->output_tokens_left;
     const int made = call->output_tokens - call->output_tokens_left;
-    if (made == std::min(kFirstEventTokens, call->output_tokens)) {
+    if (made % kEventTokens == 0 || call->output_tokens_left == 0) {
+      routers_[call->router]->RecordEvent(call->assignment);
+    }
+    if (made == std::min(kEventTokens, call->output_tokens)) {
       Schedule(now + kSetupSeconds + kNetworkSeconds +
                    RegionSeconds(*call, engine_index),
                [this, call](double time) { FirstEvent(time, *call); });
@@ -492,6 +499,7 @@
           total.failed_attempts += it.failed_attempts;
           total.first_events += it.first_events;
           total.log_slowness += it.log_slowness;
+          total.output_tokens_left += it.output_tokens_left;
         }
       }
       routers_[i]->targets().SetPeerLoad(At(now), load);
--- a/src/decisions/simulated_engines.h
+++ b/src/decisions/simulated_engines.h
@@ -93,6 +93,10 @@
   int cut_off_routers = 0;
   SimulatedEngineOptions engine;
   double capacity_units_per_second = 0;
+  AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
+  // Requests declare this multiple of their kind's mean output as maximum, at
+  // least 4; their actual output if zero.
+  double declared_factor = 0;
   double seconds = 0;
   std::uint64_t seed = 1;
   friend bool operator==(const SimulatedLoad&, const SimulatedLoad&) = default;
--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -44,6 +44,9 @@
   double log_slowness = 0;
   // Use of the rate limit that the target names.
   LimitUse limit_use = {};
+  // Output that the streams in flight are expected to generate still, in
+  // tokens; zero in reports of earlier versions of the router.
+  double output_tokens_left = 0;
   friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
 };
 
@@ -171,7 +174,8 @@
   TimePoint may_have_restarted_since;
   bool may_have_restarted = false;
 
-  // Only `in_flight` and `kv_cache_tokens` are kept up to date here;
+  // Only `in_flight`, `kv_cache_tokens` and `output_tokens_left` are kept up to
+  // date here;
   // `TargetTable::LocalLoad` computes the other fields from the members below.
   TargetLoad local_load;
   // Joint load of all peers.
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -105,6 +105,19 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerOutputLeft = 2;
+
+Json EncodeOutputLeft(const LoadByTarget& load) {
+  Json list = Json::array();
+  for (const auto& [id, it] : load) {
+    if (it.output_tokens_left >= 1) {
+      list.push_back(id.value());
+      list.push_back(static_cast<std::int64_t>(it.output_tokens_left));
+    }
+  }
+  return list;
+}
+
 constexpr std::size_t kFieldsPerCurrentDemand = 2;
 
 Json EncodeCurrentDemand(const RatesByCustomer& rates) {
@@ -145,6 +158,7 @@
       {"suspects", EncodeSuspects(report.suspects)},
       {"rate_limits", EncodeRateLimits(report.rate_limits)},
       {"limit_use", EncodeLimitUse(report.load)},
+      {"output_left", EncodeOutputLeft(report.load)},
       {"current_demand", EncodeCurrentDemand(report.customer_rates)}};
   Json leaving = Json::array();
   for (const LeavingTarget& it : report.leaving_targets) {
@@ -180,6 +194,23 @@
   }
 }
 
+// Adds to the targets' load, which must have been decoded.
+void DecodeOutputLeft(const Json& crashes, PeerReport& report) {
+  // Reports of earlier versions lack the field.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("output_left")) {
+    return;
+  }
+  const Json& left = crashes.back().at("output_left");
+  for (std::size_t i = 0; i + kFieldsPerOutputLeft <= left.size();
+       i += kFieldsPerOutputLeft) {
+    const auto it =
+        report.load.find(TargetId(UnsignedField<std::uint32_t>(left[i])));
+    if (it != report.load.end()) {
+      it->second.output_tokens_left = std::max(0.0, NumberField(left[i + 1]));
+    }
+  }
+}
+
 // Adds to the customers' rates, which must have been decoded.
 void DecodeCurrentDemand(const Json& crashes, PeerReport& report) {
   // Reports of earlier versions lack the field.
@@ -389,6 +420,7 @@
     }
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
+    DecodeOutputLeft(json[10], report);
     DecodeCurrentDemand(json[10], report);
     DecodeLeaving(json[10], report);
     DecodeVersionUses(json[10], report);
@@ -427,6 +459,7 @@
     total.log_slowness += load.log_slowness;
     total.limit_use.wanted += load.limit_use.wanted;
     total.limit_use.sent += load.limit_use.sent;
+    total.output_tokens_left += load.output_tokens_left;
   }
 }
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -42,6 +42,7 @@
     total.log_slowness -= load.log_slowness;
     subtract(load.limit_use.wanted, total.limit_use.wanted);
     subtract(load.limit_use.sent, total.limit_use.sent);
+    subtract(load.output_tokens_left, total.output_tokens_left);
     if (total == TargetLoad{}) {
       sum.erase(it);
     }
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -307,12 +307,29 @@
   report.target_list_era = 3;
   report.leaving_targets = {{TargetId::FromName("t"), 1'781'647'952'021}};
   report.customer_rates[kCustomer] = {100, 50, 70};
+  report.load[kTarget].output_tokens_left = 1234;
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
   CHECK(decoded->operator_keys == report.operator_keys);
   CHECK(decoded->target_list_era == 3);
   CHECK(decoded->leaving_targets == report.leaving_targets);
   CHECK(decoded->customer_rates == report.customer_rates);
+  CHECK(decoded->load == report.load);
+}
+
+TEST_CASE("Remaining output is added up, and zero in earlier reports") {
+  PeerReport report = MakeReport(MakeRouterInfo("10.0.0.2", "a"), 1, 3);
+  report.load[kTarget].output_tokens_left = 500;
+  LoadByTarget sum = report.load;
+  AddLoad(report.load, sum);
+  CHECK(sum.at(kTarget).output_tokens_left == 1000);
+  nlohmann::json json = nlohmann::json::from_msgpack(EncodeReport(report));
+  json[10].back().erase("output_left");
+  const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(json);
+  const auto decoded = DecodeReport(std::string(bytes.begin(), bytes.end()));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->load.at(kTarget).output_tokens_left == 0);
+  CHECK(decoded->load.at(kTarget).in_flight == 3);
 }
 
 TEST_CASE("A customer of an earlier router is current at its average demand") {
