Learn tokens per event from the lowest bound and exchange it

Three streams that agree on the lowest ratio of declared maximum to events take a router of a large fleet about half a minute. Outputs are learned in events, so that they don't depend on the size.

--- a/src/decisions/output_estimate.cc
+++ b/src/decisions/output_estimate.cc
@@ -38,7 +38,7 @@
 // Entries that were not used for this long make room for new ones.
 constexpr Duration kRetention = std::chrono::seconds(60);
 
-double LogOf(double tokens) { return std::log(std::max(1.0, tokens)); }
+double LogOf(double output) { return std::log(std::max(1.0, output)); }
 
 // Returns the hazard of the standard normal distribution at `z`: the mean of
 // what lies above `z`.
@@ -117,7 +117,7 @@
 
 OutputEstimates::Prior OutputEstimates::PriorOf(
     const OutputTraits& traits) const {
-  Prior prior{LogOf(static_cast<double>(traits.max_tokens)), kPriorVariance};
+  Prior prior{LogOf(traits.max_output), kPriorVariance};
   const auto blend = [&prior](const Distribution* distribution,
                               double prior_weight) {
     if (distribution == nullptr) {
@@ -125,7 +125,7 @@
     }
     const LogMoments& logs = distribution->logs;
     const double part = logs.weight() / (logs.weight() + prior_weight);
-    prior.log_tokens += part * (logs.mean() - prior.log_tokens);
+    prior.log_output += part * (logs.mean() - prior.log_output);
     prior.variance += part * (logs.variance() - prior.variance);
   };
   blend(Find({traits.route, CustomerId()}), kDeclaredWeight);
@@ -156,12 +156,11 @@
 double OutputEstimates::LogPrediction(const OutputTraits& traits,
                                       const Prior& prior) const {
   if (!traits.hint) {
-    return prior.log_tokens;
+    return prior.log_output;
   }
-  const double relative_hint =
-      std::clamp(LogOf(static_cast<double>(*traits.hint)) - prior.log_tokens,
-                 -kMaxLogRatio, kMaxLogRatio);
-  return prior.log_tokens + HintWeight(traits.customer) * relative_hint;
+  const double relative_hint = std::clamp(
+      LogOf(*traits.hint) - prior.log_output, -kMaxLogRatio, kMaxLogRatio);
+  return prior.log_output + HintWeight(traits.customer) * relative_hint;
 }
 
 double OutputEstimates::SmearingRatio(const OutputTraits& traits) const {
@@ -179,12 +178,12 @@
 }
 
 double OutputEstimates::Predict(const OutputTraits& traits) const {
-  if (traits.max_tokens <= 0) {
+  if (traits.max_output <= 0) {
     return 0;
   }
-  const double tokens =
+  const double output =
       std::exp(LogPrediction(traits, PriorOf(traits))) * SmearingRatio(traits);
-  return std::clamp(tokens, 1.0, static_cast<double>(traits.max_tokens));
+  return std::clamp(output, 1.0, traits.max_output);
 }
 
 template <typename Function>
@@ -205,25 +204,25 @@
 }
 
 void OutputEstimates::RecordCompleted(TimePoint now, const OutputTraits& traits,
-                                      double tokens) {
-  const double log_tokens = LogOf(tokens);
+                                      double output) {
+  const double log_output = LogOf(output);
   const Prior prior = PriorOf(traits);
   const double predicted_log = LogPrediction(traits, prior);
   if (traits.hint && HasRoomForHints(now, traits.customer)) {
     const auto bounded = [&prior](double log) {
-      return std::clamp(log - prior.log_tokens, -kMaxLogRatio, kMaxLogRatio);
+      return std::clamp(log - prior.log_output, -kMaxLogRatio, kMaxLogRatio);
     };
-    const double hint = bounded(LogOf(static_cast<double>(*traits.hint)));
+    const double hint = bounded(LogOf(*traits.hint));
     HintAccuracy& accuracy = hints_[traits.customer];
     accuracy.hint_square += hint * hint - kHintMemory * accuracy.hint_square;
     accuracy.product +=
-        hint * bounded(log_tokens) - kHintMemory * accuracy.product;
+        hint * bounded(log_output) - kHintMemory * accuracy.product;
     accuracy.used_at = now;
   }
-  const double ratio = std::min(std::max(1.0, tokens) / std::exp(predicted_log),
+  const double ratio = std::min(std::max(1.0, output) / std::exp(predicted_log),
                                 std::exp(kMaxLogRatio));
-  ForDistributions(now, traits, [log_tokens, ratio](Distribution& it) {
-    it.logs.Add(log_tokens, log_tokens * log_tokens);
+  ForDistributions(now, traits, [log_output, ratio](Distribution& it) {
+    it.logs.Add(log_output, log_output * log_output);
     it.AddRatio(ratio);
     if (it.logs.ForgetIfChanged()) {
       it.smearing_weight = 0;
@@ -234,20 +233,19 @@
 
 void OutputEstimates::RecordInterrupted(TimePoint now,
                                         const OutputTraits& traits,
-                                        double tokens) {
+                                        double output) {
   const Prior prior = PriorOf(traits);
   const double deviation = std::sqrt(prior.variance);
-  const double z = (LogOf(tokens) - prior.log_tokens) / deviation;
+  const double z = (LogOf(output) - prior.log_output) / deviation;
   const double hazard = NormalHazard(z);
-  const double max_log =
-      LogOf(static_cast<double>(std::max<std::int64_t>(1, traits.max_tokens)));
-  const double first = std::min(prior.log_tokens + deviation * hazard, max_log);
+  const double max_log = LogOf(traits.max_output);
+  const double first = std::min(prior.log_output + deviation * hazard, max_log);
   const double spread =
       prior.variance * std::max(0.0, 1.0 + z * hazard - hazard * hazard);
   // The mean of a lognormal distribution with these moments. Completed streams
   // alone are the short ones.
   const double ratio =
-      std::exp(std::min(first + spread / 2, max_log) - prior.log_tokens);
+      std::exp(std::min(first + spread / 2, max_log) - prior.log_output);
   ForDistributions(now, traits, [first, spread, ratio](Distribution& it) {
     it.logs.Add(first, first * first + spread);
     it.AddRatio(ratio);
--- a/src/decisions/output_estimate.h
+++ b/src/decisions/output_estimate.h
@@ -5,7 +5,8 @@
 // stream so far is a lower bound; it counts by the conditional moments of what
 // lies above it (the expectation step for a censored normal distribution;
 // Schmee and Hahn, "A simple method for regression analysis with censored
-// data", 1979).
+// data", 1979). Outputs are in any unit that the streams of a route have in
+// common, such as events.
 //
 // A caller's hint counts as far as it predicted the customer's outputs: the
 // outputs' logarithms are regressed on those of the hints. A weight by the
@@ -33,10 +34,10 @@
 struct OutputTraits {
   RouteId route;
   CustomerId customer;
-  // Maximum declared by the caller, in tokens; zero if it declared none.
-  std::int64_t max_tokens = 0;
-  // The caller's estimate, in tokens.
-  std::optional<std::int64_t> hint;
+  // Maximum declared by the caller; zero if it declared none.
+  double max_output = 0;
+  // The caller's estimate.
+  std::optional<double> hint;
   friend bool operator==(const OutputTraits&, const OutputTraits&) = default;
 };
 
@@ -46,17 +47,17 @@
   // Number of routes and of pairs of route and customer that are remembered.
   static constexpr std::size_t kMaxEntries = 2048;
 
-  // Returns the expected output in tokens, from 1 to the declared maximum, or
+  // Returns the expected output, from 1 to the declared maximum, or
   // zero if none was declared. Without observations it is the declared maximum,
   // blended with the hint.
   double Predict(const OutputTraits& traits) const;
 
-  // Records the output of a stream that completed, in tokens.
+  // Records the output of a stream that completed.
   void RecordCompleted(TimePoint now, const OutputTraits& traits,
-                       double tokens);
-  // Records that a stream was interrupted after `tokens`.
+                       double output);
+  // Records that a stream was interrupted after `output`.
   void RecordInterrupted(TimePoint now, const OutputTraits& traits,
-                         double tokens);
+                         double output);
 
   std::size_t size() const { return distributions_.size(); }
 
@@ -102,7 +103,7 @@
   };
   // The logarithm of the output as predicted without the hint.
   struct Prior {
-    double log_tokens = 0;
+    double log_output = 0;
     double variance = 0;
   };
 
--- a/src/decisions/request_cost.cc
+++ b/src/decisions/request_cost.cc
@@ -7,10 +7,16 @@
 namespace corianderpost {
 namespace {
 
+// Bounds the memory for services that peers name.
+constexpr std::size_t kMaxServices = 256;
+
 OutputTraits TraitsOf(const ScheduledRequest& request) {
   return {RouteId::FromName(request.route->name),
           request.customer == nullptr ? CustomerId() : request.customer->id,
-          request.max_output_tokens, request.output_hint};
+          static_cast<double>(request.max_output_tokens),
+          request.output_hint
+              ? std::optional(static_cast<double>(*request.output_hint))
+              : std::nullopt};
 }
 
 bool IsStream(const ScheduledRequest& request) {
@@ -30,9 +36,12 @@
 RequestCost RequestCosts::Cost(const ScheduledRequest& request,
                                bool is_adaptive) const {
   RequestCost cost = DeclaredCost(request);
-  if (is_adaptive && IsStream(request) &&
-      IsEventSizeKnown(ServiceId::FromName(request.service))) {
-    cost.output_tokens = estimates_.Predict(TraitsOf(request));
+  const ServiceId service = ServiceId::FromName(request.service);
+  if (is_adaptive && IsStream(request) && IsEventSizeKnown(service)) {
+    cost.output_tokens =
+        std::min(TokensPerEvent(service) *
+                     estimates_.Predict(InEvents(TraitsOf(request), service)),
+                 cost.output_tokens);
   }
   return cost;
 }
@@ -59,8 +68,7 @@
       std::max(0.0, output.generated_tokens - output.expected_tokens);
   ++output.events;
   output.generated_tokens =
-      std::min(event_tokens * output.events,
-               static_cast<double>(output.traits.max_tokens));
+      std::min(event_tokens * output.events, output.traits.max_output);
   // A stream that goes on has at least one more event.
   output.tokens_left =
       std::max(event_tokens, output.expected_tokens - output.generated_tokens);
@@ -70,20 +78,15 @@
 
 double RequestCosts::RecordEnd(TimePoint now, const AttemptOutput& output,
                                bool has_completed) {
-  if (output.is_whole && output.events > 0 && output.traits.max_tokens > 0) {
-    EventSize& event_size = event_sizes_[output.service];
+  if (output.is_whole && output.events > 0) {
     if (has_completed) {
-      event_size.RecordStream(output.traits.max_tokens, output.events);
-    }
-    if (event_size.is_known()) {
-      const double tokens =
-          std::min(event_size.tokens_per_event() * output.events,
-                   static_cast<double>(output.traits.max_tokens));
-      if (has_completed) {
-        estimates_.RecordCompleted(now, output.traits, tokens);
-      } else {
-        estimates_.RecordInterrupted(now, output.traits, tokens);
-      }
+      event_sizes_[output.service].RecordStream(now, output.traits.max_output,
+                                                output.events);
+      estimates_.RecordCompleted(now, InEvents(output.traits, output.service),
+                                 output.events);
+    } else {
+      estimates_.RecordInterrupted(now, InEvents(output.traits, output.service),
+                                   output.events);
     }
   }
   return output.is_settled
@@ -91,6 +94,26 @@
              : 0.0;
 }
 
+std::vector<SharedEventSize> RequestCosts::EventSizes(TimePoint now) const {
+  std::vector<SharedEventSize> shared;
+  for (const auto& [service, it] : event_sizes_) {
+    if (it.is_known()) {
+      shared.push_back({service, it.tokens_per_event(),
+                        std::max(Duration(0), now - it.shown_at())});
+    }
+  }
+  return shared;
+}
+
+void RequestCosts::MergeEventSize(TimePoint now,
+                                  const SharedEventSize& event_size) {
+  if (event_sizes_.size() < kMaxServices ||
+      event_sizes_.contains(event_size.service)) {
+    event_sizes_[event_size.service].Merge(now, event_size.tokens,
+                                           event_size.age);
+  }
+}
+
 double RequestCosts::TokensPerEvent(ServiceId service) const {
   const auto it = event_sizes_.find(service);
   return it == event_sizes_.end() ? 1.0 : it->second.tokens_per_event();
@@ -101,4 +124,18 @@
   return it != event_sizes_.end() && it->second.is_known();
 }
 
+OutputTraits RequestCosts::InEvents(OutputTraits traits,
+                                    ServiceId service) const {
+  const double event_tokens = TokensPerEvent(service);
+  if (traits.max_output > 0) {
+    traits.max_output = std::max(1.0, traits.max_output / event_tokens);
+  }
+  if (!IsEventSizeKnown(service)) {
+    traits.hint.reset();
+  } else if (traits.hint) {
+    *traits.hint /= event_tokens;
+  }
+  return traits;
+}
+
 }  // namespace corianderpost
--- a/src/decisions/request_cost.h
+++ b/src/decisions/request_cost.h
@@ -2,13 +2,14 @@
 //
 // A unit is a weighted token as in fair_share.h. The output that a request was
 // charged for is settled with what its stream has generated when an attempt
-// ends, however it ends. Outputs are counted in events times the learned number
-// of tokens per event. Until that number is known, requests cost their declared
-// maximum and nothing is settled.
+// ends, however it ends. Outputs are learned in events and multiplied by the
+// learned number of tokens per event. Until that number is known, requests cost
+// their declared maximum and nothing is settled.
 #ifndef CORIANDERPOST_DECISIONS_REQUEST_COST_H_
 #define CORIANDERPOST_DECISIONS_REQUEST_COST_H_
 
 #include <map>
+#include <vector>
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
@@ -27,7 +28,7 @@
   friend bool operator==(const RequestCost&, const RequestCost&) = default;
 };
 
-// The output of one attempt. In tokens.
+// The output of one attempt. In tokens, also the traits.
 struct AttemptOutput {
   OutputTraits traits;
   ServiceId service;
@@ -68,11 +69,17 @@
   double RecordEnd(TimePoint now, const AttemptOutput& output,
                    bool has_completed);
 
+  // Returns what this router knows of the sizes of events, for its peers.
+  std::vector<SharedEventSize> EventSizes(TimePoint now) const;
+  // Takes over what a peer has reported.
+  void MergeEventSize(TimePoint now, const SharedEventSize& event_size);
   // Returns the learned tokens per event of a service; 1 until it is known.
   double TokensPerEvent(ServiceId service) const;
 
  private:
   bool IsEventSizeKnown(ServiceId service) const;
+  // Returns the traits with outputs in events instead of tokens.
+  OutputTraits InEvents(OutputTraits traits, ServiceId service) const;
 
   OutputEstimates estimates_;
   std::map<ServiceId, EventSize> event_sizes_;
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -231,6 +231,7 @@
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
   CrashSuspects& suspects() { return suspects_; }
+  RequestCosts& costs() { return costs_; }
   const AdaptivePlacement& adaptive_placement() const {
     return adaptive_placement_;
   }
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -503,6 +503,11 @@
         }
       }
       routers_[i]->targets().SetPeerLoad(At(now), load);
+      for (std::size_t j = first; j < routers_.size(); ++j) {
+        for (const auto& it : routers_[j]->costs().EventSizes(At(now))) {
+          routers_[i]->costs().MergeEventSize(At(now), it);
+        }
+      }
       RatesByCustomer peer_rates;
       for (std::size_t j = first; j < routers_.size(); ++j) {
         if (j == i || reports_[j].size() <= kReportDelay) {
--- a/src/peers/peer_messenger.cc
+++ b/src/peers/peer_messenger.cc
@@ -141,6 +141,9 @@
            {"peer", report.sender.vm}});
     }
   }
+  for (const SharedEventSize& it : report.event_sizes) {
+    scheduler_.costs().MergeEventSize(now, it);
+  }
   if (stream_directory_ != nullptr) {
     stream_directory_->MergeUses(now, report.version_uses);
   }
@@ -193,6 +196,7 @@
   add_replica_state_(now, report);
   report.load = scheduler_.targets().LocalLoad(now);
   report.customer_rates = scheduler_.fair_share().LocalRates(now);
+  report.event_sizes = scheduler_.costs().EventSizes(now);
   report.link_use = scheduler_.LocalLinkUse(now);
   report.rate_limits = scheduler_.targets().RateLimits(now);
   report.leaving_targets = scheduler_.targets().LeavingTargets();
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -129,6 +129,18 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerEventSize = 3;
+
+Json EncodeEventSizes(const std::vector<SharedEventSize>& sizes) {
+  Json list = Json::array();
+  for (const SharedEventSize& it : sizes) {
+    list.push_back(it.service.value());
+    list.push_back(ToFixedPoint(it.tokens));
+    list.push_back(ToMillis(it.age));
+  }
+  return list;
+}
+
 constexpr std::size_t kFieldsPerVersionUse = 3;
 
 Json EncodeVersionUses(const std::vector<VersionUse>& uses) {
@@ -166,6 +178,9 @@
     leaving.push_back(it.incarnation);
   }
   extensions["leaving"] = std::move(leaving);
+  if (!report.event_sizes.empty()) {
+    extensions["event_sizes"] = EncodeEventSizes(report.event_sizes);
+  }
   if (!report.version_uses.empty()) {
     extensions["versions"] = EncodeVersionUses(report.version_uses);
   }
@@ -231,6 +246,20 @@
   }
 }
 
+void DecodeEventSizes(const Json& crashes, PeerReport& report) {
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("event_sizes")) {
+    return;
+  }
+  const Json& sizes = crashes.back().at("event_sizes");
+  for (std::size_t i = 0; i + kFieldsPerEventSize <= sizes.size();
+       i += kFieldsPerEventSize) {
+    report.event_sizes.push_back(
+        {ServiceId(UnsignedField<std::uint32_t>(sizes[i])),
+         NumberField(sizes[i + 1]) / kFixedPointScale,
+         MillisecondsField(sizes[i + 2])});
+  }
+}
+
 void DecodeVersionUses(const Json& crashes, PeerReport& report) {
   // Absent while each service has one version, and in reports of earlier
   // versions.
@@ -423,6 +452,7 @@
     DecodeOutputLeft(json[10], report);
     DecodeCurrentDemand(json[10], report);
     DecodeLeaving(json[10], report);
+    DecodeEventSizes(json[10], report);
     DecodeVersionUses(json[10], report);
     report.operator_keys = DecodeOperatorKeys(json[10]);
     if (report.operator_keys) {
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -13,6 +13,7 @@
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
 #include "decisions/crash_suspects.h"
+#include "decisions/event_size.h"
 #include "decisions/fair_share.h"
 #include "decisions/target_table.h"
 #include "decisions/version_history.h"
@@ -108,6 +109,8 @@
   std::vector<LeavingTarget> leaving_targets;
   // Software versions of the services that have several in use.
   std::vector<VersionUse> version_uses;
+  // Learned tokens per event of services; empty in reports of earlier versions.
+  std::vector<SharedEventSize> event_sizes;
   // Ids of targets to which connections failed recently.
   std::vector<std::string> unreachable_targets;
   // Live routers known to the sender; omitted from some reports.
--- a/src/peers/peer_table_test.cc
+++ b/src/peers/peer_table_test.cc
@@ -308,6 +308,8 @@
   report.leaving_targets = {{TargetId::FromName("t"), 1'781'647'952'021}};
   report.customer_rates[kCustomer] = {100, 50, 70};
   report.load[kTarget].output_tokens_left = 1234;
+  report.event_sizes = {
+      {ServiceId::FromName("chat"), 4.5, std::chrono::milliseconds(70)}};
   const auto decoded = DecodeReport(EncodeReport(report));
   REQUIRE(decoded.ok());
   CHECK(decoded->operator_keys == report.operator_keys);
@@ -315,6 +317,7 @@
   CHECK(decoded->leaving_targets == report.leaving_targets);
   CHECK(decoded->customer_rates == report.customer_rates);
   CHECK(decoded->load == report.load);
+  CHECK(decoded->event_sizes == report.event_sizes);
 }
 
 TEST_CASE("Remaining output is added up, and zero in earlier reports") {
