Place streams by the time to their end and the delay of others

Where adaptive decisions take effect, a candidate's cost includes the predicted time to generate the expected output and a tenth of the delay of the streams that run there. The time per token over the number of streams is learned (completion_model.h).

--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -103,6 +103,9 @@
 // Fraction of a chain that is assumed to be uncached on the home in a region if
 // the fleet's home is in the other region.
 constexpr double kRegionHomeUncachedFraction = 0.5;
+// Weight of the delay of all other streams on the target against the request's
+// own time.
+constexpr double kDelayOfOthersWeight = 0.1;
 // Bounds of `Rejection::retry_after`.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -372,6 +375,20 @@
   candidate.cost = candidate.predicted_seconds +
                    kRecomputeCostFactor * uncached_shared_tokens *
                        seconds_per_token * slowness;
+  if (adaptive_placement_.IsActive(request.service)) {
+    // A peer of an earlier version reports requests without their output.
+    const TargetLoad& reported = target.peer_load;
+    const double reported_left = reported.output_tokens_left > 0
+                                     ? reported.output_tokens_left
+                                     : cost.output_tokens * reported.in_flight;
+    AddCompletionCost(
+        request, cost,
+        {estimate(target.local_load.in_flight, reported.in_flight,
+                  mean_peer_load.in_flight),
+         estimate(target.local_load.output_tokens_left, reported_left,
+                  mean_peer_load.output_tokens_left)},
+        seconds_per_token * slowness, candidate);
+  }
   const double used_kv_cache_tokens = target.local_load.kv_cache_tokens +
                                       target.peer_load.kv_cache_tokens +
                                       candidate.kv_cache_tokens;
@@ -387,6 +404,25 @@
   return candidate;
 }
 
+void Scheduler::AddCompletionCost(const ScheduledRequest& request,
+                                  const RequestCost& cost,
+                                  const RunningStreams& streams,
+                                  double seconds_per_prefill_token,
+                                  Candidate& candidate) {
+  const CompletionModel& model = completion_models_[request.service];
+  const double generation_seconds =
+      model.GenerationSeconds(streams, cost.output_tokens);
+  candidate.streams = streams;
+  candidate.completion_seconds =
+      candidate.predicted_seconds + generation_seconds;
+  candidate.cost +=
+      generation_seconds +
+      kDelayOfOthersWeight *
+          model.DelayOfOthers(
+              streams, candidate.prefill_tokens * seconds_per_prefill_token,
+              cost.output_tokens);
+}
+
 bool Scheduler::FitsLinkBudget(TimePoint now, std::size_t bytes) const {
   const double budget =
       link_budget_.BytesPerSecond() *
@@ -585,8 +621,10 @@
     MeanPeerLoad& mean = it->is_in_local_region ? means.local : means.remote;
     mean.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
     mean.in_flight += it->peer_load.in_flight;
+    mean.output_tokens_left += it->peer_load.output_tokens_left;
     sum.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
     sum.in_flight += it->peer_load.in_flight;
+    sum.output_tokens_left += it->peer_load.output_tokens_left;
     local_count += it->is_in_local_region ? 1 : 0;
   }
   const auto count = static_cast<double>(targets.size());
@@ -604,6 +642,8 @@
              &MeanPeerLoad::pending_prefill_tokens);
     mean.in_flight =
         damp(mean.in_flight, region_count, &MeanPeerLoad::in_flight);
+    mean.output_tokens_left = damp(mean.output_tokens_left, region_count,
+                                   &MeanPeerLoad::output_tokens_left);
   }
   return means;
 }
@@ -852,6 +892,8 @@
   assignment.waiting_tokens = target.pending_prefill_tokens.Sum(now) +
                               target.peer_load.pending_prefill_tokens;
   assignment.is_home = candidate.is_home;
+  assignment.other_streams = candidate.streams;
+  assignment.predicted_completion = FromSeconds(candidate.completion_seconds);
   assignment.is_probe = candidate.is_probe;
   assignment.sent_at = now;
   assignment.output = costs_.BeginAttempt(
@@ -928,6 +970,7 @@
     return;
   }
   assignment.has_first_event = true;
+  assignment.first_event_at = now;
   suspects_.RecordAnswer(now, request.traits);
   TargetState* target = targets_.Find(assignment.target_id);
   if (target == nullptr) {
@@ -987,6 +1030,13 @@
   if (assignment.has_first_event && assignment.prefill_tokens > 0 &&
       !is_event_loop_lagging_) {
     slot_waits_[target->entry.service].RecordRun(now - assignment.sent_at);
+    if (assignment.output.is_settled) {
+      completion_models_[target->entry.service].RecordStream(
+          assignment.other_streams.count,
+          assignment.output.generated_tokens * (assignment.output.events - 1) /
+              assignment.output.events,
+          Seconds(now - assignment.first_event_at));
+    }
   }
   target->local_load.kv_cache_tokens = std::max(
       0.0, target->local_load.kv_cache_tokens - assignment.kv_cache_tokens);
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -23,6 +23,7 @@
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
 #include "decisions/adaptive_placement.h"
+#include "decisions/completion_model.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/fair_share.h"
 #include "decisions/first_event_model.h"
@@ -172,7 +173,14 @@
   bool is_crash_probe = false;
   bool has_first_event = false;
   TimePoint sent_at;
+  // Meaningless until `has_first_event`.
+  TimePoint first_event_at;
   AttemptOutput output = {};
+  // Streams at the target when it was chosen.
+  RunningStreams other_streams = {};
+  // Predicted time to the end of a stream; zero where adaptive decisions don't
+  // take effect.
+  Duration predicted_completion{0};
 };
 
 using Decision = std::variant<Assignment, Rejection>;
@@ -294,6 +302,10 @@
     // Predicted time until the prefill queued ahead of this request is done and
     // a slot is free.
     double queueing_seconds = 0;
+    // Where adaptive decisions take effect: the streams that run on the target,
+    // and the predicted time to the end of this one.
+    RunningStreams streams = {};
+    double completion_seconds = 0;
     // Rank among the candidates, in seconds; the lowest is preferred.
     double cost = 0;
     bool is_local = false;
@@ -304,6 +316,7 @@
   struct MeanPeerLoad {
     double pending_prefill_tokens = 0;
     double in_flight = 0;
+    double output_tokens_left = 0;
   };
   struct MeanPeerLoads {
     MeanPeerLoad local;
@@ -371,6 +384,12 @@
                                  bool is_engine, const PlacementLimits& limits,
                                  const std::vector<Candidate>& candidates,
                                  PlacementFailure& failure);
+  // Adds the time to the end of the stream and the delay of others to a
+  // candidate's cost. `streams` run on its target.
+  void AddCompletionCost(const ScheduledRequest& request,
+                         const RequestCost& cost, const RunningStreams& streams,
+                         double seconds_per_prefill_token,
+                         Candidate& candidate);
   // Returns whether a body of `bytes` may be sent to another region now.
   bool FitsLinkBudget(TimePoint now, std::size_t bytes) const;
   // Returns the shortest latency goal, in seconds, of the routes to a service.
@@ -436,6 +455,7 @@
   // By service.
   std::map<std::string, FirstEventModel> first_event_models_;
   std::map<std::string, SlotWait> slot_waits_;
+  std::map<std::string, CompletionModel> completion_models_;
   std::minstd_rand random_;
   // Units and number of model requests per second at this router, for the
   // throughput that a limit on requests allows.
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -454,6 +454,11 @@
                [this, call](double time) {
                  routers_[call->router]->Finish(At(time), call->assignment,
                                                 AttemptOutcome::kCompleted);
+                 const double seconds = time - call->arrived_at;
+                 ForResults(*call, [seconds](SimulatedResult& it) {
+                   ++it.ended;
+                   it.run_seconds += seconds;
+                 });
                });
     }
   }
@@ -565,7 +570,9 @@
       << result.rejected_with_free_engines << " with free engines), "
       << result.bounced << " turned away, " << result.prefill_tokens
       << " tokens read, " << result.reread_tokens
-      << " again, median prediction error " << result.median_prediction_error;
+      << " again, mean time to the end "
+      << result.run_seconds / std::max(1, result.ended)
+      << ", median prediction error " << result.median_prediction_error;
   return out.str();
 }
 
--- a/src/decisions/simulated_engines.h
+++ b/src/decisions/simulated_engines.h
@@ -117,6 +117,9 @@
   // Shared tokens read although some engine had read them within the last five
   // seconds.
   double reread_tokens = 0;
+  // Requests that ended, and the sum of their times to the end.
+  int ended = 0;
+  double run_seconds = 0;
   // Median of |seen / predicted - 1| of first events.
   double median_prediction_error = 0;
   friend bool operator==(const SimulatedResult&,
