--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -485,6 +485,8 @@
   prefill_tokens_ = assignment.prefill_tokens;
   waiting_tokens_ = assignment.waiting_tokens;
   slot_wait_seconds_ = assignment.slot_wait_seconds;
+  predicted_completion_ = assignment.predicted_completion;
+  target_output_left_ = assignment.other_streams.output_tokens_left;
   was_home_ = assignment.is_home;
   scheduled_.tried_targets.push_back(TargetIdOf(assignment));
   ++attempts_;
@@ -526,7 +528,16 @@
     upstream_.reset();
   }
   if (assignment_) {
-    plane_.scheduler.Finish(plane_.clock.Now(), *assignment_, outcome);
+    const TimePoint now = plane_.clock.Now();
+    plane_.scheduler.Finish(now, *assignment_, outcome);
+    output_ = assignment_->output;
+    attempt_time_ = now - assignment_->sent_at;
+    plane_.metrics.IncrementCounter(
+        "corianderpost_predicted_output_tokens_total", "",
+        static_cast<std::uint64_t>(output_.expected_tokens));
+    plane_.metrics.IncrementCounter(
+        "corianderpost_output_tokens_total", "",
+        static_cast<std::uint64_t>(output_.generated_tokens));
     if (outcome == AttemptOutcome::kConnectFailed && plane_.on_unreachable) {
       plane_.on_unreachable(assignment_->target_id);
     }
@@ -989,6 +1000,12 @@
         {"rate_limit", excluded_.rate_limit}}},
       {"units",
        static_cast<std::int64_t>(plane_.scheduler.CostOf(scheduled_).units())},
+      {"output_hint", meta_.output_hint.value_or(0)},
+      {"predicted_output", static_cast<std::int64_t>(output_.expected_tokens)},
+      {"output", static_cast<std::int64_t>(output_.generated_tokens)},
+      {"predicted_end_ms", ToMilliseconds(predicted_completion_)},
+      {"end_ms", ToMilliseconds(attempt_time_)},
+      {"target_output_left", static_cast<std::int64_t>(target_output_left_)},
       {"list_age_ms",
        ToMilliseconds(plane_.clock.Now() - plane_.target_list_read_at)},
       {"configuration", configuration_ ? configuration_->version() : 0}};
--- a/src/dataplane/exchange.h
+++ b/src/dataplane/exchange.h
@@ -223,6 +223,13 @@
   double prefill_tokens_ = 0;
   double waiting_tokens_ = 0;
   double slot_wait_seconds_ = 0;
+  // Output of the last attempt, the predicted time to its end, the actual one
+  // so far, and the expected remaining output of the other streams at its
+  // target when it was sent.
+  AttemptOutput output_;
+  Duration predicted_completion_{0};
+  Duration attempt_time_{0};
+  double target_output_left_ = 0;
   bool was_home_ = false;
   // Time from the request's first byte to the first event; zero before it.
   Duration first_event_latency_{0};
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -525,6 +525,11 @@
                       static_cast<double>(caller_listener_.size()));
     metrics_.SetGauge("corianderpost_peers",
                       messenger_.peers().FleetSize(clock_.Now()) - 1);
+    double output_tokens_left = 0;
+    for (const auto& [id, it] : scheduler_.targets().LocalLoad(clock_.Now())) {
+      output_tokens_left += it.output_tokens_left;
+    }
+    metrics_.SetGauge("corianderpost_output_tokens_left", output_tokens_left);
     metrics_.SetGauge("corianderpost_store_era",
                       static_cast<double>(operator_reader_.replica().era()));
     metrics_.SetGauge("corianderpost_store_restores",
