--- a/src/decisions/event_size_test.cc
+++ b/src/decisions/event_size_test.cc
@@ -18,7 +18,7 @@
   std::exponential_distribution<double> output(1.0 / 100);
   for (int i = 0; i < count; ++i) {
     const double tokens = std::min(400.0, std::ceil(output(random)));
-    size.RecordStream(now, 400,
+    size.RecordStream(now, 400.0,
                       static_cast<int>(std::ceil(tokens / event_tokens)));
   }
 }
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -293,7 +293,7 @@
 
   static double TokensOf(const Call& call) {
     return static_cast<double>(call.request.prompt_tokens +
-                               2 * call.output_tokens);
+                               std::int64_t{2} * call.output_tokens);
   }
 
   void Send(double now, const std::shared_ptr<Call>& call) {
