--- a/src/decisions/adaptive_placement.h
+++ b/src/decisions/adaptive_placement.h
@@ -45,6 +45,10 @@
   bool HasUnevenSpeeds(const std::string& service) const;
   // Returns whether decisions depend on each engine's lasting speed.
   bool UsesEngineSpeeds(const std::string& service) const;
+  // Returns whether learned request costs and the measured capacity take
+  // effect. Only if the mode is `kOn`: on the deployments that were measured
+  // they admit more, but customers within their share are served later.
+  bool UsesMeasuredLoad() const { return mode_ == AdaptiveMode::kOn; }
   // Returns whether adaptive decisions take effect for the service.
   bool IsActive(const std::string& service) const;
 
--- a/src/decisions/engine_prediction.cc
+++ b/src/decisions/engine_prediction.cc
@@ -35,8 +35,10 @@
     MeanPeerLoad& mean = it->is_in_local_region ? means.local : means.remote;
     mean.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
     mean.in_flight += it->peer_load.in_flight;
+    mean.output_tokens_left += it->peer_load.output_tokens_left;
     sum.pending_prefill_tokens += it->peer_load.pending_prefill_tokens;
     sum.in_flight += it->peer_load.in_flight;
+    sum.output_tokens_left += it->peer_load.output_tokens_left;
     local_count += it->is_in_local_region ? 1 : 0;
   }
   const auto count = static_cast<double>(targets.size());
@@ -54,6 +56,8 @@
              &MeanPeerLoad::pending_prefill_tokens);
     mean.in_flight =
         damp(mean.in_flight, region_count, &MeanPeerLoad::in_flight);
+    mean.output_tokens_left = damp(mean.output_tokens_left, region_count,
+                                   &MeanPeerLoad::output_tokens_left);
   }
   return means;
 }
--- a/src/decisions/engine_prediction.h
+++ b/src/decisions/engine_prediction.h
@@ -53,6 +53,7 @@
 struct MeanPeerLoad {
   double pending_prefill_tokens = 0;
   double in_flight = 0;
+  double output_tokens_left = 0;
   friend bool operator==(const MeanPeerLoad&, const MeanPeerLoad&) = default;
 };
 
--- a/src/decisions/scheduler.cc
+++ b/src/decisions/scheduler.cc
@@ -89,6 +89,9 @@
 // Fraction of a chain that is assumed to be uncached on the home in a region if
 // the fleet's home is in the other region.
 constexpr double kRegionHomeUncachedFraction = 0.5;
+// Weight of the delay of all other streams on the target against the request's
+// own time.
+constexpr double kDelayOfOthersWeight = 0.1;
 // Bounds of `Rejection::retry_after`.
 constexpr Duration kMinRetryAfter = milliseconds(100);
 constexpr Duration kMaxRetryAfter = milliseconds(2000);
@@ -134,12 +137,6 @@
   return request.customer == nullptr ? CustomerId() : request.customer->id;
 }
 
-double UnsharedTokensOf(const ScheduledRequest& request) {
-  return static_cast<double>(request.prompt.empty()
-                                 ? request.prompt_tokens
-                                 : request.prompt.back().tokens);
-}
-
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
   return std::find(list.begin(), list.end(), item) != list.end();
 }
@@ -204,9 +201,8 @@
   fleet_position_ = fleet_position;
 }
 
-double Scheduler::UnitsOf(const ScheduledRequest& request) {
-  return UnsharedTokensOf(request) +
-         2.0 * static_cast<double>(request.max_output_tokens);
+RequestCost Scheduler::CostOf(const ScheduledRequest& request) const {
+  return costs_.Cost(request, adaptive_placement_.UsesMeasuredLoad());
 }
 
 double Scheduler::SecondsPerToken(const std::string& service) const {
@@ -239,12 +235,13 @@
     const ServiceProfile* service =
         configuration_->FindService(request.service);
     if (service != nullptr && service->engine) {
-      fair_share_.RecordDemand(now, request.customer->id, UnitsOf(request));
-      engine_capacity_.RecordRequest(now, UnitsOf(request));
+      const double units = CostOf(request).units();
+      fair_share_.RecordDemand(now, request.customer->id, units);
+      engine_capacity_.RecordRequest(now, units);
+      const RequestCost declared = RequestCosts::DeclaredCost(request);
       adaptive_placement_.RecordRequest(
           request.service, *service->engine,
-          UnsharedTokensOf(request) +
-              static_cast<double>(request.max_output_tokens));
+          declared.prompt_tokens + declared.output_tokens);
     }
   }
 }
@@ -302,7 +299,8 @@
                                          const ServiceProfile* service,
                                          TargetState& target,
                                          double uncached_fraction,
-                                         const MeanPeerLoad& mean_peer_load) {
+                                         const MeanPeerLoad& mean_peer_load,
+                                         const RequestCost& cost) {
   Candidate candidate;
   candidate.target = &target;
   candidate.is_local = target.is_in_local_region;
@@ -338,11 +336,11 @@
           uncached_fraction * static_cast<double>(request.prompt[i].tokens);
     }
   }
-  const double unshared_tokens = UnsharedTokensOf(request);
+  const double unshared_tokens = cost.prompt_tokens;
   candidate.is_mostly_recompute = uncached_shared_tokens > unshared_tokens;
   candidate.prefill_tokens = unshared_tokens + uncached_shared_tokens;
-  candidate.kv_cache_tokens = unshared_tokens + uncached_shared_tokens +
-                              static_cast<double>(request.max_output_tokens);
+  candidate.kv_cache_tokens =
+      unshared_tokens + uncached_shared_tokens + cost.output_tokens;
   EngineWork work;
   work.pending_tokens = EstimateLoad(target.pending_prefill_tokens.Sum(now),
                                      target.peer_load.pending_prefill_tokens,
@@ -354,10 +352,10 @@
       EstimateLoad(target.local_load.in_flight, target.peer_load.in_flight,
                    mean_peer_load.in_flight));
   work.region_latency_seconds = region_latency_seconds;
-  const EnginePrediction prediction = PredictEngine(
-      FirstEventModelOf(request.service), work,
-      SlownessFactor(target.speed,
-                     adaptive_placement_.UsesEngineSpeeds(request.service)));
+  const double slowness_factor = SlownessFactor(
+      target.speed, adaptive_placement_.UsesEngineSpeeds(request.service));
+  const EnginePrediction prediction =
+      PredictEngine(FirstEventModelOf(request.service), work, slowness_factor);
   candidate.slot_wait_seconds = work.slot_wait_seconds;
   candidate.load_tokens = prediction.load_tokens;
   candidate.predicted_from_load_seconds = prediction.from_load;
@@ -377,6 +375,22 @@
                     SpeedOf(target) +
                 candidate.slot_wait_seconds
           : candidate.predicted_seconds;
+  if (adaptive_placement_.UsesMeasuredLoad()) {
+    // A peer of an earlier version reports requests without their output.
+    const TargetLoad& reported = target.peer_load;
+    const double reported_left = reported.output_tokens_left > 0
+                                     ? reported.output_tokens_left
+                                     : cost.output_tokens * reported.in_flight;
+    AddCompletionCost(
+        request, cost,
+        {EstimateLoad(target.local_load.in_flight, reported.in_flight,
+                      mean_peer_load.in_flight),
+         EstimateLoad(target.local_load.output_tokens_left, reported_left,
+                      mean_peer_load.output_tokens_left)},
+        FirstEventModelOf(request.service).seconds_per_token() *
+            slowness_factor,
+        candidate);
+  }
   const double used_kv_cache_tokens = target.local_load.kv_cache_tokens +
                                       target.peer_load.kv_cache_tokens +
                                       candidate.kv_cache_tokens;
@@ -392,6 +406,25 @@
   return candidate;
 }
 
+void Scheduler::AddCompletionCost(const ScheduledRequest& request,
+                                  const RequestCost& cost,
+                                  const RunningStreams& streams,
+                                  double seconds_per_prefill_token,
+                                  Candidate& candidate) {
+  const CompletionModel& model = completion_models_[request.service];
+  const double generation_seconds =
+      model.GenerationSeconds(streams, cost.output_tokens);
+  candidate.streams = streams;
+  candidate.completion_seconds =
+      candidate.predicted_seconds + generation_seconds;
+  candidate.cost +=
+      generation_seconds +
+      kDelayOfOthersWeight *
+          model.DelayOfOthers(
+              streams, candidate.prefill_tokens * seconds_per_prefill_token,
+              cost.output_tokens);
+}
+
 bool Scheduler::FitsLinkBudget(TimePoint now, std::size_t bytes) const {
   const double budget =
       link_budget_.BytesPerSecond() *
@@ -452,7 +485,7 @@
   EngineCapacityInputs inputs;
   inputs.configured_rate = configuration_->engine_tokens_per_second();
   inputs.engine = engine;
-  inputs.is_measured = adaptive_placement_.IsActive(service);
+  inputs.is_measured = adaptive_placement_.UsesMeasuredLoad();
   if (inputs.is_measured) {
     for (const auto& [customer, rates] : fair_share_.FleetRates(now)) {
       inputs.demand += rates.demand;
@@ -582,6 +615,7 @@
   // One mean per region: load differences between regions last longer than the
   // delay of peer reports.
   const MeanPeerLoads means = MeanPeerLoadsOf(usable, region_weight);
+  const RequestCost cost = CostOf(request);
   std::vector<Candidate> candidates;
   candidates.reserve(targets.size());
   for (TargetState* it : targets) {
@@ -593,7 +627,7 @@
                                          : 1.0;
     candidates.push_back(
         Evaluate(now, request, service, *it, uncached_fraction,
-                 it->is_in_local_region ? means.local : means.remote));
+                 it->is_in_local_region ? means.local : means.remote, cost));
     candidates.back().is_home = it == homes.of_fleet;
     if (request.required_version && it->may_be_cold) {
       candidates.back().cost += kContinuationDoubtSeconds;
@@ -761,7 +795,7 @@
         retry_after, fair_share_.TimeUntilCredit(now, request.customer->id));
   }
   retry_after = std::min(retry_after, kMaxRetryAfter);
-  if (adaptive_placement_.IsActive(request.service)) {
+  if (adaptive_placement_.UsesMeasuredLoad()) {
     if (reason != RejectionReason::kOverShare) {
       retry_after =
           std::clamp(engine_capacity_.TimeUntilHeadroom(request.service),
@@ -828,8 +862,12 @@
   assignment.waiting_tokens = target.pending_prefill_tokens.Sum(now) +
                               target.peer_load.pending_prefill_tokens;
   assignment.is_home = candidate.is_home;
+  assignment.other_streams = candidate.streams;
+  assignment.predicted_completion = FromSeconds(candidate.completion_seconds);
   assignment.is_probe = candidate.is_probe;
   assignment.sent_at = now;
+  assignment.output =
+      costs_.BeginAttempt(request, adaptive_placement_.UsesMeasuredLoad());
   if (target.named_rate_limit) {
     target.rate_limit.Spend(now);
   }
@@ -842,10 +880,14 @@
   ++target.local_load.in_flight;
   target.pending_prefill_tokens.Add(now, candidate.prefill_tokens);
   target.local_load.kv_cache_tokens += candidate.kv_cache_tokens;
+  target.local_load.output_tokens_left += assignment.output.tokens_left;
   target.probes_in_flight += candidate.is_probe ? 1 : 0;
   MarkCached(now, request, target);
-  if (request.customer != nullptr && request.tried_targets.empty()) {
-    fair_share_.Charge(now, request.customer->id, UnitsOf(request));
+  if (request.customer != nullptr) {
+    fair_share_.Charge(now, request.customer->id,
+                       request.tried_targets.empty()
+                           ? CostOf(request).units()
+                           : 2.0 * assignment.output.charged_tokens);
   }
   return assignment;
 }
@@ -898,6 +940,7 @@
     return;
   }
   assignment.has_first_event = true;
+  assignment.first_event_at = now;
   suspects_.RecordAnswer(now, request.traits);
   TargetState* target = targets_.Find(assignment.target_id);
   if (target == nullptr) {
@@ -932,8 +975,29 @@
   }
 }
 
+void Scheduler::RecordEvent(Assignment& assignment) {
+  const double tokens_left = assignment.output.tokens_left;
+  const double excess_tokens = costs_.RecordEvent(assignment.output);
+  TargetState* target = targets_.Find(assignment.target_id);
+  if (target == nullptr) {
+    return;
+  }
+  double& total = target->local_load.output_tokens_left;
+  total = std::max(0.0, total + assignment.output.tokens_left - tokens_left);
+  if (assignment.output.is_settled) {
+    // The KV cache was reserved for the expected output.
+    assignment.kv_cache_tokens += excess_tokens;
+    target->local_load.kv_cache_tokens += excess_tokens;
+  }
+}
+
 void Scheduler::Finish(TimePoint now, const Assignment& assignment,
                        AttemptOutcome outcome) {
+  const double correction = costs_.RecordEnd(
+      now, assignment.output, outcome == AttemptOutcome::kCompleted);
+  if (correction != 0 && assignment.output.traits.customer != CustomerId()) {
+    fair_share_.Settle(now, assignment.output.traits.customer, correction);
+  }
   TargetState* target = targets_.Find(assignment.target_id);
   if (target == nullptr) {
     return;
@@ -946,9 +1010,19 @@
   if (assignment.has_first_event && assignment.prefill_tokens > 0 &&
       !is_event_loop_lagging_) {
     slot_waits_[target->entry.service].RecordRun(now - assignment.sent_at);
+    if (assignment.output.is_settled) {
+      completion_models_[target->entry.service].RecordStream(
+          assignment.other_streams.count,
+          assignment.output.generated_tokens * (assignment.output.events - 1) /
+              assignment.output.events,
+          Seconds(now - assignment.first_event_at));
+    }
   }
   target->local_load.kv_cache_tokens = std::max(
       0.0, target->local_load.kv_cache_tokens - assignment.kv_cache_tokens);
+  target->local_load.output_tokens_left =
+      std::max(0.0, target->local_load.output_tokens_left -
+                        assignment.output.tokens_left);
   if (assignment.is_probe) {
     target->probes_in_flight = std::max(0, target->probes_in_flight - 1);
   }
--- a/src/decisions/scheduler.h
+++ b/src/decisions/scheduler.h
@@ -23,6 +23,7 @@
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
 #include "decisions/adaptive_placement.h"
+#include "decisions/completion_model.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/engine_capacity.h"
 #include "decisions/engine_prediction.h"
@@ -31,6 +32,7 @@
 #include "decisions/first_event_predictor.h"
 #include "decisions/link_budget.h"
 #include "decisions/rate_meter.h"
+#include "decisions/request_cost.h"
 #include "decisions/retry_budget.h"
 #include "decisions/slot_wait.h"
 #include "decisions/target_table.h"
@@ -84,6 +86,8 @@
   // Set with `required_version`: time that the caller has waited for the next
   // event, as far as known.
   Duration waited_for_event{0};
+  // The caller's estimate of the output, in tokens.
+  std::optional<std::int64_t> output_hint = std::nullopt;
 };
 
 enum class RejectionReason {
@@ -174,6 +178,14 @@
   bool is_crash_probe = false;
   bool has_first_event = false;
   TimePoint sent_at;
+  // Meaningless until `has_first_event`.
+  TimePoint first_event_at;
+  AttemptOutput output = {};
+  // Streams at the target when it was chosen.
+  RunningStreams other_streams = {};
+  // Predicted time to the end of a stream; zero where adaptive decisions don't
+  // take effect.
+  Duration predicted_completion{0};
 };
 
 using Decision = std::variant<Assignment, Rejection>;
@@ -236,6 +248,7 @@
   TargetTable& targets() { return targets_; }
   FairShare& fair_share() { return fair_share_; }
   CrashSuspects& suspects() { return suspects_; }
+  RequestCosts& costs() { return costs_; }
   const AdaptivePlacement& adaptive_placement() const {
     return adaptive_placement_;
   }
@@ -253,6 +266,8 @@
   // response, arrived. Only the first call for an assignment has an effect.
   void RecordFirstEvent(TimePoint now, Assignment& assignment,
                         const ScheduledRequest& request);
+  // Records an event with output of a stream, including the first one.
+  void RecordEvent(Assignment& assignment);
   // Records that the connection broke. If the target had not begun to answer,
   // the request is a suspect for a crash of the target, and the id of that
   // crash is returned; otherwise zero.
@@ -274,9 +289,9 @@
   void Finish(TimePoint now, const Assignment& assignment,
               AttemptOutcome outcome);
 
-  // Returns the request's cost in fair share units: its unshared prompt tokens
-  // plus twice its maximum output tokens.
-  static double UnitsOf(const ScheduledRequest& request);
+  // Returns what the request costs its customer's share: the expected cost
+  // where adaptive decisions take effect, otherwise the declared one.
+  RequestCost CostOf(const ScheduledRequest& request) const;
 
  private:
   struct Candidate {
@@ -301,6 +316,10 @@
     // Predicted time until the prefill queued ahead of this request is done and
     // a slot is free.
     double queueing_seconds = 0;
+    // Where adaptive decisions take effect: the streams that run on the target,
+    // and the predicted time to the end of this one.
+    RunningStreams streams = {};
+    double completion_seconds = 0;
     // Rank among the candidates, in seconds; the lowest is preferred.
     double cost = 0;
     bool is_local = false;
@@ -346,7 +365,8 @@
   Candidate Evaluate(TimePoint now, const ScheduledRequest& request,
                      const ServiceProfile* service, TargetState& target,
                      double uncached_fraction,
-                     const MeanPeerLoad& mean_peer_load);
+                     const MeanPeerLoad& mean_peer_load,
+                     const RequestCost& cost);
   // Returns the evaluated `targets`, the one with the lowest cost first.
   // `usable` are those that determine the homes of the request's chain and the
   // regions' means; `region_weight` is that of the difference between a
@@ -366,6 +386,12 @@
                                  bool is_engine, const PlacementLimits& limits,
                                  const std::vector<Candidate>& candidates,
                                  PlacementFailure& failure);
+  // Adds the time to the end of the stream and the delay of others to a
+  // candidate's cost. `streams` run on its target.
+  void AddCompletionCost(const ScheduledRequest& request,
+                         const RequestCost& cost, const RunningStreams& streams,
+                         double seconds_per_prefill_token,
+                         Candidate& candidate);
   // Returns whether a body of `bytes` may be sent to another region now.
   bool FitsLinkBudget(TimePoint now, std::size_t bytes) const;
   // Returns the shortest latency goal, in seconds, of the routes to a service.
@@ -416,6 +442,7 @@
   std::map<std::string, double> shortest_goal_seconds_;
   TargetTable targets_;
   FairShare fair_share_;
+  RequestCosts costs_;
   CrashSuspects suspects_;
   std::map<std::string, RetryBudget> retry_budgets_;
   EngineCapacity engine_capacity_;
@@ -423,6 +450,7 @@
   std::map<std::string, FirstEventModel> first_event_models_;
   std::map<std::string, FirstEventPredictor> predictors_;
   std::map<std::string, SlotWait> slot_waits_;
+  std::map<std::string, CompletionModel> completion_models_;
   std::minstd_rand random_;
 };
 
--- a/src/decisions/simulated_engines.cc
+++ b/src/decisions/simulated_engines.cc
@@ -17,8 +17,8 @@
 // Reports that are this many intervals old are applied.
 constexpr std::size_t kReportDelay = 2;
 constexpr int kPrefillChunkTokens = 2048;
-// Tokens in the first event of a stream.
-constexpr int kFirstEventTokens = 5;
+// Tokens in each event of a stream.
+constexpr int kEventTokens = 5;
 // Part of the interval between slow periods by which those of successive
 // engines are apart (the golden ratio spreads them evenly).
 constexpr double kSlowPeriodOffset = 0.618;
@@ -262,7 +262,10 @@
     call->output_tokens =
         1 + static_cast<int>(std::min(Exponential(kind.output_tokens),
                                       4 * kind.output_tokens));
-    request.max_output_tokens = call->output_tokens;
+    request.max_output_tokens =
+        load_.declared_factor > 0
+            ? 1 + static_cast<int>(load_.declared_factor * kind.output_tokens)
+            : call->output_tokens;
     request.body_bytes = static_cast<std::size_t>(request.prompt_tokens);
     request.remaining = std::chrono::seconds(10);
     ForResults(*call, [](SimulatedResult& it) { ++it.requests; });
@@ -293,7 +296,7 @@
 
   static double TokensOf(const Call& call) {
     return static_cast<double>(call.request.prompt_tokens +
-                               2 * call.request.max_output_tokens);
+                               std::int64_t{2} * call.output_tokens);
   }
 
   void Send(double now, const std::shared_ptr<Call>& call) {
@@ -451,7 +454,10 @@
             const std::shared_ptr<Call>& call) {
     --call->output_tokens_left;
     const int made = call->output_tokens - call->output_tokens_left;
-    if (made == std::min(kFirstEventTokens, call->output_tokens)) {
+    if (made % kEventTokens == 0 || call->output_tokens_left == 0) {
+      routers_[call->router]->RecordEvent(call->assignment);
+    }
+    if (made == std::min(kEventTokens, call->output_tokens)) {
       Schedule(now + kSetupSeconds + kNetworkSeconds +
                    RegionSeconds(*call, engine_index),
                [this, call](double time) { FirstEvent(time, *call); });
@@ -463,6 +469,11 @@
                [this, call](double time) {
                  routers_[call->router]->Finish(At(time), call->assignment,
                                                 AttemptOutcome::kCompleted);
+                 const double seconds = time - call->arrived_at;
+                 ForResults(*call, [seconds](SimulatedResult& it) {
+                   ++it.ended;
+                   it.run_seconds += seconds;
+                 });
                });
     }
   }
@@ -510,9 +521,15 @@
           total.log_slowness += it.log_slowness;
           total.speed_observations += it.speed_observations;
           total.log_speed += it.log_speed;
+          total.output_tokens_left += it.output_tokens_left;
         }
       }
       routers_[i]->targets().SetPeerLoad(At(now), load);
+      for (std::size_t j = first; j < routers_.size(); ++j) {
+        for (const auto& it : routers_[j]->costs().EventSizes(At(now))) {
+          routers_[i]->costs().MergeEventSize(At(now), it);
+        }
+      }
       RatesByCustomer peer_rates;
       for (std::size_t j = first; j < routers_.size(); ++j) {
         if (j == i || reports_[j].size() <= kReportDelay) {
@@ -570,7 +587,9 @@
       << result.rejected_with_free_engines << " with free engines), "
       << result.bounced << " turned away, " << result.prefill_tokens
       << " tokens read, " << result.reread_tokens
-      << " again, median prediction error " << result.median_prediction_error;
+      << " again, mean time to the end "
+      << result.run_seconds / std::max(1, result.ended)
+      << ", median prediction error " << result.median_prediction_error;
   return out.str();
 }
 
--- a/src/decisions/simulated_engines.h
+++ b/src/decisions/simulated_engines.h
@@ -101,6 +101,9 @@
   SimulatedEngineOptions engine;
   double capacity_units_per_second = 0;
   AdaptiveMode adaptive_placement = AdaptiveMode::kAuto;
+  // Requests declare this multiple of their kind's mean output as maximum, at
+  // least 4; their actual output if zero.
+  double declared_factor = 0;
   double seconds = 0;
   std::uint64_t seed = 1;
   friend bool operator==(const SimulatedLoad&, const SimulatedLoad&) = default;
@@ -121,6 +124,9 @@
   // Shared tokens read although some engine had read them within the last five
   // seconds.
   double reread_tokens = 0;
+  // Requests that ended, and the sum of their times to the end.
+  int ended = 0;
+  double run_seconds = 0;
   // Median of |seen / predicted - 1| of first events.
   double median_prediction_error = 0;
   friend bool operator==(const SimulatedResult&,
--- a/src/peers/peer_report.cc
+++ b/src/peers/peer_report.cc
@@ -166,6 +166,19 @@
   return is_any_known ? list : Json::array();
 }
 
+constexpr std::size_t kFieldsPerOutputLeft = 2;
+
+Json EncodeOutputLeft(const LoadByTarget& load) {
+  Json list = Json::array();
+  for (const auto& [id, it] : load) {
+    if (it.output_tokens_left >= 1) {
+      list.push_back(id.value());
+      list.push_back(static_cast<std::int64_t>(it.output_tokens_left));
+    }
+  }
+  return list;
+}
+
 constexpr std::size_t kFieldsPerCurrentDemand = 2;
 
 Json EncodeCurrentDemand(const RatesByCustomer& rates) {
@@ -177,6 +190,18 @@
   return list;
 }
 
+constexpr std::size_t kFieldsPerEventSize = 3;
+
+Json EncodeEventSizes(const std::vector<SharedEventSize>& sizes) {
+  Json list = Json::array();
+  for (const SharedEventSize& it : sizes) {
+    list.push_back(it.service.value());
+    list.push_back(ToFixedPoint(it.tokens));
+    list.push_back(ToMillis(it.age));
+  }
+  return list;
+}
+
 constexpr std::size_t kFieldsPerVersionUse = 3;
 
 Json EncodeVersionUses(const std::vector<VersionUse>& uses) {
@@ -206,6 +231,7 @@
       {"suspects", EncodeSuspects(report.suspects)},
       {"rate_limits", EncodeRateLimits(report.rate_limits)},
       {"limit_use", EncodeLimitUse(report.load)},
+      {"output_left", EncodeOutputLeft(report.load)},
       {"current_demand", EncodeCurrentDemand(report.customer_rates)}};
   Json leaving = Json::array();
   for (const LeavingTarget& it : report.leaving_targets) {
@@ -216,6 +242,9 @@
   if (Json speeds = EncodeSpeeds(report.load); !speeds.empty()) {
     extensions["speeds"] = std::move(speeds);
   }
+  if (!report.event_sizes.empty()) {
+    extensions["event_sizes"] = EncodeEventSizes(report.event_sizes);
+  }
   if (!report.version_uses.empty()) {
     extensions["versions"] = EncodeVersionUses(report.version_uses);
   }
@@ -248,6 +277,23 @@
   }
 }
 
+// Adds to the targets' load, which must have been decoded.
+void DecodeOutputLeft(const Json& crashes, PeerReport& report) {
+  // Reports of earlier versions lack the field.
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("output_left")) {
+    return;
+  }
+  const Json& left = crashes.back().at("output_left");
+  for (std::size_t i = 0; i + kFieldsPerOutputLeft <= left.size();
+       i += kFieldsPerOutputLeft) {
+    const auto it =
+        report.load.find(TargetId(UnsignedField<std::uint32_t>(left[i])));
+    if (it != report.load.end()) {
+      it->second.output_tokens_left = std::max(0.0, NumberField(left[i + 1]));
+    }
+  }
+}
+
 // Adds to the customers' rates, which must have been decoded.
 void DecodeCurrentDemand(const Json& crashes, PeerReport& report) {
   // Reports of earlier versions lack the field.
@@ -268,6 +314,20 @@
   }
 }
 
+void DecodeEventSizes(const Json& crashes, PeerReport& report) {
+  if (crashes.size() % 2 == 0 || !crashes.back().contains("event_sizes")) {
+    return;
+  }
+  const Json& sizes = crashes.back().at("event_sizes");
+  for (std::size_t i = 0; i + kFieldsPerEventSize <= sizes.size();
+       i += kFieldsPerEventSize) {
+    report.event_sizes.push_back(
+        {ServiceId(UnsignedField<std::uint32_t>(sizes[i])),
+         NumberField(sizes[i + 1]) / kFixedPointScale,
+         MillisecondsField(sizes[i + 2])});
+  }
+}
+
 void DecodeVersionUses(const Json& crashes, PeerReport& report) {
   // Absent while each service has one version, and in reports of earlier
   // versions.
@@ -478,8 +538,10 @@
     report.suspects = DecodeSuspects(json[10]);
     DecodeLimits(json[10], report);
     DecodeSpeeds(json[8], json[10], report);
+    DecodeOutputLeft(json[10], report);
     DecodeCurrentDemand(json[10], report);
     DecodeLeaving(json[10], report);
+    DecodeEventSizes(json[10], report);
     DecodeVersionUses(json[10], report);
     report.operator_keys = DecodeOperatorKeys(json[10]);
     if (report.operator_keys) {
@@ -519,6 +581,7 @@
     total.limit_use.sent += load.limit_use.sent;
     total.speed_observations += load.speed_observations;
     total.log_speed += load.log_speed;
+    total.output_tokens_left += load.output_tokens_left;
   }
 }
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -44,6 +44,7 @@
     subtract(load.limit_use.sent, total.limit_use.sent);
     subtract(load.speed_observations, total.speed_observations);
     total.log_speed -= load.log_speed;
+    subtract(load.output_tokens_left, total.output_tokens_left);
     if (total == TargetLoad{}) {
       sum.erase(it);
     }
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -552,6 +552,11 @@
                       share.configured_capacity);
     metrics_.SetGauge("corianderpost_share_level_units_per_second",
                       share.level);
+    double output_tokens_left = 0;
+    for (const auto& [id, it] : scheduler_.targets().LocalLoad(clock_.Now())) {
+      output_tokens_left += it.output_tokens_left;
+    }
+    metrics_.SetGauge("corianderpost_output_tokens_left", output_tokens_left);
     metrics_.SetGauge("corianderpost_store_era",
                       static_cast<double>(operator_reader_.replica().era()));
     metrics_.SetGauge("corianderpost_store_restores",
