Destroy the connection of the caller test before its event loop

One of four runs of corianderpost-tests on the merged code ended in "A chunked request without end is refused" with a damaged heap. valgrind shows reads and writes after the free of the loop's services: the fixture keeps the last connection in a member that is destroyed after the loop. It now releases the connection first: no error under valgrind in the 27 cases of caller_test.cc and listener_test.cc (every invalid access was in them).

--- a/src/dataplane/caller_test.cc
+++ b/src/dataplane/caller_test.cc
@@ -24,6 +24,10 @@
 class Fixture : public CallerHandler {
  public:
   Fixture() : listener_(loop_, "127.0.0.1:0", *this, clock_) {}
+  // A connection's socket must not outlive the event loop.
+  ~Fixture() override { last_caller.reset(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
 
   tcp::socket Connect() {
     tcp::socket socket(loop_);
