Let a zone empty if its region has another one

Saturated routers stayed in rotation though a zone of the same region could take their callers, which the platform does once a zone is empty. The limit is meant against callers that cross to the other region, so it now holds only where the region has no other zone. Its test fails without the change.

--- a/src/decisions/zone_rotation.cc
+++ b/src/decisions/zone_rotation.cc
@@ -26,7 +26,8 @@
 }
 
 RotationChange ZoneRotation::Update(TimePoint now, bool wants_to_leave,
-                                    const std::vector<ZonePeer>& peers) {
+                                    const std::vector<ZonePeer>& peers,
+                                    bool may_empty_zone) {
   const auto is_silent = [](const ZonePeer& it) {
     return it.age > kMaxStateAge;
   };
@@ -45,7 +46,8 @@
     preceding += precedes ? 1 : 0;
     max_number = std::max(max_number, it.left_rotation.value_or(0));
   }
-  const bool has_place = preceding < MaxRoutersOut(zone_size_);
+  const bool has_place =
+      may_empty_zone || preceding < MaxRoutersOut(zone_size_);
   RotationChange change = RotationChange::kNone;
   if (!wants_to_leave) {
     is_staying_ = false;
--- a/src/decisions/zone_rotation.h
+++ b/src/decisions/zone_rotation.h
@@ -1,9 +1,10 @@
 // Decides whether a saturated router may leave rotation, so that the load
 // balancer sends it no new connections.
 //
-// If all routers of a zone leave, their callers move to other zones, mostly
-// over the link between the regions, where they do more harm. Of the n routers
-// of a zone, at most (n - 1) / 2, rounded down, may therefore be out at a time.
+// If all routers of a zone leave, their callers move to other zones. If the
+// region has no other zone, they cross the link between the regions, where they
+// do more harm. Of the n routers of such a zone, at most (n - 1) / 2, rounded
+// down, may therefore be out at a time.
 // There is no coordinator: each router reports whether it is out, and one that
 // learns of enough others that left before it returns.
 //
@@ -70,8 +71,11 @@
   // `peers` are the other known routers of its zone, silent ones included. Must
   // be called regularly, at intervals much shorter than those of the load
   // balancer's readiness checks.
+  // If `may_empty_zone`, other zones of the region can take the callers, and
+  // the number of routers that are out is not limited.
   RotationChange Update(TimePoint now, bool wants_to_leave,
-                        const std::vector<ZonePeer>& peers);
+                        const std::vector<ZonePeer>& peers,
+                        bool may_empty_zone = false);
 
   // Whether the load balancer should send this router no new connections.
   bool is_out() const { return is_out_; }
--- a/src/decisions/zone_rotation_test.cc
+++ b/src/decisions/zone_rotation_test.cc
@@ -228,5 +228,16 @@
         RotationChange::kLeft);
 }
 
+// Guards against callers who can't connect: a saturated zone kept them though
+// routers of the next zone, in the same region, were idle.
+TEST_CASE("A zone may empty if its region has another zone") {
+  ZoneRotation rotation("10.0.0.1");
+  const std::vector<ZonePeer> peers = {
+      {"10.0.0.2", Duration(0), LeaveNumber{1}}};
+  CHECK(rotation.Update(kStart, true, peers, false) == RotationChange::kStayed);
+  CHECK(rotation.Update(kStart + seconds(2), true, peers, true) ==
+        RotationChange::kLeft);
+}
+
 }  // namespace
 }  // namespace corianderpost
--- a/src/router/load_control.cc
+++ b/src/router/load_control.cc
@@ -56,13 +56,22 @@
   LogOverload(was_busy, was_overloaded, lag, open_requests);
   // Reports that arrived since the tick was due have not been read yet, so
   // peers count as silent only if they were so by then.
-  const RotationChange change = rotation_.Update(
-      now, overload_detector_.is_overloaded() || admission_.is_limiting(),
-      peers_.ZonePeers(now - lag));
+  const bool wants_to_leave =
+      overload_detector_.is_overloaded() || admission_.is_limiting();
+  const RotationChange change =
+      rotation_.Update(now, wants_to_leave, peers_.ZonePeers(now - lag),
+                       wants_to_leave && HasOtherZoneInRegion(now));
   ReportRotation(change);
   return change != RotationChange::kNone && change != RotationChange::kStayed;
 }
 
+bool LoadControl::HasOtherZoneInRegion(TimePoint now) const {
+  const std::vector<RouterInfo> peers = peers_.LivePeers(now);
+  return std::any_of(peers.begin(), peers.end(), [this](const RouterInfo& it) {
+    return it.region == peers_.self().region && it.zone != peers_.self().zone;
+  });
+}
+
 void LoadControl::LogLimit(bool was_limiting, std::size_t open_requests) const {
   if (was_limiting == admission_.is_limiting()) {
     return;
--- a/src/router/load_control.h
+++ b/src/router/load_control.h
@@ -44,6 +44,8 @@
   bool has_unreliable_timing() const;
 
  private:
+  // Returns whether a router of another zone of this region is alive.
+  bool HasOtherZoneInRegion(TimePoint now) const;
   void LogLimit(bool was_limiting, std::size_t open_requests) const;
   void LogOverload(bool was_busy, bool was_overloaded, Duration lag,
                    std::size_t open_requests);
