Log what becomes of each question to a target after a start

A refusal as origin_unknown had two explanations that nothing told apart: the targets' runs had ended, or the question to a target failed, which left no line. A failed question now has a line and a counter by verdict, and the line on a report names the requests (the first 32). The asking moves from router.cc into TargetSurvey without a change of logic.

--- a/src/decisions/target_table.h
+++ b/src/decisions/target_table.h
@@ -322,6 +322,7 @@
   // All targets by id, including removed ones that still have requests in
   // flight.
   std::map<std::string, TargetState>& targets() { return targets_; }
+  const std::map<std::string, TargetState>& targets() const { return targets_; }
 
   // Returns whether the target may get new requests, regardless of its health:
   // it is listed, neither draining nor leaving, and its zone is not evacuated.
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -24,6 +24,7 @@
 #include "router/listener.h"
 #include "router/load_control.h"
 #include "router/share_log.h"
+#include "router/target_survey.h"
 #include "runtime/json_log.h"
 #include "runtime/metrics.h"
 #include "runtime/signal_mask.h"
@@ -45,11 +46,6 @@
 constexpr Duration kMaxOnTimeLag = milliseconds(40);
 constexpr Duration kHousekeepingInterval = milliseconds(250);
 constexpr Duration kSettingsCheckInterval = seconds(1);
-// Time for peers to tell a router that has started what they know.
-constexpr Duration kPeerDiscoveryTime = milliseconds(75);
-// Bounds of asking targets for the streams that they run.
-constexpr Duration kRunsTimeout = milliseconds(500);
-constexpr std::size_t kMaxAskedTargets = 64;
 // Interval at which the versions of the known targets count as in use.
 constexpr Duration kTargetRecordInterval = milliseconds(500);
 // Interval of the log lines that summarise rejections and the share level.
@@ -322,10 +318,6 @@
   void ReportLag(TimePoint now, const OperatorKeysState& keys,
                  Duration behind_for);
   void TickStreamDirectory(TimePoint now);
-  // After a start of the whole fleet, asks targets for the streams that they
-  // still run for routers that have stopped.
-  void AskTargetsForRuns(TimePoint now);
-  void AskForRuns(const TargetEntry& entry);
   // Returns the longest time after which callers may resume a stream.
   Duration MaxStreamAge() const;
   void TickDrain(TimePoint now);
@@ -388,6 +380,7 @@
   DataPlane plane_;
   PeerMessenger messenger_;
   FleetStreamDirectory stream_directory_;
+  TargetSurvey target_survey_;
   StoreReader operator_reader_;
   StoreReader target_list_reader_;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges_;
@@ -404,8 +397,6 @@
   LoadControl load_control_;
   TimePoint next_housekeeping_at_;
   TimePoint next_target_record_at_;
-  std::optional<TimePoint> target_list_loaded_at_;
-  bool has_asked_for_runs_ = false;
   TimePoint next_settings_check_at_;
   TimePoint next_summary_at_;
   TimePoint operator_replica_behind_since_;
@@ -470,6 +461,7 @@
                  }),
       stream_directory_(messenger_.peers().self(), clock_, messenger_, metrics_,
                         [this] { messenger_.ReportAtNextTick(); }),
+      target_survey_(fetcher_, deployment, stream_directory_, metrics_),
       operator_reader_(
           {deployment.operator_prefix(), settings.store_address,
            kOperatorWatchPause, kOperatorWatchTimeout, /*logs_changes=*/true,
@@ -998,7 +990,10 @@
     scheduler_.targets().ConfirmList(confirmation.called_at);
   }
   stream_directory_.Tick(now);
-  AskTargetsForRuns(now);
+  if (target_list_reader_.replica().is_loaded() &&
+      plane_.configuration != nullptr) {
+    target_survey_.Tick(now, *plane_.configuration, scheduler_.targets());
+  }
 }
 
 Duration Router::Impl::MaxStreamAge() const {
@@ -1022,62 +1017,6 @@
   return max_age;
 }
 
-void Router::Impl::AskTargetsForRuns(TimePoint now) {
-  if (has_asked_for_runs_ || !target_list_reader_.replica().is_loaded() ||
-      plane_.configuration == nullptr) {
-    return;
-  }
-  if (!target_list_loaded_at_) {
-    target_list_loaded_at_ = now;
-  }
-  if (now - *target_list_loaded_at_ < kPeerDiscoveryTime) {
-    return;
-  }
-  has_asked_for_runs_ = true;
-  if (!stream_directory_.LacksHistory(now)) {
-    return;
-  }
-  std::set<std::string> services;
-  for (const auto& route : plane_.configuration->routes()) {
-    if (route->kind == RequestKind::kStreaming && route->is_resumable) {
-      for (const TrafficShare& it : route->split) {
-        services.insert(it.service);
-      }
-    }
-  }
-  std::size_t count = 0;
-  for (const auto& [id, target] : scheduler_.targets().targets()) {
-    if (services.contains(target.entry.service) &&
-        stream_directory_.IsAsker(now, id) && count < kMaxAskedTargets) {
-      ++count;
-      AskForRuns(target.entry);
-    }
-  }
-  Log(LogLevel::kInfo, "asking targets which streams they run",
-      {{"targets", count}});
-}
-
-void Router::Impl::AskForRuns(const TargetEntry& entry) {
-  fetcher_.Get(entry.address, deployment_.target_runs_path(),
-               {kRunsTimeout, kRunsTimeout, kRunsTimeout},
-               [this, entry](const FetchResult& result) {
-                 const auto runs =
-                     result.status == 200
-                         ? deployment_.DecodeTargetRuns(result.body)
-                         : absl::UnavailableError("no report");
-                 // Another run of the target may have another version than its
-                 // entry.
-                 if (!runs.ok() || runs->incarnation != entry.incarnation) {
-                   return;
-                 }
-                 stream_directory_.RecordRuns(entry, runs->begun_streams);
-                 Log(LogLevel::kInfo, "target reports the streams that it runs",
-                     {{"target", entry.id},
-                      {"version", entry.version},
-                      {"streams", runs->begun_streams.size()}});
-               });
-}
-
 void Router::Impl::TickReaders(TimePoint now) {
   const PeerTable& peers = messenger_.peers();
   const int rank = peers.UsesRelays(now) ? peers.LocalRelayRank(now) : 0;
