--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -118,9 +118,14 @@
 
 void Engine::OnRequest(const std::shared_ptr<CallerConnection>& caller,
                        ReceivedRequest request) {
-  if (ToView(request.message.target()) == deployment_.target_runs_path()) {
-    // A router's own question, not a request of a caller.
-    caller->Write(FormatTextReply({404, "text/plain", "not found\n"}, false));
+  // Routers' own questions are no requests of callers.
+  const std::string_view path = ToView(request.message.target());
+  if (path == deployment_.target_runs_path() ||
+      path == platform::StandinHeldPartsPath()) {
+    const std::string body = path == deployment_.target_runs_path()
+                                 ? memory_.FormatRuns(incarnation_)
+                                 : memory_.FormatHeldParts();
+    caller->Write(FormatTextReply({200, "application/json", body}, false));
     caller->FinishResponse(false);
     return;
   }
@@ -198,10 +203,11 @@
   const int last = queue_ ? static_cast<int>(meta.max_output_tokens /
                                              capacity_.tokens_per_event)
                           : stream.events;
+  memory_.Read(meta);
   SendEventsFrom(
-      caller,
-      1 + static_cast<int>(ParseEventNumber(meta.last_event_id).value_or(0)),
-      last, slot);
+      std::make_shared<const RunningStream>(
+          RunningStream{caller, meta, incarnation_, last, slot}),
+      1 + static_cast<int>(ParseEventNumber(meta.last_event_id).value_or(0)));
 }
 
 void Engine::SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
@@ -220,23 +226,23 @@
            [this, caller, part] { SendEndlessly(caller, part); });
 }
 
-void Engine::SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
-                            int number, int last,
-                            const EngineQueue::Slot& slot) {
-  if (!caller->is_open()) {
+void Engine::SendEventsFrom(const std::shared_ptr<const RunningStream>& run,
+                            int number) {
+  if (!run->caller->is_open() || run->incarnation != incarnation_) {
+    memory_.EndRun(run->request);
     return;
   }
-  if (number > last) {
-    caller->Write(std::string(kLastChunk));
-    caller->FinishResponse(false);
+  if (number > run->last) {
+    memory_.EndRun(run->request);
+    run->caller->Write(std::string(kLastChunk));
+    run->caller->FinishResponse(false);
     return;
   }
-  caller->Write(FormatChunk("id: " + std::to_string(number) +
-                            "\ndata: " + writer() + "\n\n"));
+  memory_.Generate(run->request);
+  run->caller->Write(FormatChunk("id: " + std::to_string(number) +
+                                 "\ndata: " + writer() + "\n\n"));
   RunAfter(loop_, queue_ ? queue_->event_interval() : stream.interval,
-           [this, caller, number, last, slot] {
-             SendEventsFrom(caller, number + 1, last, slot);
-           });
+           [this, run, number] { SendEventsFrom(run, number + 1); });
 }
 
 std::string Engine::writer() const {
@@ -260,6 +266,7 @@
 
 void Engine::Crash(Duration down_time) {
   ++incarnation_;
+  memory_.Clear();
   if (queue_) {
     queue_.emplace(loop_, capacity_);
   }
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/engine_memory.h"
 #include "fleet/engine_queue.h"
 #include "platform/platform_deployment.h"
 #include "platform/standin_wire.h"
@@ -115,9 +116,18 @@
   // Answers with 503, as not executed.
   static void Refuse(CallerConnection& caller, const RequestMeta& meta,
                      const std::string& headers);
-  // Sends event `number` and the following ones, up to `last`.
-  void SendEventsFrom(const std::shared_ptr<CallerConnection>& caller,
-                      int number, int last, const EngineQueue::Slot& slot);
+  // A stream whose events are being sent.
+  struct RunningStream {
+    std::shared_ptr<CallerConnection> caller;
+    RequestMeta request;
+    std::int64_t incarnation = 0;
+    // Number of the last event.
+    int last = 0;
+    EngineQueue::Slot slot;
+  };
+  // Sends event `number` and the following ones.
+  void SendEventsFrom(const std::shared_ptr<const RunningStream>& run,
+                      int number);
   void SendEndlessly(const std::shared_ptr<CallerConnection>& caller,
                      const std::string& part);
   boost::asio::io_context& loop_;
@@ -134,6 +144,7 @@
   EngineCapacity capacity_;
   // Empty if the capacity is not limited.
   std::optional<EngineQueue> queue_;
+  EngineMemory memory_;
 };
 
 // A complete event that a caller received.
--- a/tests/fleet/software_version_fleet_test.cc
+++ b/tests/fleet/software_version_fleet_test.cc
@@ -278,6 +278,24 @@
   CHECK(tally.resumptions.sent >= kMinResumptions);
 }
 
+TEST_CASE(
+    "Streams go on at their software version after the loss of all routers and "
+    "of their runs") {
+  const std::uint64_t seed = 9;
+  Play play(250, 6, {"v1", "v1", "v2", "v2", "v1", "v1", "v2", "v2"}, seed,
+            {.max_resumptions = 1, .max_delay = seconds(3)});
+  play.breaks_streams = false;
+  for (int i = 0; i < 3; ++i) {
+    play.Run(seconds(2));
+    play.RestartAllRouters();
+  }
+  play.fleet.PlayUntilCallsEnd();
+  const Tally tally = TallyOf(play.fleet);
+  MESSAGE("seed ", seed, ": ", tally);
+  CheckOrder(tally);
+  CheckResumed(tally);
+}
+
 TEST_CASE("Paused routers join no streams of a software version they missed") {
   const std::uint64_t seed = 8;
   Play play(254, 6, {"v1", "v1", "v1", "v1"}, seed);
