Find a stream's version by the prompt parts that targets hold

A router that starts now also asks each target for the prompt parts that it holds. The last part of a prompt belongs to the request, and a resumption names it again. A version is taken as the writer if its targets alone hold that part, with more tokens than the prompt has, so that events were made there; a part at two versions, or at one that is unknown, is a conflict and refused. What was only read proves nothing. Questions that fail are asked again, targets that are listed late are asked too, and a router that starts alone asks while several versions serve. KeeperSelection, which both directories use, moves out of FleetStreamDirectory.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -292,10 +292,8 @@
     HandleOrigin({});
     return;
   }
-  StreamQuery query;
-  query.key =
-      id.empty() ? StreamKey() : StreamKey::Of(CustomerIdOf(scheduled_), id);
-  query.run_key = id.empty() ? StreamKey() : StreamKey::OfRun(id);
+  StreamQuery query =
+      StreamQuery::Of(CustomerIdOf(scheduled_), id, meta_.prompt);
   query.service = ServiceId::FromName(scheduled_.service);
   // Timeouts that single callers state must not change the limit for others
   // beyond the time for which streams are remembered.
@@ -336,7 +334,7 @@
   }
   scheduled_.service = share->service;
   scheduled_.required_version = origin.version;
-  scheduled_.was_admitted = origin.evidence != OriginEvidence::kOnlyVersion;
+  scheduled_.was_admitted = IsOfCustomer(origin.evidence);
   Dispatch();
 }
 
--- a/src/dataplane/stream_directory.h
+++ b/src/dataplane/stream_directory.h
@@ -7,10 +7,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
+#include <vector>
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
+#include "model/request.h"
 
 namespace corianderpost {
 
@@ -29,6 +32,11 @@
     constexpr std::uint64_t kSeed = std::uint64_t{1} << 32;
     return {XXH64(request_id.data(), request_id.size(), kSeed)};
   }
+  // Returns the key of a prompt part that targets of a service hold.
+  static StreamKey OfPart(ServiceId service, std::uint64_t part) {
+    constexpr std::uint64_t kSeed = std::uint64_t{2} << 32;
+    return {XXH64(&part, sizeof(part), kSeed | service.value())};
+  }
   friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
 };
 
@@ -61,6 +69,9 @@
   // No record, but the service has had only one version since the stream may
   // have begun.
   kOnlyVersion,
+  // No record, but when the fleet started, targets of only one version held the
+  // request's own prompt part, with more tokens than the prompt has.
+  kHeldPart,
 };
 
 inline std::string_view ToString(OriginEvidence evidence) {
@@ -77,6 +88,8 @@
       return "target_run";
     case OriginEvidence::kOnlyVersion:
       return "only_version";
+    case OriginEvidence::kHeldPart:
+      return "held_part";
   }
   return "unknown";
 }
@@ -94,8 +107,32 @@
   friend bool operator==(const StreamOrigin&, const StreamOrigin&) = default;
 };
 
+// Whether the evidence is a record of this stream and its customer's, so that
+// the stream is known to have begun. Any caller can claim to resume a stream.
+inline bool IsOfCustomer(OriginEvidence evidence) {
+  return evidence != OriginEvidence::kOnlyVersion &&
+         evidence != OriginEvidence::kHeldPart;
+}
+
 // Which stream a caller resumes.
 struct StreamQuery {
+  // Returns the query for a stream of `customer` whose first event was received
+  // by request `id`, which may be empty. The prompt is that of the resumption;
+  // its last part belongs to the request.
+  static StreamQuery Of(CustomerId customer, std::string_view id,
+                        const std::vector<PromptPart>& prompt) {
+    StreamQuery query;
+    if (!id.empty()) {
+      query.key = StreamKey::Of(customer, id);
+      query.run_key = StreamKey::OfRun(id);
+      // Ids that can't be read are zero.
+      if (!prompt.empty() && prompt.back().id != 0) {
+        query.own_part = prompt.back();
+      }
+    }
+    return query;
+  }
+
   // Zero if the caller did not state a valid id; only `kOnlyVersion` can then
   // be found.
   StreamKey key;
@@ -105,6 +142,9 @@
   Duration max_age{0};
   // Key of the stream in the reports of targets; zero if `key` is.
   StreamKey run_key = {};
+  // The part of the prompt that belongs to the request; absent if the prompt is
+  // not known.
+  std::optional<PromptPart> own_part = std::nullopt;
   friend bool operator==(const StreamQuery&, const StreamQuery&) = default;
 };
 
--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -17,22 +17,12 @@
 
 // About 7 MB.
 constexpr std::size_t kMaxRecords = 32'768;
-// Peers that remember a stream beside the router where it began.
-constexpr std::size_t kKeepers = 2;
-// Routers of each zone that are asked for a record. The first ones may have
-// started after the record was sent.
-constexpr std::size_t kAskedPerZone = 3;
-// Routers that ask a target for its runs.
-constexpr std::size_t kAskersPerTarget = 2;
-// Bounds the messages and the memory of one search, and the searches.
-constexpr std::size_t kMaxAsked = 32;
+// Bounds the memory of searches.
 constexpr std::size_t kMaxSearches = 4096;
 // Requests are sent again after the first time. A search ends after the second
 // one, whether all routers have replied or not.
 constexpr Duration kResendAfter = milliseconds(100);
 constexpr Duration kSearchTime = milliseconds(250);
-// How long the list of live routers is used.
-constexpr Duration kZonesMaxAge = milliseconds(100);
 // Records that were not sent before are sent at this rate, newest first.
 constexpr std::size_t kMaxBatchesPerTick = 8;
 // A router asks peers for their knowledge of the past while its own doesn't
@@ -48,135 +38,30 @@
 // Bounds the memory for names in the log.
 constexpr std::size_t kMaxNames = 1024;
 
-std::uint32_t HashItem(const StreamKey& key) {
-  return static_cast<std::uint32_t>(key.value ^ (key.value >> 32));
-}
-
 }  // namespace
 
-FleetStreamDirectory::FleetStreamDirectory(RouterInfo self, const Clock& clock,
+FleetStreamDirectory::FleetStreamDirectory(const RouterInfo& self,
+                                           const Clock& clock,
                                            StreamPeers& peers,
                                            internal::Metrics& metrics,
                                            std::function<void()> on_new_version)
-    : self_(std::move(self)),
-      clock_(clock),
+    : clock_(clock),
       peers_(peers),
       metrics_(metrics),
       on_new_version_(std::move(on_new_version)),
+      keepers_(self, peers),
+      held_parts_(keepers_,
+                  [this](const std::string& vm, const StreamMessage& message) {
+                    Send(vm, message);
+                  }),
       records_(kMaxRecords),
       next_request_id_(static_cast<std::uint32_t>(clock.WallMicros())),
       history_interval_(kMinHistoryInterval) {}
 
-void FleetStreamDirectory::RefreshZones(TimePoint now) {
-  if (zones_refreshed_at_ != TimePoint::min() &&
-      now - zones_refreshed_at_ < kZonesMaxAge) {
-    return;
-  }
-  zones_refreshed_at_ = now;
-  live_peers_.clear();
-  std::vector<RouterInfo> routers = peers_.LiveRouters(now);
-  for (const RouterInfo& it : routers) {
-    live_peers_.push_back(it.vm);
-  }
-  routers.push_back(self_);
-  std::map<std::string, Zone> zones;
-  for (const RouterInfo& it : routers) {
-    Zone& zone = zones[it.zone];
-    zone.name = it.zone;
-    zone.is_in_local_region = it.region == self_.region;
-    zone.routers.push_back({it.vm, VmId::FromName(it.vm)});
-  }
-  zones_.clear();
-  for (auto& [name, zone] : zones) {
-    zone.id = VmId::FromName(name).value();
-    zones_.push_back(std::move(zone));
-  }
-}
-
-std::vector<std::string> FleetStreamDirectory::Candidates(
-    const Zone& zone, const StreamKey& key, std::size_t count) const {
-  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
-  for (const Router& it : zone.routers) {
-    ranked.emplace_back(RendezvousWeight(it.id.value(), HashItem(key)), &it.vm);
-  }
-  const std::size_t n = std::min(count, ranked.size());
-  std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
-      ranked.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<std::string> vms;
-  for (std::size_t i = 0; i < n; ++i) {
-    vms.push_back(*ranked[i].second);
-  }
-  return vms;
-}
-
-std::vector<std::string> FleetStreamDirectory::Keepers(
-    const StreamKey& key) const {
-  // Other zones before this one, those of this region first.
-  std::vector<const Zone*> ranked;
-  for (const Zone& it : zones_) {
-    ranked.push_back(&it);
-  }
-  const auto rank = [&](const Zone& zone) {
-    return std::tuple(zone.name != self_.zone, zone.is_in_local_region,
-                      RendezvousWeight(zone.id, HashItem(key)));
-  };
-  std::sort(ranked.begin(), ranked.end(),
-            [&](const Zone* a, const Zone* b) { return rank(*a) > rank(*b); });
-  std::vector<std::string> keepers;
-  for (const Zone* zone : ranked) {
-    const bool is_local = zone->name == self_.zone;
-    for (const std::string& it :
-         Candidates(*zone, key, is_local ? kKeepers + 1 : 1)) {
-      if (it != self_.vm && keepers.size() < kKeepers) {
-        keepers.push_back(it);
-      }
-    }
-  }
-  return keepers;
-}
-
-void FleetStreamDirectory::AddPossibleKeepers(
-    const StreamKey& key, std::set<std::string>& keepers) const {
-  std::vector<const Zone*> ranked;
-  for (const Zone& it : zones_) {
-    ranked.push_back(&it);
-  }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const Zone* a, const Zone* b) {
-                     return a->is_in_local_region > b->is_in_local_region;
-                   });
-  std::size_t added = 0;
-  for (const Zone* zone : ranked) {
-    for (const std::string& it : Candidates(*zone, key, kAskedPerZone)) {
-      if (it != self_.vm && added < kMaxAsked) {
-        keepers.insert(it);
-        ++added;
-      }
-    }
-  }
-}
-
-bool FleetStreamDirectory::IsAsker(TimePoint now,
-                                   const std::string& target_id) {
-  RefreshZones(now);
-  const std::uint32_t target = TargetId::FromName(target_id).value();
-  const auto weight_of = [target](const std::string& vm) {
-    return RendezvousWeight(VmId::FromName(vm).value(), target);
-  };
-  const std::uint64_t own_weight = weight_of(self_.vm);
-  return static_cast<std::size_t>(
-             std::count_if(live_peers_.begin(), live_peers_.end(),
-                           [&](const std::string& it) {
-                             return weight_of(it) > own_weight;
-                           })) < kAskersPerTarget;
-}
-
 void FleetStreamDirectory::RecordRuns(
     const TargetEntry& target, const std::vector<std::string>& request_ids) {
   const TimePoint now = clock_.Now();
-  RefreshZones(now);
+  keepers_.Refresh(now);
   std::map<std::string, StreamBatch> batches;
   for (const std::string& request_id : request_ids) {
     const BegunStream stream = {StreamKey::OfRun(request_id),
@@ -189,7 +74,7 @@
       continue;
     }
     records_.Add(stream, now);
-    for (const std::string& it : Keepers(stream.key)) {
+    for (const std::string& it : keepers_.Keepers(stream.key)) {
       StreamBatch& batch = batches[it];
       batch.streams.push_back({stream, Duration(0)});
       if (batch.streams.size() >= kMaxStreamsPerBatch) {
@@ -252,8 +137,8 @@
     unsent_[stream.service].push_back({stream.key, now});
     return;
   }
-  RefreshZones(now);
-  for (const std::string& it : Keepers(stream.key)) {
+  keepers_.Refresh(now);
+  for (const std::string& it : keepers_.Keepers(stream.key)) {
     Send(it, StreamBatch{{{stream, Duration(0)}}});
   }
 }
@@ -265,7 +150,7 @@
     if (streams.empty() || IsProvable(now, service)) {
       continue;
     }
-    RefreshZones(now);
+    keepers_.Refresh(now);
     while (!streams.empty() &&
            count < kMaxBatchesPerTick * kMaxStreamsPerBatch) {
       const StreamRecord* record = records_.Find(now, streams.back().key);
@@ -273,7 +158,7 @@
       if (record == nullptr || record->is_conflict) {
         continue;
       }
-      for (const std::string& it : Keepers(record->stream.key)) {
+      for (const std::string& it : keepers_.Keepers(record->stream.key)) {
         StreamBatch& batch = batches[it];
         batch.streams.push_back({record->stream, now - record->begun_at});
         ++count;
@@ -358,12 +243,12 @@
   Search search{
       query, std::move(callback), {}, now + kResendAfter, now + kSearchTime};
   if (query.key.value != 0 && searches_.size() < kMaxSearches) {
-    RefreshZones(now);
-    AddPossibleKeepers(query.key, search.asked);
-    AddPossibleKeepers(query.run_key, search.asked);
+    keepers_.Refresh(now);
+    keepers_.AddPossibleKeepers(query.key, search.asked);
+    keepers_.AddPossibleKeepers(query.run_key, search.asked);
   }
   if (search.asked.empty()) {
-    search.callback(OriginWithoutRecord(now, query));
+    Resolve(now, query, OriginWithoutRecord(now, query), search.callback);
     return;
   }
   const std::uint32_t request_id = ++next_request_id_;
@@ -381,8 +266,34 @@
 void FleetStreamDirectory::EndSearch(std::uint32_t request_id,
                                      const StreamOrigin& origin) {
   // The callback may start another search.
-  auto search = searches_.extract(request_id);
-  search.mapped().callback(origin);
+  const auto search = searches_.extract(request_id);
+  Resolve(clock_.Now(), search.mapped().query, origin,
+          search.mapped().callback);
+}
+
+void FleetStreamDirectory::Resolve(TimePoint now, const StreamQuery& query,
+                                   const StreamOrigin& origin,
+                                   const OriginCallback& callback) {
+  if (origin.evidence != OriginEvidence::kNone || query.key.value == 0 ||
+      !query.own_part) {
+    callback(origin);
+    return;
+  }
+  const std::int64_t prompt_tokens = query.own_part->tokens;
+  held_parts_.Find(now, StreamKey::OfPart(query.service, query.own_part->id),
+                   [origin, callback,
+                    prompt_tokens](const std::optional<PartHolder>& holder) {
+                     StreamOrigin found = origin;
+                     if (holder && holder->is_conflict) {
+                       found.evidence = OriginEvidence::kConflict;
+                     } else if (const auto version =
+                                    holder ? WriterOf(*holder, prompt_tokens)
+                                           : std::nullopt) {
+                       found.evidence = OriginEvidence::kHeldPart;
+                       found.version = *version;
+                     }
+                     callback(found);
+                   });
 }
 
 void FleetStreamDirectory::EndWithoutRecord(TimePoint now,
@@ -515,6 +426,23 @@
   history_.MergeCoverage(now, reply.coverage);
 }
 
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const HeldPartBatch& batch) {
+  static_cast<void>(from);
+  held_parts_.Handle(now, batch);
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const HeldPartRequest& request) {
+  held_parts_.Handle(now, from, request);
+}
+
+void FleetStreamDirectory::Handle(TimePoint now, const std::string& from,
+                                  const HeldPartReply& reply) {
+  static_cast<void>(now);
+  held_parts_.Handle(from, reply);
+}
+
 void FleetStreamDirectory::RequestHistory(TimePoint now) {
   if (history_.Coverage(now) >= max_stream_age_ + kCoverageMargin) {
     history_interval_ = kMinHistoryInterval;
@@ -523,17 +451,18 @@
   if (now < next_history_request_at_ || !history_.IsFresh(now)) {
     return;
   }
-  RefreshZones(now);
-  if (live_peers_.empty()) {
+  keepers_.Refresh(now);
+  if (keepers_.live_peers().empty()) {
     return;
   }
   next_history_request_at_ = now + history_interval_;
   history_interval_ = std::min(2 * history_interval_, kMaxHistoryInterval);
   history_request_id_ = ++next_request_id_;
-  const std::size_t n = std::min(kHistoryPeers, live_peers_.size());
+  const std::size_t n = std::min(kHistoryPeers, keepers_.live_peers().size());
   for (std::size_t i = 0; i < n; ++i) {
     // Others each time.
-    Send(live_peers_[(history_request_id_ * n + i) % live_peers_.size()],
+    Send(keepers_.live_peers()[(history_request_id_ * n + i) %
+                               keepers_.live_peers().size()],
          HistoryRequest{history_request_id_});
   }
 }
@@ -555,6 +484,7 @@
   for (const std::uint32_t request_id : ended) {
     EndWithoutRecord(now, request_id);
   }
+  held_parts_.Tick(now);
   LogVersions(now);
   SendUnsent(now);
   RequestHistory(now);
@@ -574,6 +504,8 @@
   }
   metrics_.SetGauge("corianderpost_stream_records",
                     static_cast<double>(records_.size()));
+  metrics_.SetGauge("corianderpost_held_part_records",
+                    static_cast<double>(held_parts_.size()));
   metrics_.IncrementCounter("corianderpost_stream_record_evictions_total", "",
                             records_.eviction_count() - reported_evictions_);
   reported_evictions_ = records_.eviction_count();
--- a/src/peers/fleet_stream_directory.h
+++ b/src/peers/fleet_stream_directory.h
@@ -5,7 +5,9 @@
 // long as a service has had only one version in use, that proves where a stream
 // began. Otherwise routers also send each record to two peers in other zones,
 // chosen by rendezvous hashing, before the first event is passed on. A router
-// at which a stream is resumed asks the peers that may have been chosen.
+// at which a stream is resumed asks the peers that may have been chosen. After
+// the loss of all of them, the targets' runs and the prompt parts that they
+// hold show it (`HeldPartDirectory`).
 #ifndef CORIANDERPOST_PEERS_FLEET_STREAM_DIRECTORY_H_
 #define CORIANDERPOST_PEERS_FLEET_STREAM_DIRECTORY_H_
 
@@ -27,30 +29,23 @@
 #include "dataplane/stream_directory.h"
 #include "decisions/stream_records.h"
 #include "decisions/version_history.h"
+#include "peers/held_part_directory.h"
+#include "peers/keeper_selection.h"
 #include "peers/peer_report.h"
 #include "peers/stream_message.h"
+#include "peers/stream_peers.h"
 #include "runtime/metrics.h"
 
 namespace corianderpost {
 
-// The other routers, as the directory reaches them.
-class StreamPeers {
- public:
-  virtual ~StreamPeers() = default;
-  // Returns the live routers except this one.
-  virtual std::vector<RouterInfo> LiveRouters(TimePoint now) const = 0;
-  // Sends a datagram, which may be lost, to the router at IPv4 address `vm`.
-  virtual void SendMessage(const std::string& vm, const std::string& bytes) = 0;
-};
-
 // Used from the event loop only.
 class FleetStreamDirectory final : public StreamDirectory {
  public:
   // `on_new_version` is called when a service is first known to have several
   // versions in use, or one more. `clock`, `peers` and `metrics` must outlive
   // the directory.
-  FleetStreamDirectory(RouterInfo self, const Clock& clock, StreamPeers& peers,
-                       internal::Metrics& metrics,
+  FleetStreamDirectory(const RouterInfo& self, const Clock& clock,
+                       StreamPeers& peers, internal::Metrics& metrics,
                        std::function<void()> on_new_version);
 
   void RecordBegun(const BegunStream& stream) override;
@@ -79,7 +74,22 @@
     return history_.Coverage(now) == Duration(0);
   }
   // Whether this router is one of those that are to ask a target for its runs.
-  bool IsAsker(TimePoint now, const std::string& target_id);
+  bool IsAsker(TimePoint now, const std::string& target_id) {
+    keepers_.Refresh(now);
+    return keepers_.IsAsker(target_id);
+  }
+  // Whether streams may have begun of which only the targets know: nobody knows
+  // the past, or a router that has started may have kept the record of a stream
+  // of a service with several versions.
+  bool NeedsTargets(TimePoint now) const {
+    return LacksHistory(now) || !history_.MixedUses(now).empty();
+  }
+  // Records the prompt parts that a target holds, and sends the records to
+  // peers.
+  void RecordHeldParts(const TargetEntry& target,
+                       const std::vector<PromptPart>& parts) {
+    held_parts_.RecordHeld(clock_.Now(), target, parts);
+  }
   // Records streams of which a target reports to have made events, and sends
   // the records to peers.
   void RecordRuns(const TargetEntry& target,
@@ -100,17 +110,6 @@
   void Tick(TimePoint now);
 
  private:
-  struct Router {
-    std::string vm;
-    VmId id;
-  };
-  struct Zone {
-    std::string name;
-    std::uint32_t id = 0;
-    bool is_in_local_region = false;
-    // The routers of the zone, including this one.
-    std::vector<Router> routers;
-  };
   // A search that waits for replies.
   struct Search {
     StreamQuery query;
@@ -128,16 +127,6 @@
     TimePoint begun_at;
   };
 
-  void RefreshZones(TimePoint now);
-  // Returns the best routers of the zone for `key`, at most `count`.
-  std::vector<std::string> Candidates(const Zone& zone, const StreamKey& key,
-                                      std::size_t count) const;
-  // Returns the peers that are to remember a stream that began here.
-  std::vector<std::string> Keepers(const StreamKey& key) const;
-  // Adds the peers that may have been chosen to remember a stream.
-  void AddPossibleKeepers(const StreamKey& key,
-                          std::set<std::string>& keepers) const;
-
   void Send(const std::string& vm, const StreamMessage& message);
   // Whether peers can find the version that began a stream of the service
   // without its record.
@@ -155,6 +144,9 @@
   // that there is none.
   StreamOrigin OriginWithoutRecord(TimePoint now,
                                    const StreamQuery& query) const;
+  // Ends a query with `origin`, or if that is unknown, with what targets hold.
+  void Resolve(TimePoint now, const StreamQuery& query,
+               const StreamOrigin& origin, const OriginCallback& callback);
   void Ask(Search& search, std::uint32_t request_id);
   void EndSearch(std::uint32_t request_id, const StreamOrigin& origin);
   // Ends a search in which no peer has sent a record.
@@ -175,13 +167,20 @@
               const HistoryRequest& request);
   void Handle(TimePoint now, const std::string& from,
               const HistoryReply& reply);
+  void Handle(TimePoint now, const std::string& from,
+              const HeldPartBatch& batch);
+  void Handle(TimePoint now, const std::string& from,
+              const HeldPartRequest& request);
+  void Handle(TimePoint now, const std::string& from,
+              const HeldPartReply& reply);
 
-  const RouterInfo self_;
   const Clock& clock_;
   StreamPeers& peers_;
   internal::Metrics& metrics_;
   const std::function<void()> on_new_version_;
   Duration max_stream_age_ = kStreamRetention;
+  KeeperSelection keepers_;
+  HeldPartDirectory held_parts_;
   StreamRecords records_;
   VersionHistory history_;
   TimePoint ticked_at_;
@@ -191,10 +190,6 @@
   std::map<ServiceId, std::deque<UnsentStream>> unsent_;
   std::uint32_t next_request_id_;
   std::map<std::uint32_t, Search> searches_;
-  // Live routers by zone, those of this region first.
-  std::vector<Zone> zones_;
-  std::vector<std::string> live_peers_;
-  TimePoint zones_refreshed_at_ = TimePoint::min();
   std::uint32_t history_request_id_ = 0;
   TimePoint next_history_request_at_;
   Duration history_interval_;
--- a/src/peers/stream_message.cc
+++ b/src/peers/stream_message.cc
@@ -13,13 +13,17 @@
 constexpr std::uint8_t kMessageTag = 83;
 constexpr std::uint8_t kFormatVersion = 1;
 // Kinds, in the order of the alternatives of `StreamMessage`.
-constexpr std::uint8_t kKindCount = 5;
+constexpr std::uint8_t kKindCount = 8;
 // Tag, format version and kind.
 constexpr std::size_t kHeaderFields = 3;
 constexpr std::size_t kFieldsPerStream = 7;
 // Those before the stream, which may be absent.
 constexpr std::size_t kFieldsPerOriginReply = 4;
 constexpr std::size_t kFieldsPerUse = 3;
+constexpr std::size_t kFieldsPerPart = 2;
+// Those before the holder, which may be absent.
+constexpr std::size_t kFieldsPerHeldPartReply = 1;
+constexpr std::size_t kFieldsPerHolder = 3;
 // Markers of MessagePack. Only these encodings are used, so that a message
 // needs no general decoder.
 constexpr std::uint8_t kArray16 = 0xdc;
@@ -190,6 +194,36 @@
   return out.Take();
 }
 
+std::string Encode(const StreamMessage& message, const HeldPartBatch& batch) {
+  Writer out(message, 1 + kFieldsPerPart * batch.parts.size());
+  out.Uint64(batch.version.value());
+  for (const HeldPartRecord& it : batch.parts) {
+    out.Uint64(it.key.value);
+    out.Int64(it.tokens);
+  }
+  return out.Take();
+}
+
+std::string Encode(const StreamMessage& message,
+                   const HeldPartRequest& request) {
+  Writer out(message, 2);
+  out.Uint32(request.request_id);
+  out.Uint64(request.key.value);
+  return out.Take();
+}
+
+std::string Encode(const StreamMessage& message, const HeldPartReply& reply) {
+  Writer out(message,
+             kFieldsPerHeldPartReply + (reply.holder ? kFieldsPerHolder : 0));
+  out.Uint32(reply.request_id);
+  if (reply.holder) {
+    out.Uint64(reply.holder->version.value());
+    out.Int64(reply.holder->tokens);
+    out.Flag(reply.holder->is_conflict);
+  }
+  return out.Take();
+}
+
 // Each decodes the `fields` elements that follow the header.
 StreamMessage DecodeBatch(Reader& in, std::size_t fields) {
   StreamBatch batch;
@@ -223,6 +257,30 @@
   return reply;
 }
 
+StreamMessage DecodeHeldPartBatch(Reader& in, std::size_t fields) {
+  HeldPartBatch batch;
+  batch.version = VersionId(in.Uint64());
+  for (std::size_t i = 1; i + kFieldsPerPart <= fields && in.is_valid();
+       i += kFieldsPerPart) {
+    const StreamKey key = {in.Uint64()};
+    batch.parts.push_back({key, in.Int64()});
+  }
+  return batch;
+}
+
+StreamMessage DecodeHeldPartReply(Reader& in, std::size_t fields) {
+  HeldPartReply reply;
+  reply.request_id = in.Uint32();
+  if (fields > kFieldsPerHeldPartReply) {
+    PartHolder holder;
+    holder.version = VersionId(in.Uint64());
+    holder.tokens = in.Int64();
+    holder.is_conflict = in.Fixint() != 0;
+    reply.holder = holder;
+  }
+  return reply;
+}
+
 StreamMessage DecodeFields(Reader& in, std::uint8_t kind, std::size_t fields) {
   switch (kind) {
     case 0:
@@ -240,8 +298,18 @@
       return DecodeOriginReply(in, fields);
     case 3:
       return HistoryRequest{in.Uint32()};
-    default:
+    case 4:
       return DecodeHistoryReply(in, fields);
+    case 5:
+      return DecodeHeldPartBatch(in, fields);
+    case 6: {
+      HeldPartRequest request;
+      request.request_id = in.Uint32();
+      request.key = {in.Uint64()};
+      return request;
+    }
+    default:
+      return DecodeHeldPartReply(in, fields);
   }
 }
 
@@ -279,8 +347,9 @@
 
 std::string_view KindOf(const StreamMessage& message) {
   constexpr std::string_view kKinds[kKindCount] = {
-      "streams", "origin_request", "origin_reply", "history_request",
-      "history_reply"};
+      "streams",           "origin_request", "origin_reply",
+      "history_request",   "history_reply",  "held_parts",
+      "held_part_request", "held_part_reply"};
   return kKinds[message.index()];
 }
 
--- a/src/peers/stream_message.h
+++ b/src/peers/stream_message.h
@@ -14,6 +14,7 @@
 #include "absl/status/statusor.h"
 #include "corianderpost/clock.h"
 #include "dataplane/stream_directory.h"
+#include "decisions/held_part_records.h"
 #include "decisions/version_history.h"
 
 namespace corianderpost {
@@ -72,11 +73,46 @@
   friend bool operator==(const HistoryReply&, const HistoryReply&) = default;
 };
 
-using StreamMessage = std::variant<StreamBatch, OriginRequest, OriginReply,
-                                   HistoryRequest, HistoryReply>;
+// The most tokens that a target holds of a prompt part.
+struct HeldPartRecord {
+  StreamKey key;
+  std::int64_t tokens = 0;
+  friend bool operator==(const HeldPartRecord&,
+                         const HeldPartRecord&) = default;
+};
+
+// Prompt parts held by a target that the receiver is asked to remember.
+struct HeldPartBatch {
+  VersionId version;
+  std::vector<HeldPartRecord> parts;
+  friend bool operator==(const HeldPartBatch&, const HeldPartBatch&) = default;
+};
+
+// Asks which version's targets hold a prompt part.
+struct HeldPartRequest {
+  std::uint32_t request_id = 0;
+  StreamKey key;
+  friend bool operator==(const HeldPartRequest&,
+                         const HeldPartRequest&) = default;
+};
+
+struct HeldPartReply {
+  std::uint32_t request_id = 0;
+  // Absent if the sender knows of no target that holds the part.
+  std::optional<PartHolder> holder;
+  friend bool operator==(const HeldPartReply&, const HeldPartReply&) = default;
+};
+
+// Routers of earlier versions know the first five kinds only. They ignore the
+// others.
+using StreamMessage =
+    std::variant<StreamBatch, OriginRequest, OriginReply, HistoryRequest,
+                 HistoryReply, HeldPartBatch, HeldPartRequest, HeldPartReply>;
 
-// Streams in one batch, so that it fits into one packet of the network.
+// Streams and parts in one batch, so that it fits into one packet of the
+// network.
 inline constexpr std::size_t kMaxStreamsPerBatch = 24;
+inline constexpr std::size_t kMaxPartsPerBatch = 72;
 
 // Returns whether a datagram is meant as a stream message rather than as a peer
 // report.
--- a/src/peers/stream_message_test.cc
+++ b/src/peers/stream_message_test.cc
@@ -35,7 +35,13 @@
       HistoryReply{8,
                    seconds(61),
                    {{ServiceId::FromName("chat"), VersionId(), seconds(1)},
-                    {ServiceId::FromName("chat"), VersionId(9), Duration(0)}}}};
+                    {ServiceId::FromName("chat"), VersionId(9), Duration(0)}}},
+      HeldPartBatch{VersionId::FromName("1.0"), {{{1}, 0}, {{2}, 39'600}}},
+      HeldPartBatch{},
+      HeldPartRequest{9, {77}},
+      HeldPartReply{10, std::nullopt},
+      HeldPartReply{11, PartHolder{VersionId::FromName("1.0"), 512, false}},
+      HeldPartReply{12, PartHolder{VersionId(), 512, true}}};
 }
 
 TEST_CASE("A decoded stream message equals the encoded one") {
--- a/src/router/deployment.h
+++ b/src/router/deployment.h
@@ -7,11 +7,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "dataplane/dialect.h"
 #include "model/configuration.h"
+#include "model/request.h"
 #include "model/store_batch.h"
 #include "model/target.h"
 #include "peers/store_reader.h"
@@ -67,6 +70,9 @@
   friend bool operator==(const TargetRuns&, const TargetRuns&) = default;
 };
 
+// A prompt part that a target holds, with the tokens that it holds of it.
+using HeldParts = std::vector<PromptPart>;
+
 // A change of one store item, decoded.
 using FleetChange =
     std::variant<ConfigurationWritten, ZoneChanged, TargetListed, TargetRemoved,
@@ -90,6 +96,11 @@
   // Returns InvalidArgumentError if `body` is not such a report.
   virtual absl::StatusOr<TargetRuns> DecodeTargetRuns(
       std::string_view body) const = 0;
+  // Path at which a target lists the prompt parts that it holds.
+  virtual std::string held_parts_path() const = 0;
+  // Returns InvalidArgumentError if `body` is not such a list.
+  virtual absl::StatusOr<HeldParts> DecodeHeldParts(
+      std::string_view body) const = 0;
   // Starts to decode a version of the configuration. Decoding is faster if
   // `previous`, which may be null, has routes in common with it.
   virtual std::unique_ptr<ConfigurationDecoding> StartDecoding(
--- a/src/router/target_survey.cc
+++ b/src/router/target_survey.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstddef>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 #include "runtime/json_log.h"
@@ -15,72 +14,96 @@
 using internal::Log;
 using internal::LogLevel;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 // Time for peers to tell a router that has started what they know.
 constexpr Duration kPeerDiscoveryTime = milliseconds(75);
+// Targets that are listed late, or don't answer, are asked for this long.
+constexpr Duration kSurveyTime = seconds(5);
+constexpr Duration kRoundInterval = milliseconds(250);
 constexpr Duration kTimeout = milliseconds(500);
+constexpr int kMaxAttempts = 4;
 constexpr std::size_t kMaxAskedTargets = 64;
 // Bounds the length of a log line.
 constexpr std::size_t kMaxLoggedRequests = 32;
+constexpr char kAnswered[] = "answered";
 
 }  // namespace
 
+std::set<std::string> TargetSurvey::ResumableServices(
+    const Configuration& configuration) {
+  std::set<std::string> services;
+  for (const auto& route : configuration.routes()) {
+    if (route->kind == RequestKind::kStreaming && route->is_resumable) {
+      for (const TrafficShare& it : route->split) {
+        services.insert(it.service);
+      }
+    }
+  }
+  return services;
+}
+
 void TargetSurvey::Tick(TimePoint now, const Configuration& configuration,
                         const TargetTable& targets) {
-  if (has_asked_) {
-    return;
-  }
   if (!first_tick_at_) {
     first_tick_at_ = now;
+    next_round_at_ = now + kPeerDiscoveryTime;
   }
-  if (now - *first_tick_at_ < kPeerDiscoveryTime) {
+  if (now < next_round_at_ || now - *first_tick_at_ > kSurveyTime) {
     return;
   }
-  has_asked_ = true;
-  if (!directory_.LacksHistory(now)) {
+  next_round_at_ = now + kRoundInterval;
+  if (!directory_.NeedsTargets(now)) {
     return;
   }
-  std::set<std::string> services;
-  for (const auto& route : configuration.routes()) {
-    if (route->kind == RequestKind::kStreaming && route->is_resumable) {
-      for (const TrafficShare& it : route->split) {
-        services.insert(it.service);
-      }
-    }
-  }
+  const std::set<std::string> services = ResumableServices(configuration);
   std::size_t count = 0;
   for (const auto& [id, target] : targets.targets()) {
-    if (services.contains(target.entry.service) &&
-        directory_.IsAsker(now, id) && count < kMaxAskedTargets) {
+    const TargetEntry& entry = target.entry;
+    if (!services.contains(entry.service) || !directory_.IsAsker(now, id)) {
+      continue;
+    }
+    const auto it = questions_.find(id);
+    if (it == questions_.end() && questions_.size() >= kMaxAskedTargets) {
+      continue;
+    }
+    Question& question = questions_[id];
+    if (question.incarnation != entry.incarnation) {
+      question = {.incarnation = entry.incarnation};
+    }
+    if (!question.is_open && !question.is_answered &&
+        question.attempts < kMaxAttempts) {
+      ++question.attempts;
+      question.is_open = true;
       ++count;
-      Ask(target.entry);
+      AskForRuns(entry);
     }
   }
-  Log(LogLevel::kInfo, "asking targets which streams they run",
-      {{"targets", count}});
+  if (count > 0) {
+    Log(LogLevel::kInfo, "asking targets which streams they run",
+        {{"targets", count}});
+  }
 }
 
-void TargetSurvey::Ask(const TargetEntry& entry) {
+void TargetSurvey::AskForRuns(const TargetEntry& entry) {
   fetcher_.Get(
       entry.address, deployment_.target_runs_path(),
       {kTimeout, kTimeout, kTimeout}, [this, entry](const FetchResult& result) {
         if (result.status != 200) {
-          ReportResult(entry, result, "no_answer");
+          EndQuestion(entry, result, "no_answer");
           return;
         }
         const auto runs = deployment_.DecodeTargetRuns(result.body);
         if (!runs.ok()) {
-          ReportResult(entry, result, "malformed");
+          EndQuestion(entry, result, "malformed");
           return;
         }
         if (runs->incarnation != entry.incarnation) {
           // Another run of the target may have another version than its entry.
-          ReportResult(entry, result, "restarted");
+          EndQuestion(entry, result, "restarted");
           return;
         }
         directory_.RecordRuns(entry, runs->begun_streams);
-        metrics_.IncrementCounter("corianderpost_target_surveys_total",
-                                  "verdict=\"answered\"");
         nlohmann::json requests = nlohmann::json::array();
         for (std::size_t i = 0;
              i < std::min(runs->begun_streams.size(), kMaxLoggedRequests);
@@ -92,20 +115,51 @@
              {"version", entry.version},
              {"streams", runs->begun_streams.size()},
              {"requests", std::move(requests)}});
+        AskForHeldParts(entry);
       });
 }
 
-void TargetSurvey::ReportResult(const TargetEntry& entry,
-                                const FetchResult& result,
-                                const std::string& verdict) {
+void TargetSurvey::AskForHeldParts(const TargetEntry& entry) {
+  fetcher_.Get(
+      entry.address, deployment_.held_parts_path(),
+      {kTimeout, kTimeout, kTimeout}, [this, entry](const FetchResult& result) {
+        if (result.status != 200) {
+          EndQuestion(entry, result, "no_held_parts");
+          return;
+        }
+        const auto parts = deployment_.DecodeHeldParts(result.body);
+        if (!parts.ok()) {
+          EndQuestion(entry, result, "malformed_held_parts");
+          return;
+        }
+        directory_.RecordHeldParts(entry, *parts);
+        Log(LogLevel::kInfo, "target reports the prompt parts that it holds",
+            {{"target", entry.id},
+             {"version", entry.version},
+             {"parts", parts->size()},
+             {"bytes", result.body.size()}});
+        EndQuestion(entry, result, kAnswered);
+      });
+}
+
+void TargetSurvey::EndQuestion(const TargetEntry& entry,
+                               const FetchResult& result,
+                               const std::string& verdict) {
   metrics_.IncrementCounter("corianderpost_target_surveys_total",
                             "verdict=\"" + verdict + "\"");
-  Log(LogLevel::kWarning, "target did not report the streams that it runs",
-      {{"target", entry.id},
-       {"version", entry.version},
-       {"verdict", verdict},
-       {"status", result.status},
-       {"after_ms", (result.ended_at - result.called_at) / milliseconds(1)}});
+  Question& question = questions_[entry.id];
+  if (question.incarnation == entry.incarnation) {
+    question.is_open = false;
+    question.is_answered = verdict == kAnswered;
+  }
+  if (verdict != kAnswered) {
+    Log(LogLevel::kWarning, "target did not report the streams that it runs",
+        {{"target", entry.id},
+         {"version", entry.version},
+         {"verdict", verdict},
+         {"status", result.status},
+         {"after_ms", (result.ended_at - result.called_at) / milliseconds(1)}});
+  }
 }
 
 }  // namespace corianderpost
--- a/src/router/target_survey.h
+++ b/src/router/target_survey.h
@@ -1,12 +1,15 @@
 // Asks targets what they know of the streams of routers that have stopped.
 //
-// After the loss of all routers, only the targets know at which of them a
-// stream began.
+// After the loss of all routers, or of those that kept the record of a stream,
+// only the targets know which software version began it: by the runs that go
+// on, and by the prompt parts that they still hold of those that have ended.
 #ifndef CORIANDERPOST_ROUTER_TARGET_SURVEY_H_
 #define CORIANDERPOST_ROUTER_TARGET_SURVEY_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "corianderpost/clock.h"
@@ -37,17 +40,32 @@
             const TargetTable& targets);
 
  private:
-  void Ask(const TargetEntry& entry);
-  // Logs and counts what became of a question.
-  void ReportResult(const TargetEntry& entry, const FetchResult& result,
-                    const std::string& verdict);
+  // What this router has asked one target.
+  struct Question {
+    std::int64_t incarnation = 0;
+    int attempts = 0;
+    bool is_open = false;
+    bool is_answered = false;
+  };
+
+  // Returns the services that streams which callers may resume go to.
+  static std::set<std::string> ResumableServices(
+      const Configuration& configuration);
+  // Asks for the runs of a target, and then for the parts that it holds.
+  void AskForRuns(const TargetEntry& entry);
+  void AskForHeldParts(const TargetEntry& entry);
+  // Records, logs and counts what became of a question.
+  void EndQuestion(const TargetEntry& entry, const FetchResult& result,
+                   const std::string& verdict);
 
   Fetcher& fetcher_;
   const Deployment& deployment_;
   FleetStreamDirectory& directory_;
   internal::Metrics& metrics_;
   std::optional<TimePoint> first_tick_at_;
-  bool has_asked_ = false;
+  TimePoint next_round_at_;
+  // By target id.
+  std::map<std::string, Question> questions_;
 };
 
 }  // namespace corianderpost
