Bound the processor time of asking targets

A call now ranks at most 64 targets, those that have answered are left out, and 64 questions at a time replace the limit of 64 targets, after which the others were never asked.

--- a/src/router/target_survey.cc
+++ b/src/router/target_survey.cc
@@ -23,7 +23,12 @@
 constexpr Duration kRoundInterval = milliseconds(250);
 constexpr Duration kTimeout = milliseconds(500);
 constexpr int kMaxAttempts = 4;
-constexpr std::size_t kMaxAskedTargets = 64;
+constexpr std::size_t kMaxOpenQuestions = 64;
+// Bounds the processor time of one call: each target is ranked against all
+// routers.
+constexpr std::size_t kMaxTargetsPerTick = 64;
+// Time for the first questions of all routers to be answered, two calls each.
+constexpr Duration kAnswerTime = milliseconds(800);
 // Bounds the length of a log line.
 constexpr std::size_t kMaxLoggedRequests = 32;
 constexpr char kAnswered[] = "answered";
@@ -49,32 +54,31 @@
     first_tick_at_ = now;
     next_round_at_ = now + kPeerDiscoveryTime;
   }
-  if (now < next_round_at_ || now - *first_tick_at_ > kSurveyTime) {
+  if (now < next_round_at_ || now - *first_tick_at_ > kSurveyTime ||
+      !directory_.NeedsTargets(now)) {
     return;
   }
-  next_round_at_ = now + kRoundInterval;
-  if (!directory_.NeedsTargets(now)) {
-    return;
+  if (!has_begun_) {
+    has_begun_ = true;
+    directory_.SetHeldPartsReadyAt(now + kAnswerTime);
   }
   const std::set<std::string> services = ResumableServices(configuration);
   std::size_t count = 0;
-  for (const auto& [id, target] : targets.targets()) {
-    const TargetEntry& entry = target.entry;
-    if (!services.contains(entry.service) || !directory_.IsAsker(now, id)) {
-      continue;
-    }
-    const auto it = questions_.find(id);
-    if (it == questions_.end() && questions_.size() >= kMaxAskedTargets) {
-      continue;
-    }
-    Question& question = questions_[id];
-    if (question.incarnation != entry.incarnation) {
-      question = {.incarnation = entry.incarnation};
+  auto it = targets.targets().lower_bound(next_target_);
+  for (std::size_t i = 0; i < kMaxTargetsPerTick; ++i, ++it) {
+    if (it == targets.targets().end()) {
+      next_target_.clear();
+      next_round_at_ = now + kRoundInterval;
+      break;
     }
-    if (!question.is_open && !question.is_answered &&
-        question.attempts < kMaxAttempts) {
+    next_target_ = it->first + '\0';
+    const TargetEntry& entry = it->second.entry;
+    if (services.contains(entry.service) && IsDue(entry) &&
+        directory_.IsAsker(now, entry.id)) {
+      Question& question = questions_[entry.id];
       ++question.attempts;
       question.is_open = true;
+      ++open_count_;
       ++count;
       AskForRuns(entry);
     }
@@ -85,6 +89,17 @@
   }
 }
 
+bool TargetSurvey::IsDue(const TargetEntry& entry) {
+  const auto it = questions_.find(entry.id);
+  if (it == questions_.end() || it->second.incarnation != entry.incarnation) {
+    questions_[entry.id] = {.incarnation = entry.incarnation};
+    return open_count_ < kMaxOpenQuestions;
+  }
+  const Question& question = it->second;
+  return !question.is_open && !question.is_answered &&
+         question.attempts < kMaxAttempts && open_count_ < kMaxOpenQuestions;
+}
+
 void TargetSurvey::AskForRuns(const TargetEntry& entry) {
   fetcher_.Get(
       entry.address, deployment_.target_runs_path(),
@@ -147,6 +162,7 @@
                                const std::string& verdict) {
   metrics_.IncrementCounter("corianderpost_target_surveys_total",
                             "verdict=\"" + verdict + "\"");
+  --open_count_;
   Question& question = questions_[entry.id];
   if (question.incarnation == entry.incarnation) {
     question.is_open = false;
--- a/src/router/target_survey.h
+++ b/src/router/target_survey.h
@@ -6,6 +6,7 @@
 #ifndef CORIANDERPOST_ROUTER_TARGET_SURVEY_H_
 #define CORIANDERPOST_ROUTER_TARGET_SURVEY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -51,6 +52,8 @@
   // Returns the services that streams which callers may resume go to.
   static std::set<std::string> ResumableServices(
       const Configuration& configuration);
+  // Whether a target is to be asked, if this router is its asker.
+  bool IsDue(const TargetEntry& entry);
   // Asks for the runs of a target, and then for the parts that it holds.
   void AskForRuns(const TargetEntry& entry);
   void AskForHeldParts(const TargetEntry& entry);
@@ -64,6 +67,10 @@
   internal::Metrics& metrics_;
   std::optional<TimePoint> first_tick_at_;
   TimePoint next_round_at_;
+  bool has_begun_ = false;
+  // Where the round goes on.
+  std::string next_target_;
+  std::size_t open_count_ = 0;
   // By target id.
   std::map<std::string, Question> questions_;
 };
