Tighten what held prompt parts prove

Tokens are kept by version, and a version counts only with a token for each event that the caller received. The same rule excludes most attempts that ended before an event was passed on. - A search ended with what one of the peers said. It now needs replies of half of them. - Replies to the process before were taken, since request ids began at zero in each. They begin elsewhere and the reply repeats the key. - With 4,096 open searches a router answered from its own records. It now knows nothing then. - A number of tokens that can't be read was zero, so that every holder was a writer.

Open: a writer that is lost together with the routers, if an earlier request of the session had a prompt of the same length; see DESIGN.md.

--- a/src/dataplane/exchange.cc
+++ b/src/dataplane/exchange.cc
@@ -293,7 +293,8 @@
     return;
   }
   StreamQuery query =
-      StreamQuery::Of(CustomerIdOf(scheduled_), id, meta_.prompt);
+      StreamQuery::Of(CustomerIdOf(scheduled_), id, meta_.prompt,
+                      ParseEventNumber(meta_.last_event_id).value_or(1));
   query.service = ServiceId::FromName(scheduled_.service);
   // Timeouts that single callers state must not change the limit for others
   // beyond the time for which streams are remembered.
@@ -334,7 +335,7 @@
   }
   scheduled_.service = share->service;
   scheduled_.required_version = origin.version;
-  scheduled_.was_admitted = IsOfCustomer(origin.evidence);
+  scheduled_.was_admitted = ShowsBegunRequest(origin.evidence);
   Dispatch();
 }
 
--- a/src/dataplane/stream_directory.h
+++ b/src/dataplane/stream_directory.h
@@ -70,7 +70,7 @@
   // have begun.
   kOnlyVersion,
   // No record, but when the fleet started, targets of only one version held the
-  // request's own prompt part, with more tokens than the prompt has.
+  // request's own prompt part, with tokens of events that the caller received.
   kHeldPart,
 };
 
@@ -107,9 +107,9 @@
   friend bool operator==(const StreamOrigin&, const StreamOrigin&) = default;
 };
 
-// Whether the evidence is a record of this stream and its customer's, so that
-// the stream is known to have begun. Any caller can claim to resume a stream.
-inline bool IsOfCustomer(OriginEvidence evidence) {
+// Whether the evidence shows that a request with the id that the caller states
+// has begun. Any caller can claim to resume a stream.
+inline bool ShowsBegunRequest(OriginEvidence evidence) {
   return evidence != OriginEvidence::kOnlyVersion &&
          evidence != OriginEvidence::kHeldPart;
 }
@@ -119,15 +119,19 @@
   // Returns the query for a stream of `customer` whose first event was received
   // by request `id`, which may be empty. The prompt is that of the resumption;
   // its last part belongs to the request.
+  // `events` is the number of events that the caller received.
   static StreamQuery Of(CustomerId customer, std::string_view id,
-                        const std::vector<PromptPart>& prompt) {
+                        const std::vector<PromptPart>& prompt,
+                        std::int64_t events) {
     StreamQuery query;
     if (!id.empty()) {
       query.key = StreamKey::Of(customer, id);
       query.run_key = StreamKey::OfRun(id);
-      // Ids that can't be read are zero.
-      if (!prompt.empty() && prompt.back().id != 0) {
+      // Ids and numbers of tokens that can't be read are zero.
+      if (!prompt.empty() && prompt.back().id != 0 &&
+          prompt.back().tokens > 0) {
         query.own_part = prompt.back();
+        query.events = events;
       }
     }
     return query;
@@ -145,6 +149,7 @@
   // The part of the prompt that belongs to the request; absent if the prompt is
   // not known.
   std::optional<PromptPart> own_part = std::nullopt;
+  std::int64_t events = 0;
   friend bool operator==(const StreamQuery&, const StreamQuery&) = default;
 };
 
--- a/src/decisions/held_part_records.h
+++ b/src/decisions/held_part_records.h
@@ -1,4 +1,4 @@
-// Which software version's targets hold a prompt part in their memory.
+// Which software versions' targets hold a prompt part in their memory.
 //
 // The last part of a prompt belongs to one request or its session. A target
 // that holds it read that request, and if it holds more tokens than the prompt
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "corianderpost/clock.h"
 #include "corianderpost/ids.h"
@@ -17,24 +18,42 @@
 
 namespace corianderpost {
 
-// What is known of the targets that hold a part.
+// A version of which targets hold a part; unknown for targets that state none.
 struct PartHolder {
-  // Unknown if there is a conflict.
   VersionId version;
-  // The most tokens that one target holds of the part.
+  // The most tokens that one of these targets holds of the part.
   std::int64_t tokens = 0;
-  // Targets of several versions hold the part, or of an unknown one.
-  bool is_conflict = false;
   friend bool operator==(const PartHolder&, const PartHolder&) = default;
 };
 
+// What is known of the targets that hold a part.
+struct PartHolders {
+  // One for each version, in the order of the versions' ids.
+  std::vector<PartHolder> by_version;
+  // Other targets may hold the part.
+  bool is_incomplete = false;
+  friend bool operator==(const PartHolders&, const PartHolders&) = default;
+};
+
+// The most versions that are told apart of one part.
+inline constexpr std::size_t kMaxPartHolders = 8;
+
 // Returns what both say together.
-PartHolder Merge(const PartHolder& a, const PartHolder& b);
+PartHolders Merge(const PartHolders& a, const PartHolders& b);
+
+// Which version made events of a stream.
+struct PartWriter {
+  // Unknown if none is known to have, or if there is a conflict.
+  VersionId version;
+  // Several versions may have, or one that is not known.
+  bool is_conflict = false;
+  friend bool operator==(const PartWriter&, const PartWriter&) = default;
+};
 
-// Returns the version that began the stream whose prompt ends with
-// `prompt_tokens` of the part, or nullopt if `holder` does not show it.
-std::optional<VersionId> WriterOf(const PartHolder& holder,
-                                  std::int64_t prompt_tokens);
+// Returns the version that began a stream: the only one that holds at least
+// `min_tokens` of the part, those of the prompt and one for each event that the
+// caller received.
+PartWriter WriterOf(const PartHolders& holders, std::int64_t min_tokens);
 
 // Not thread-safe.
 class HeldPartRecords {
@@ -45,9 +64,9 @@
 
   // Records that a target holds a part at `now`.
   void Add(TimePoint now, const StreamKey& key, const PartHolder& holder);
-  // Returns what is known of a part; nullopt if nothing is. A conflict if there
-  // was no room for a record, which may have been one of this part.
-  std::optional<PartHolder> Find(TimePoint now, const StreamKey& key) const;
+  // Returns what is known of a part. Incomplete if there was no room for a
+  // record, which may have been one of this part.
+  PartHolders Find(TimePoint now, const StreamKey& key) const;
   // Deletes expired records.
   void Expire(TimePoint now);
 
@@ -55,7 +74,7 @@
 
  private:
   struct Record {
-    PartHolder holder;
+    PartHolders holders;
     TimePoint expires_at;
   };
   struct KeyHash {
--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -50,10 +50,12 @@
       metrics_(metrics),
       on_new_version_(std::move(on_new_version)),
       keepers_(self, peers),
-      held_parts_(keepers_,
-                  [this](const std::string& vm, const StreamMessage& message) {
-                    Send(vm, message);
-                  }),
+      held_parts_(
+          keepers_,
+          [this](const std::string& vm, const StreamMessage& message) {
+            Send(vm, message);
+          },
+          static_cast<std::uint32_t>(clock.WallMicros())),
       records_(kMaxRecords),
       next_request_id_(static_cast<std::uint32_t>(clock.WallMicros())),
       history_interval_(kMinHistoryInterval) {}
@@ -279,18 +281,18 @@
     callback(origin);
     return;
   }
-  const std::int64_t prompt_tokens = query.own_part->tokens;
+  // An event has at least one token.
+  const std::int64_t min_tokens =
+      query.own_part->tokens + std::max<std::int64_t>(query.events, 1);
   held_parts_.Find(now, StreamKey::OfPart(query.service, query.own_part->id),
-                   [origin, callback,
-                    prompt_tokens](const std::optional<PartHolder>& holder) {
+                   [origin, callback, min_tokens](const PartHolders& holders) {
+                     const PartWriter writer = WriterOf(holders, min_tokens);
                      StreamOrigin found = origin;
-                     if (holder && holder->is_conflict) {
+                     if (writer.is_conflict) {
                        found.evidence = OriginEvidence::kConflict;
-                     } else if (const auto version =
-                                    holder ? WriterOf(*holder, prompt_tokens)
-                                           : std::nullopt) {
+                     } else if (writer.version.is_known()) {
                        found.evidence = OriginEvidence::kHeldPart;
-                       found.version = *version;
+                       found.version = writer.version;
                      }
                      callback(found);
                    });
--- a/src/peers/fleet_stream_directory.h
+++ b/src/peers/fleet_stream_directory.h
@@ -84,6 +84,10 @@
   bool NeedsTargets(TimePoint now) const {
     return LacksHistory(now) || !history_.MixedUses(now).empty();
   }
+  // Until `ready_at`, what targets hold decides nothing: they are being asked.
+  void SetHeldPartsReadyAt(TimePoint ready_at) {
+    held_parts_.SetReadyAt(ready_at);
+  }
   // Records the prompt parts that a target holds, and sends the records to
   // peers.
   void RecordHeldParts(const TargetEntry& target,
--- a/src/peers/held_part_directory.cc
+++ b/src/peers/held_part_directory.cc
@@ -20,8 +20,12 @@
 
 }  // namespace
 
-HeldPartDirectory::HeldPartDirectory(KeeperSelection& keepers, Sender send)
-    : keepers_(keepers), send_(std::move(send)), records_(kMaxRecords) {}
+HeldPartDirectory::HeldPartDirectory(KeeperSelection& keepers, Sender send,
+                                     std::uint32_t first_request_id)
+    : keepers_(keepers),
+      send_(std::move(send)),
+      records_(kMaxRecords),
+      next_request_id_(first_request_id) {}
 
 void HeldPartDirectory::RecordHeld(TimePoint now, const TargetEntry& target,
                                    const std::vector<PromptPart>& parts) {
@@ -32,7 +36,7 @@
   for (const PromptPart& part : parts) {
     const HeldPartRecord record = {StreamKey::OfPart(service, part.id),
                                    part.tokens};
-    records_.Add(now, record.key, {version, record.tokens, false});
+    records_.Add(now, record.key, {version, record.tokens});
     for (const std::string& it : keepers_.Keepers(record.key)) {
       HeldPartBatch& batch =
           batches.try_emplace(it, HeldPartBatch{version, {}}).first->second;
@@ -51,23 +55,34 @@
 
 void HeldPartDirectory::Find(TimePoint now, const StreamKey& key,
                              Callback callback) {
-  Search search{key,
-                std::move(callback),
-                {},
-                now + kResendAfter,
-                now + kSearchTime,
-                records_.Find(now, key)};
-  if (searches_.size() < kMaxSearches) {
-    keepers_.Refresh(now);
-    keepers_.AddPossibleKeepers(key, search.asked);
-  }
-  if (search.asked.empty()) {
-    search.callback(search.found);
+  if (searches_.size() >= kMaxSearches) {
+    callback({{}, true});
     return;
   }
   const std::uint32_t request_id = ++next_request_id_;
+  Search& search =
+      searches_
+          .insert_or_assign(request_id,
+                            Search{.key = key, .callback = std::move(callback)})
+          .first->second;
+  if (now >= ready_at_) {
+    Begin(now, search, request_id);
+    if (search.asked.empty()) {
+      EndSearch(request_id);
+    }
+  }
+}
+
+void HeldPartDirectory::Begin(TimePoint now, Search& search,
+                              std::uint32_t request_id) {
+  search.is_begun = true;
+  search.resend_at = now + kResendAfter;
+  search.ends_at = now + kSearchTime;
+  search.found = records_.Find(now, search.key);
+  keepers_.Refresh(now);
+  keepers_.AddPossibleKeepers(search.key, search.asked);
+  search.asked_count = search.asked.size();
   Ask(search, request_id);
-  searches_.insert_or_assign(request_id, std::move(search));
 }
 
 void HeldPartDirectory::Ask(const Search& search, std::uint32_t request_id) {
@@ -78,33 +93,36 @@
 
 void HeldPartDirectory::EndSearch(std::uint32_t request_id) {
   // The callback may start another search.
-  const auto search = searches_.extract(request_id);
-  search.mapped().callback(search.mapped().found);
+  auto search = searches_.extract(request_id);
+  Search& ended = search.mapped();
+  // A record that contradicts the others has up to four keepers.
+  if (2 * ended.asked.size() > ended.asked_count) {
+    ended.found.is_incomplete = true;
+  }
+  ended.callback(ended.found);
 }
 
 void HeldPartDirectory::Handle(TimePoint now, const HeldPartBatch& batch) {
   for (const HeldPartRecord& it : batch.parts) {
-    records_.Add(now, it.key, {batch.version, it.tokens, false});
+    records_.Add(now, it.key, {batch.version, it.tokens});
   }
 }
 
 void HeldPartDirectory::Handle(TimePoint now, const std::string& from,
                                const HeldPartRequest& request) {
-  send_(from,
-        HeldPartReply{request.request_id, records_.Find(now, request.key)});
+  send_(from, HeldPartReply{request.request_id, request.key,
+                            records_.Find(now, request.key)});
 }
 
 void HeldPartDirectory::Handle(const std::string& from,
                                const HeldPartReply& reply) {
   const auto it = searches_.find(reply.request_id);
-  if (it == searches_.end() || it->second.asked.erase(from) == 0) {
+  if (it == searches_.end() || it->second.key != reply.key ||
+      it->second.asked.erase(from) == 0) {
     return;
   }
   Search& search = it->second;
-  if (reply.holder) {
-    search.found =
-        search.found ? Merge(*search.found, *reply.holder) : reply.holder;
-  }
+  search.found = Merge(search.found, reply.holders);
   if (search.asked.empty()) {
     EndSearch(reply.request_id);
   }
@@ -113,7 +131,14 @@
 void HeldPartDirectory::Tick(TimePoint now) {
   std::vector<std::uint32_t> ended;
   for (auto& [request_id, search] : searches_) {
-    if (now >= search.ends_at) {
+    if (!search.is_begun) {
+      if (now >= ready_at_) {
+        Begin(now, search, request_id);
+        if (search.asked.empty()) {
+          ended.push_back(request_id);
+        }
+      }
+    } else if (now >= search.ends_at) {
       ended.push_back(request_id);
     } else if (now >= search.resend_at) {
       search.resend_at = TimePoint::max();
--- a/src/peers/held_part_directory.h
+++ b/src/peers/held_part_directory.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,16 +28,24 @@
  public:
   using Sender =
       std::function<void(const std::string& vm, const StreamMessage& message)>;
-  // Gets what is known of a part; nullopt if nothing is.
-  using Callback = std::function<void(const std::optional<PartHolder>&)>;
+  // Gets what is known of a part.
+  using Callback = std::function<void(const PartHolders&)>;
 
   // `keepers` must outlive the directory. `send` sends a datagram to a router.
-  HeldPartDirectory(KeeperSelection& keepers, Sender send);
+  // `first_request_id` should differ from those of the process before, whose
+  // replies may still arrive.
+  HeldPartDirectory(KeeperSelection& keepers, Sender send,
+                    std::uint32_t first_request_id);
+
+  // Searches begin at `ready_at` only: until then, the targets that were asked
+  // may not have answered.
+  void SetReadyAt(TimePoint ready_at) { ready_at_ = ready_at; }
 
   // Records the parts that a target holds, and sends the records to peers.
   void RecordHeld(TimePoint now, const TargetEntry& target,
                   const std::vector<PromptPart>& parts);
-  // Calls `callback` once, during the call or within a fraction of a second.
+  // Calls `callback` once, during the call or within a fraction of a second
+  // after searches begin.
   void Find(TimePoint now, const StreamKey& key, Callback callback);
   // Handle messages of the router at IPv4 address `from`.
   void Handle(TimePoint now, const HeldPartBatch& batch);
@@ -55,20 +62,25 @@
   struct Search {
     StreamKey key;
     Callback callback;
-    // Peers that have not replied.
-    std::set<std::string> asked;
-    TimePoint resend_at;
-    TimePoint ends_at;
-    std::optional<PartHolder> found;
+    // Peers that have not replied, and the number that were asked.
+    std::set<std::string> asked = {};
+    std::size_t asked_count = 0;
+    TimePoint resend_at = {};
+    TimePoint ends_at = {};
+    PartHolders found = {};
+    bool is_begun = false;
   };
 
+  // Asks the peers; a search without peers to ask is complete.
+  void Begin(TimePoint now, Search& search, std::uint32_t request_id);
   void Ask(const Search& search, std::uint32_t request_id);
   void EndSearch(std::uint32_t request_id);
 
   KeeperSelection& keepers_;
   const Sender send_;
   HeldPartRecords records_;
-  std::uint32_t next_request_id_ = 0;
+  std::uint32_t next_request_id_;
+  TimePoint ready_at_ = TimePoint::min();
   std::map<std::uint32_t, Search> searches_;
   TimePoint next_housekeeping_at_;
 };
--- a/src/peers/stream_message.cc
+++ b/src/peers/stream_message.cc
@@ -21,9 +21,9 @@
 constexpr std::size_t kFieldsPerOriginReply = 4;
 constexpr std::size_t kFieldsPerUse = 3;
 constexpr std::size_t kFieldsPerPart = 2;
-// Those before the holder, which may be absent.
-constexpr std::size_t kFieldsPerHeldPartReply = 1;
-constexpr std::size_t kFieldsPerHolder = 3;
+// Those before the holders.
+constexpr std::size_t kFieldsPerHeldPartReply = 3;
+constexpr std::size_t kFieldsPerHolder = 2;
 // Markers of MessagePack. Only these encodings are used, so that a message
 // needs no general decoder.
 constexpr std::uint8_t kArray16 = 0xdc;
@@ -213,13 +213,14 @@
 }
 
 std::string Encode(const StreamMessage& message, const HeldPartReply& reply) {
-  Writer out(message,
-             kFieldsPerHeldPartReply + (reply.holder ? kFieldsPerHolder : 0));
+  Writer out(message, kFieldsPerHeldPartReply +
+                          kFieldsPerHolder * reply.holders.by_version.size());
   out.Uint32(reply.request_id);
-  if (reply.holder) {
-    out.Uint64(reply.holder->version.value());
-    out.Int64(reply.holder->tokens);
-    out.Flag(reply.holder->is_conflict);
+  out.Uint64(reply.key.value);
+  out.Flag(reply.holders.is_incomplete);
+  for (const PartHolder& it : reply.holders.by_version) {
+    out.Uint64(it.version.value());
+    out.Int64(it.tokens);
   }
   return out.Take();
 }
@@ -271,12 +272,12 @@
 StreamMessage DecodeHeldPartReply(Reader& in, std::size_t fields) {
   HeldPartReply reply;
   reply.request_id = in.Uint32();
-  if (fields > kFieldsPerHeldPartReply) {
-    PartHolder holder;
-    holder.version = VersionId(in.Uint64());
-    holder.tokens = in.Int64();
-    holder.is_conflict = in.Fixint() != 0;
-    reply.holder = holder;
+  reply.key = {in.Uint64()};
+  reply.holders.is_incomplete = in.Fixint() != 0;
+  for (std::size_t i = kFieldsPerHeldPartReply;
+       i + kFieldsPerHolder <= fields && in.is_valid(); i += kFieldsPerHolder) {
+    const VersionId version(in.Uint64());
+    reply.holders.by_version.push_back({version, in.Int64()});
   }
   return reply;
 }
--- a/src/peers/stream_message.h
+++ b/src/peers/stream_message.h
@@ -98,8 +98,9 @@
 
 struct HeldPartReply {
   std::uint32_t request_id = 0;
-  // Absent if the sender knows of no target that holds the part.
-  std::optional<PartHolder> holder;
+  // As in the request.
+  StreamKey key;
+  PartHolders holders;
   friend bool operator==(const HeldPartReply&, const HeldPartReply&) = default;
 };
 
--- a/src/peers/stream_message_test.cc
+++ b/src/peers/stream_message_test.cc
@@ -39,9 +39,9 @@
       HeldPartBatch{VersionId::FromName("1.0"), {{{1}, 0}, {{2}, 39'600}}},
       HeldPartBatch{},
       HeldPartRequest{9, {77}},
-      HeldPartReply{10, std::nullopt},
-      HeldPartReply{11, PartHolder{VersionId::FromName("1.0"), 512, false}},
-      HeldPartReply{12, PartHolder{VersionId(), 512, true}}};
+      HeldPartReply{10, {77}, {}},
+      HeldPartReply{11, {77}, {{{VersionId::FromName("1.0"), 512}}, false}},
+      HeldPartReply{12, {77}, {{{VersionId(), 512}, {VersionId(9), 3}}, true}}};
 }
 
 TEST_CASE("A decoded stream message equals the encoded one") {
