Complete no response by a reset during the upload

A target that answered a long upload at once with a 200 without a length, and then reset the connection, completed the response: callers got the part that had arrived as a whole success. The write of the upload took the socket's pending error, so the next read ended like an orderly close, and the end of the connection delimits such a body.

A write that fails now says how the connection ended. EPIPE means that the target had ended its output before it reset the connection, so all of the response has arrived or is about to be read; any other error means that it had not, and then only a response with a length or chunks can still complete. Targets that answer early, close their side and don't read the rest are served as before, and now also if their answer was not read yet when the reset arrived. A read that ends before a pending write has failed leaves the decision to the write, unless the target has only closed its side. A connection whose write failed is not kept.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -51,6 +51,16 @@
   return buffer;
 }
 
+// Returns whether the peer has ended its output and the connection still takes
+// input, so that it was not reset.
+bool HasPeerEnded(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 }  // namespace
 
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
@@ -132,6 +142,7 @@
   dialect_ = &dialect;
   listener_ = listener;
   is_write_done_ = false;
+  has_write_failed_ = false;
   has_response_ = false;
   must_close_ = false;
   ResetParser();
@@ -198,20 +209,35 @@
                       }
                       self->is_write_done_ = true;
                       if (ec && self->listener_ != nullptr) {
-                        if (n == 0) {
-                          self->Fail(UpstreamFailure::kNotSent);
-                        } else {
-                          // The target may have sent a response before it reset
-                          // the connection.
-                          self->ReadAvailable();
-                          if (self->listener_ != nullptr) {
-                            self->Fail(UpstreamFailure::kBroken);
-                          }
-                        }
+                        self->HandleWriteError(ec, n);
                       }
                     });
 }
 
+void UpstreamConnection::HandleWriteError(const boost::system::error_code& ec,
+                                          std::size_t written) {
+  must_close_ = true;
+  if (written == 0) {
+    Fail(UpstreamFailure::kNotSent);
+    return;
+  }
+  // The target may have responded without reading the whole request. The
+  // system reports EPIPE if the target had ended its output before it reset the
+  // connection; the rest of the response is then read as usual.
+  if (ec == asio::error::broken_pipe) {
+    AwaitRead();
+    return;
+  }
+  // The write has taken the error, so the next read that finds no input reports
+  // an orderly end.
+  has_write_failed_ = true;
+  while (ReadInput()) {
+  }
+  if (listener_ != nullptr) {
+    Fail(UpstreamFailure::kBroken);
+  }
+}
+
 void UpstreamConnection::AwaitRead() {
   if (is_read_pending_ || is_paused_ || !socket_.is_open()) {
     return;
@@ -223,39 +249,42 @@
                        if (ec) {
                          return;
                        }
-                       try {
-                         self->ReadAvailable();
-                       } catch (const std::exception& ex) {
-                         internal::LogException(
-                             "connection to " + self->address_, ex);
-                         self->Fail(UpstreamFailure::kBroken);
-                         return;
-                       }
+                       self->ReadInput();
                        self->AwaitRead();
                      });
 }
 
-void UpstreamConnection::ReadAvailable() {
+bool UpstreamConnection::ReadInput() {
+  try {
+    return ReadAvailable();
+  } catch (const std::exception& ex) {
+    internal::LogException("connection to " + address_, ex);
+    Fail(UpstreamFailure::kBroken);
+    return false;
+  }
+}
+
+bool UpstreamConnection::ReadAvailable() {
   if (!socket_.is_open()) {
-    return;
+    return false;
   }
   boost::system::error_code ec;
   auto& buffer = SharedReadBuffer();
   const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
   if (ec == asio::error::would_block) {
-    return;
+    return false;
   }
   if (ec) {
-    HandleReadEnd(ec == asio::error::eof);
-    return;
+    HandleReadEnd(ec == asio::error::eof && !has_write_failed_);
+    return false;
   }
   if (listener_ == nullptr) {
     // Input without a request in progress can't be matched to a caller.
     Close();
-    return;
+    return false;
   }
   input_.append(buffer.data(), n);
-  Feed();
+  return Feed();
 }
 
 bool UpstreamConnection::Feed() {
@@ -361,6 +390,10 @@
     Close();
     return;
   }
+  if (is_eof && !is_write_done_ && !HasPeerEnded(socket_)) {
+    // The write that is in progress reports the error.
+    return;
+  }
   if (is_eof && parser_ && is_head_reported_) {
     boost::system::error_code ec;
     parser_->put_eof(ec);
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -43,7 +43,8 @@
   // `data` is the next part of the body, without transfer coding.
   virtual void OnBody(std::string_view data) = 0;
   // The response is complete. `is_framed` is false if the end of the connection
-  // delimited the body, so that a truncated body can't be detected.
+  // delimited the body, so that a truncated body can't be detected. A reset
+  // doesn't delimit a body unless the target had ended its output before.
   virtual void OnDone(bool is_framed) = 0;
   virtual void OnFailed(UpstreamFailure failure) = 0;
 };
@@ -91,8 +92,16 @@
 
   void Connect();
   void Write();
+  // Ends the request, or lets the rest of its response be read. `written` is
+  // the number of bytes of the request that were written.
+  void HandleWriteError(const boost::system::error_code& ec,
+                        std::size_t written);
   void AwaitRead();
-  void ReadAvailable();
+  // Reads and parses input. Returns whether there was some and the request goes
+  // on.
+  bool ReadAvailable();
+  // The same; an exception fails the request.
+  bool ReadInput();
   // Parses the buffered input. Returns false if the request has ended.
   bool Feed();
   // Parses at most one response. Sets `has_more` if input is left for the next.
@@ -114,6 +123,9 @@
   // The connection has carried an earlier request.
   bool is_reused_ = false;
   bool is_write_done_ = false;
+  // The write of the request ended with an error that says that the connection
+  // was not ended in an orderly way.
+  bool has_write_failed_ = false;
   // The head of the response to the current request has been received.
   bool has_response_ = false;
   bool is_head_reported_ = false;
--- a/src/dataplane/upstream_test.cc
+++ b/src/dataplane/upstream_test.cc
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <optional>
 
 #include "platform/decode.h"
 #include "router/listener.h"
@@ -11,6 +14,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 // Answers all requests.
@@ -86,5 +90,128 @@
   }
 }
 
+// Records the events of one request.
+class RecordingListener final : public UpstreamListener {
+ public:
+  void OnSendStarted() override {}
+  void OnHead(const HttpResponseHeader& head) override {
+    status = static_cast<int>(head.result_int());
+  }
+  void OnBody(std::string_view data) override { body.append(data); }
+  void OnDone(bool is_framed) override {
+    static_cast<void>(is_framed);
+    is_complete = true;
+  }
+  void OnFailed(UpstreamFailure cause) override { failure = cause; }
+  bool has_ended() const { return is_complete || failure.has_value(); }
+  int status = 0;
+  std::string body;
+  bool is_complete = false;
+  std::optional<UpstreamFailure> failure;
+};
+
+// A target whose connections the test reads, writes and closes itself.
+class RawTarget {
+ public:
+  explicit RawTarget(asio::io_context& loop)
+      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}), loop_(loop) {}
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  tcp::socket Accept() { return acceptor_.accept(); }
+  // Runs the loop until `condition` holds or two seconds have passed.
+  bool RunUntil(const std::function<bool()>& condition) {
+    for (int i = 0; i < 400 && !condition(); ++i) {
+      loop_.run_for(milliseconds(5));
+      loop_.restart();
+    }
+    return condition();
+  }
+
+ private:
+  tcp::acceptor acceptor_;
+  asio::io_context& loop_;
+};
+
+void Reset(tcp::socket& socket) {
+  socket.set_option(tcp::socket::linger(true, 0));
+  socket.close();
+}
+
+// An upload that its target doesn't read, so that it can't be written wholly.
+class UnreadUpload {
+ public:
+  UnreadUpload()
+      : connection_(pool_.Acquire(target_.address(), false)),
+        socket_(Start()) {}
+
+  // Lets the target send `text`.
+  void Respond(const std::string& text) {
+    asio::write(socket_, asio::buffer(text));
+  }
+  bool RunUntil(const std::function<bool()>& condition) {
+    return target_.RunUntil(condition);
+  }
+  tcp::socket& socket() { return socket_; }
+  const RecordingListener& listener() const { return listener_; }
+
+ private:
+  tcp::socket Start() {
+    auto body =
+        std::make_shared<const std::string>(std::size_t{32} * 1024 * 1024, 'x');
+    connection_->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(body->size()) + "\r\n\r\n",
+                      body, false, "", dialect_, &listener_);
+    loop_.run_for(milliseconds(50));
+    loop_.restart();
+    return target_.Accept();
+  }
+  asio::io_context loop_;
+  ManualClock clock_;
+  RawTarget target_{loop_};
+  UpstreamPool pool_{loop_, clock_};
+  platform::PlatformDialect dialect_;
+  RecordingListener listener_;
+  std::shared_ptr<UpstreamConnection> connection_;
+  tcp::socket socket_;
+};
+
+const std::string kUnframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+
+// Guards against the error of the reset being lost to the failed write.
+TEST_CASE("A reset during an upload doesn't complete a response") {
+  UnreadUpload upload;
+  upload.Respond(kUnframedHead + "part");
+  SUBCASE("that was read before") {
+    REQUIRE(upload.RunUntil([&] { return upload.listener().body == "part"; }));
+  }
+  SUBCASE("that was not read before") {}
+  Reset(upload.socket());
+  CHECK(upload.RunUntil([&] { return upload.listener().has_ended(); }));
+  CHECK_FALSE(upload.listener().is_complete);
+  CHECK(upload.listener().failure == UpstreamFailure::kBroken);
+}
+
+TEST_CASE("A response that ends during an upload is complete") {
+  UnreadUpload upload;
+  upload.Respond(kUnframedHead + "whole");
+  SUBCASE("if it was read before a reset") {
+    REQUIRE(upload.RunUntil([&] { return upload.listener().body == "whole"; }));
+    upload.socket().shutdown(tcp::socket::shutdown_send);
+    Reset(upload.socket());
+  }
+  SUBCASE("if it was not read before a reset") {
+    upload.Respond(std::string(100'000, 'y'));
+    upload.socket().shutdown(tcp::socket::shutdown_send);
+    Reset(upload.socket());
+  }
+  SUBCASE("if no reset follows") {
+    upload.socket().shutdown(tcp::socket::shutdown_send);
+  }
+  CHECK(upload.RunUntil([&] { return upload.listener().has_ended(); }));
+  CHECK(upload.listener().is_complete);
+  CHECK(upload.listener().body.starts_with("whole"));
+}
+
 }  // namespace
 }  // namespace corianderpost
