Fail attempts whose status is invalid or whose interim response has a body

A target that sent status 000 with a body that was itself the text of a 200 response gave callers that inner response: every status under 200 was skipped as interim, whatever it announced, and the rest was read as the next response. The same held for 099, 101 and for interim responses with Content-Length or Transfer-Encoding; 600 and above were forwarded.

Only a status from 100 to 199 other than 101, without either header, is interim now (RFC 9110 section 15.2). Any other status outside 200 to 599 fails the attempt as a malformed response, so callers get 502 unless the request may be retried.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -51,6 +51,16 @@
   return buffer;
 }
 
+// Returns whether a response with this head is followed by the final response,
+// RFC 9110 section 15.2. Such a response has no body and must not announce one;
+// 101 ends HTTP on its connection.
+bool IsInterim(const HttpResponseHeader& head) {
+  const unsigned status = head.result_int();
+  return status >= 100 && status < 200 && status != 101 &&
+         head.find(http::field::content_length) == head.end() &&
+         head.find(http::field::transfer_encoding) == head.end();
+}
+
 // Returns whether the peer has ended its output and the connection still takes
 // input, so that it was not reset.
 bool HasPeerEnded(asio::ip::tcp::socket& socket) {
@@ -320,10 +330,14 @@
     // The body may follow in the same input.
     parser_->eager(true);
     has_more = !input_.empty();
-    if (head.result_int() < 200) {
+    if (IsInterim(head)) {
       ResetParser();
       return true;
     }
+    if (head.result_int() < 200 || head.result_int() > 599) {
+      Fail(UpstreamFailure::kBroken);
+      return false;
+    }
     const ResponseMeta meta = dialect_->DecodeResponse(head);
     const bool may_be_late = is_reused_ && !request_id_.empty();
     if (meta.request_id.empty() ? may_be_late
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -38,7 +38,8 @@
   virtual ~UpstreamListener() = default;
   // The connection is established and the request is about to be written.
   virtual void OnSendStarted() = 0;
-  // The response head has arrived. Interim (1xx) responses are skipped.
+  // The response head has arrived. Interim (1xx) responses are skipped; a
+  // status that is neither one of those nor from 200 to 599 fails the request.
   virtual void OnHead(const HttpResponseHeader& head) = 0;
   // `data` is the next part of the body, without transfer coding.
   virtual void OnBody(std::string_view data) = 0;
