Don't reuse a connection on which something has arrived

Bytes that a target sent after a complete response answered the next request of its kept connection if the event loop hadn't read them before that request was sent, or if the connection was paused when its last response ended, since it is not read then. Requests of the data plane are protected by their ids; the router's own calls, which have none, took such bytes for their response.

The pool now closes an idle connection instead of reusing it if input, or its end, waits to be read. Bytes that are still on their way when the next request is sent can't be told apart without an id.

"Bytes after a response don't answer the next request" failed before in both of its cases: the second request got the extra response on the same connection.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -445,6 +445,13 @@
   }
 }
 
+bool UpstreamConnection::HasUnreadInput() {
+  boost::system::error_code ec;
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
 void UpstreamConnection::Close() {
   boost::system::error_code ignored;
   socket_.close(ignored);
@@ -470,6 +477,10 @@
     if (!connection->is_open()) {
       continue;
     }
+    if (connection->HasUnreadInput()) {
+      connection->Close();
+      continue;
+    }
     if (idle_time < max_idle_time) {
       ++reuse_count_;
       return connection;
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -75,6 +75,9 @@
 
   bool is_idle() const { return listener_ == nullptr && is_connected_; }
   bool is_open() const { return socket_.is_open(); }
+  // Whether input, or the end of the connection, has arrived and was not read
+  // yet. The connection must be idle: what arrives then belongs to no request.
+  bool HasUnreadInput();
   const std::string& address() const { return address_; }
   // End of the last response.
   TimePoint idle_since() const { return idle_since_; }
@@ -153,8 +156,9 @@
   UpstreamPool(boost::asio::io_context& loop, const Clock& clock);
 
   // Returns an idle connection to `address` ("IP:port"), or a new one that is
-  // not connected yet. A request that is not safe to retry reuses only recently
-  // used connections, since it would be lost if the connection is stale.
+  // not connected yet. Closes idle ones on which something has arrived. A
+  // request that is not safe to retry reuses only recently used connections,
+  // since it would be lost if the connection is stale.
   std::shared_ptr<UpstreamConnection> Acquire(const std::string& address,
                                               bool is_safe_to_retry);
   // Closes idle connections before their keep-alive time ends, and applies the
--- a/src/dataplane/upstream_test.cc
+++ b/src/dataplane/upstream_test.cc
@@ -213,5 +213,82 @@
   CHECK(upload.listener().body.starts_with("whole"));
 }
 
+// Sends GET requests, or HEAD requests, on kept connections of one target.
+class KeptConnection {
+ public:
+  // Sends a request. A request without an id accepts any response.
+  void Send(const std::string& request_id, bool is_head_request = false) {
+    listener = RecordingListener();
+    connection_ = pool.Acquire(target_.address(), true);
+    connection_->Send((is_head_request ? "HEAD" : "GET") +
+                          std::string(" / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                      std::make_shared<const std::string>(), is_head_request,
+                      request_id, dialect_, &listener);
+  }
+  // Lets the target accept the next connection.
+  void Accept() {
+    RunFor(milliseconds(20));
+    socket_.emplace(target_.Accept());
+  }
+  void Respond(const std::string& text) {
+    asio::write(*socket_, asio::buffer(text));
+  }
+  bool AwaitEnd() {
+    return target_.RunUntil([this] { return listener.has_ended(); });
+  }
+  void RunFor(Duration duration) {
+    loop_.run_for(duration);
+    loop_.restart();
+  }
+  void SetPaused(bool is_paused) { connection_->SetPaused(is_paused); }
+
+ private:
+  asio::io_context loop_;
+  ManualClock clock_;
+  RawTarget target_{loop_};
+  platform::PlatformDialect dialect_;
+  std::shared_ptr<UpstreamConnection> connection_;
+  std::optional<tcp::socket> socket_;
+
+ public:
+  UpstreamPool pool{loop_, clock_};
+  RecordingListener listener;
+};
+
+std::string ResponseTo(const std::string& request_id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" +
+         (request_id.empty()
+              ? std::string()
+              : "Corianderpost-Request-Id: " + request_id + "\r\n") +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against bytes that were not read before the next request was sent.
+TEST_CASE("Bytes after a response don't answer the next request") {
+  KeptConnection kept;
+  kept.Send("");
+  kept.Accept();
+  SUBCASE("that arrive while the connection is idle") {
+    kept.Respond(ResponseTo("", "first"));
+    REQUIRE(kept.AwaitEnd());
+    kept.Respond(ResponseTo("", "extra"));
+  }
+  SUBCASE("that arrive while the connection is paused") {
+    kept.SetPaused(true);
+    kept.Respond(ResponseTo("", "first"));
+    REQUIRE(kept.AwaitEnd());
+    kept.Respond(ResponseTo("", "extra"));
+    kept.RunFor(milliseconds(20));
+  }
+  kept.Send("");
+  kept.RunFor(milliseconds(20));
+  CHECK(kept.listener.body.empty());
+  REQUIRE(kept.pool.connect_count() == 2);
+  kept.Accept();
+  kept.Respond(ResponseTo("", "second"));
+  REQUIRE(kept.AwaitEnd());
+  CHECK(kept.listener.body == "second");
+}
+
 }  // namespace
 }  // namespace corianderpost
