Don't guess the end of late responses around HEAD requests

A late response to an earlier GET was skipped without its body if the current request was a HEAD, so a body that was the text of a response, with the current id, answered the request. The other way round, a late response to a HEAD took the next response, or a part of it, for its body.

A late response now fails a HEAD request, since its end is not known, and a connection that carried a HEAD request is not used again.

"A late response with a body doesn't answer a HEAD request" and "A connection that carried a HEAD request is not used again" failed before. The first got the inner response; the second shows the reuse only, not the mixed response.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -154,7 +154,8 @@
   is_write_done_ = false;
   has_write_failed_ = false;
   has_response_ = false;
-  must_close_ = false;
+  // A late response to a HEAD request announces a body that doesn't follow.
+  must_close_ = is_head_request_;
   ResetParser();
   if (is_connected_) {
     is_reused_ = true;
@@ -343,6 +344,11 @@
     if (meta.request_id.empty() ? may_be_late
                                 : meta.request_id != request_id_) {
       // A late or repeated response to an earlier request.
+      if (is_head_request_) {
+        // Whether it has a body is not known, so neither is its end.
+        Fail(UpstreamFailure::kBroken);
+        return false;
+      }
       is_skipping_response_ = true;
       must_close_ = true;
     } else {
--- a/src/dataplane/upstream_test.cc
+++ b/src/dataplane/upstream_test.cc
@@ -290,5 +290,32 @@
   CHECK(kept.listener.body == "second");
 }
 
+// Guards against the body of a late response that is read as a response.
+TEST_CASE("A late response with a body doesn't answer a HEAD request") {
+  KeptConnection kept;
+  kept.Send("r1");
+  kept.Accept();
+  kept.Respond(ResponseTo("r1", "first"));
+  REQUIRE(kept.AwaitEnd());
+  kept.Send("r2", true);
+  kept.Respond(ResponseTo("r1", ResponseTo("r2", "")));
+  REQUIRE(kept.AwaitEnd());
+  CHECK(kept.listener.failure == UpstreamFailure::kBroken);
+}
+
+// Guards against a late response whose announced length covers the next one.
+TEST_CASE("A connection that carried a HEAD request is not used again") {
+  KeptConnection kept;
+  kept.Send("r1", true);
+  kept.Accept();
+  kept.Respond(
+      "HTTP/1.1 200 OK\r\nCorianderpost-Request-Id: r1\r\n"
+      "Content-Length: 5\r\n\r\n");
+  REQUIRE(kept.AwaitEnd());
+  CHECK(kept.listener.is_complete);
+  kept.Send("r2");
+  CHECK(kept.pool.connect_count() == 2);
+}
+
 }  // namespace
 }  // namespace corianderpost
