Don't reuse a connection after a 204 that announces a body

A 204 ends with its head, so its connection was kept even if its head announced a body by Content-Length or chunks. A target that sends that body late answers the next request of the connection with it.

Such a connection is now closed after the response.

"A connection is not used again after a 204 that announces a body" failed before for both headers. It shows the reuse only, not the mixed response.

--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -51,14 +51,18 @@
   return buffer;
 }
 
+// Returns whether the head has a header that delimits a body.
+bool AnnouncesBody(const HttpResponseHeader& head) {
+  return head.find(http::field::content_length) != head.end() ||
+         head.find(http::field::transfer_encoding) != head.end();
+}
+
 // Returns whether a response with this head is followed by the final response,
 // RFC 9110 section 15.2. Such a response has no body and must not announce one;
 // 101 ends HTTP on its connection.
 bool IsInterim(const HttpResponseHeader& head) {
   const unsigned status = head.result_int();
-  return status >= 100 && status < 200 && status != 101 &&
-         head.find(http::field::content_length) == head.end() &&
-         head.find(http::field::transfer_encoding) == head.end();
+  return status >= 100 && status < 200 && status != 101 && !AnnouncesBody(head);
 }
 
 // Returns whether the peer has ended its output and the connection still takes
@@ -355,6 +359,10 @@
       has_response_ = true;
       is_head_reported_ = true;
       keep_alive_ = meta.keep_alive.value_or(kDefaultKeepAlive);
+      if (head.result_int() == 204 && AnnouncesBody(head)) {
+        // A 204 has no body, but this one may send what it announces.
+        must_close_ = true;
+      }
       listener_->OnHead(head);
       if (listener_ == nullptr) {
         return false;
--- a/src/dataplane/upstream_test.cc
+++ b/src/dataplane/upstream_test.cc
@@ -317,5 +317,22 @@
   CHECK(kept.pool.connect_count() == 2);
 }
 
+// Guards against a body that arrives after the next request was sent.
+TEST_CASE("A connection is not used again after a 204 that announces a body") {
+  for (const std::string framing :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    INFO(framing);
+    KeptConnection kept;
+    kept.Send("r1");
+    kept.Accept();
+    kept.Respond("HTTP/1.1 204 No Content\r\nCorianderpost-Request-Id: r1\r\n" +
+                 framing + "\r\n");
+    REQUIRE(kept.AwaitEnd());
+    CHECK(kept.listener.is_complete);
+    kept.Send("r2");
+    CHECK(kept.pool.connect_count() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace corianderpost
