--- a/src/dataplane/upstream.cc
+++ b/src/dataplane/upstream.cc
@@ -51,6 +51,30 @@
   return buffer;
 }
 
+// Returns whether the head has a header that delimits a body.
+bool AnnouncesBody(const HttpResponseHeader& head) {
+  return head.find(http::field::content_length) != head.end() ||
+         head.find(http::field::transfer_encoding) != head.end();
+}
+
+// Returns whether a response with this head is followed by the final response,
+// RFC 9110 section 15.2. Such a response has no body and must not announce one;
+// 101 ends HTTP on its connection.
+bool IsInterim(const HttpResponseHeader& head) {
+  const unsigned status = head.result_int();
+  return status >= 100 && status < 200 && status != 101 && !AnnouncesBody(head);
+}
+
+// Returns whether the peer has ended its output and the connection still takes
+// input, so that it was not reset.
+bool HasPeerEnded(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 }  // namespace
 
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
@@ -132,8 +156,10 @@
   dialect_ = &dialect;
   listener_ = listener;
   is_write_done_ = false;
+  has_write_failed_ = false;
   has_response_ = false;
-  must_close_ = false;
+  // A late response to a HEAD request announces a body that doesn't follow.
+  must_close_ = is_head_request_;
   ResetParser();
   if (is_connected_) {
     is_reused_ = true;
@@ -198,20 +224,35 @@
                       }
                       self->is_write_done_ = true;
                       if (ec && self->listener_ != nullptr) {
-                        if (n == 0) {
-                          self->Fail(UpstreamFailure::kNotSent);
-                        } else {
-                          // The target may have sent a response before it reset
-                          // the connection.
-                          self->ReadAvailable();
-                          if (self->listener_ != nullptr) {
-                            self->Fail(UpstreamFailure::kBroken);
-                          }
-                        }
+                        self->HandleWriteError(ec, n);
                       }
                     });
 }
 
+void UpstreamConnection::HandleWriteError(const boost::system::error_code& ec,
+                                          std::size_t written) {
+  must_close_ = true;
+  if (written == 0) {
+    Fail(UpstreamFailure::kNotSent);
+    return;
+  }
+  // The target may have responded without reading the whole request. The
+  // system reports EPIPE if the target had ended its output before it reset the
+  // connection; the rest of the response is then read as usual.
+  if (ec == asio::error::broken_pipe) {
+    AwaitRead();
+    return;
+  }
+  // The write has taken the error, so the next read that finds no input reports
+  // an orderly end.
+  has_write_failed_ = true;
+  while (ReadInput()) {
+  }
+  if (listener_ != nullptr) {
+    Fail(UpstreamFailure::kBroken);
+  }
+}
+
 void UpstreamConnection::AwaitRead() {
   if (is_read_pending_ || is_paused_ || !socket_.is_open()) {
     return;
@@ -223,39 +264,42 @@
                        if (ec) {
                          return;
                        }
-                       try {
-                         self->ReadAvailable();
-                       } catch (const std::exception& ex) {
-                         internal::LogException(
-                             "connection to " + self->address_, ex);
-                         self->Fail(UpstreamFailure::kBroken);
-                         return;
-                       }
+                       self->ReadInput();
                        self->AwaitRead();
                      });
 }
 
-void UpstreamConnection::ReadAvailable() {
+bool UpstreamConnection::ReadInput() {
+  try {
+    return ReadAvailable();
+  } catch (const std::exception& ex) {
+    internal::LogException("connection to " + address_, ex);
+    Fail(UpstreamFailure::kBroken);
+    return false;
+  }
+}
+
+bool UpstreamConnection::ReadAvailable() {
   if (!socket_.is_open()) {
-    return;
+    return false;
   }
   boost::system::error_code ec;
   auto& buffer = SharedReadBuffer();
   const std::size_t n = socket_.read_some(asio::buffer(buffer), ec);
   if (ec == asio::error::would_block) {
-    return;
+    return false;
   }
   if (ec) {
-    HandleReadEnd(ec == asio::error::eof);
-    return;
+    HandleReadEnd(ec == asio::error::eof && !has_write_failed_);
+    return false;
   }
   if (listener_ == nullptr) {
     // Input without a request in progress can't be matched to a caller.
     Close();
-    return;
+    return false;
   }
   input_.append(buffer.data(), n);
-  Feed();
+  return Feed();
 }
 
 bool UpstreamConnection::Feed() {
@@ -291,21 +335,34 @@
     // The body may follow in the same input.
     parser_->eager(true);
     has_more = !input_.empty();
-    if (head.result_int() < 200) {
+    if (IsInterim(head)) {
       ResetParser();
       return true;
     }
+    if (head.result_int() < 200 || head.result_int() > 599) {
+      Fail(UpstreamFailure::kBroken);
+      return false;
+    }
     const ResponseMeta meta = dialect_->DecodeResponse(head);
     const bool may_be_late = is_reused_ && !request_id_.empty();
     if (meta.request_id.empty() ? may_be_late
                                 : meta.request_id != request_id_) {
       // A late or repeated response to an earlier request.
+      if (is_head_request_) {
+        // Whether it has a body is not known, so neither is its end.
+        Fail(UpstreamFailure::kBroken);
+        return false;
+      }
       is_skipping_response_ = true;
       must_close_ = true;
     } else {
       has_response_ = true;
       is_head_reported_ = true;
       keep_alive_ = meta.keep_alive.value_or(kDefaultKeepAlive);
+      if (head.result_int() == 204 && AnnouncesBody(head)) {
+        // A 204 has no body, but this one may send what it announces.
+        must_close_ = true;
+      }
       listener_->OnHead(head);
       if (listener_ == nullptr) {
         return false;
@@ -361,6 +418,10 @@
     Close();
     return;
   }
+  if (is_eof && !is_write_done_ && !HasPeerEnded(socket_)) {
+    // The write that is in progress reports the error.
+    return;
+  }
   if (is_eof && parser_ && is_head_reported_) {
     boost::system::error_code ec;
     parser_->put_eof(ec);
@@ -398,6 +459,13 @@
   }
 }
 
+bool UpstreamConnection::HasUnreadInput() {
+  boost::system::error_code ec;
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
 void UpstreamConnection::Close() {
   boost::system::error_code ignored;
   socket_.close(ignored);
@@ -423,6 +491,10 @@
     if (!connection->is_open()) {
       continue;
     }
+    if (connection->HasUnreadInput()) {
+      connection->Close();
+      continue;
+    }
     if (idle_time < max_idle_time) {
       ++reuse_count_;
       return connection;
--- a/src/dataplane/upstream.h
+++ b/src/dataplane/upstream.h
@@ -38,12 +38,14 @@
   virtual ~UpstreamListener() = default;
   // The connection is established and the request is about to be written.
   virtual void OnSendStarted() = 0;
-  // The response head has arrived. Interim (1xx) responses are skipped.
+  // The response head has arrived. Interim (1xx) responses are skipped; a
+  // status that is neither one of those nor from 200 to 599 fails the request.
   virtual void OnHead(const HttpResponseHeader& head) = 0;
   // `data` is the next part of the body, without transfer coding.
   virtual void OnBody(std::string_view data) = 0;
   // The response is complete. `is_framed` is false if the end of the connection
-  // delimited the body, so that a truncated body can't be detected.
+  // delimited the body, so that a truncated body can't be detected. A reset
+  // doesn't delimit a body unless the target had ended its output before.
   virtual void OnDone(bool is_framed) = 0;
   virtual void OnFailed(UpstreamFailure failure) = 0;
 };
@@ -73,6 +75,9 @@
 
   bool is_idle() const { return listener_ == nullptr && is_connected_; }
   bool is_open() const { return socket_.is_open(); }
+  // Whether input, or the end of the connection, has arrived and was not read
+  // yet. The connection must be idle: what arrives then belongs to no request.
+  bool HasUnreadInput();
   const std::string& address() const { return address_; }
   // End of the last response.
   TimePoint idle_since() const { return idle_since_; }
@@ -91,8 +96,16 @@
 
   void Connect();
   void Write();
+  // Ends the request, or lets the rest of its response be read. `written` is
+  // the number of bytes of the request that were written.
+  void HandleWriteError(const boost::system::error_code& ec,
+                        std::size_t written);
   void AwaitRead();
-  void ReadAvailable();
+  // Reads and parses input. Returns whether there was some and the request goes
+  // on.
+  bool ReadAvailable();
+  // The same; an exception fails the request.
+  bool ReadInput();
   // Parses the buffered input. Returns false if the request has ended.
   bool Feed();
   // Parses at most one response. Sets `has_more` if input is left for the next.
@@ -114,6 +127,9 @@
   // The connection has carried an earlier request.
   bool is_reused_ = false;
   bool is_write_done_ = false;
+  // The write of the request ended with an error that says that the connection
+  // was not ended in an orderly way.
+  bool has_write_failed_ = false;
   // The head of the response to the current request has been received.
   bool has_response_ = false;
   bool is_head_reported_ = false;
@@ -140,8 +156,9 @@
   UpstreamPool(boost::asio::io_context& loop, const Clock& clock);
 
   // Returns an idle connection to `address` ("IP:port"), or a new one that is
-  // not connected yet. A request that is not safe to retry reuses only recently
-  // used connections, since it would be lost if the connection is stale.
+  // not connected yet. Closes idle ones on which something has arrived. A
+  // request that is not safe to retry reuses only recently used connections,
+  // since it would be lost if the connection is stale.
   std::shared_ptr<UpstreamConnection> Acquire(const std::string& address,
                                               bool is_safe_to_retry);
   // Closes idle connections before their keep-alive time ends, and applies the
