--- a/src/peers/directory_fleet.h
+++ b/src/peers/directory_fleet.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -136,6 +137,8 @@
       Node* to = Find(datagram.to);
       if (lost_datagrams > 0) {
         --lost_datagrams;
+      } else if (loses && loses(datagram)) {
+        continue;
       } else if (to != nullptr && CanReach(*from, *to)) {
         to->directory->HandleMessage(clock.Now(), datagram.from,
                                      datagram.bytes);
@@ -178,18 +181,21 @@
   StreamOrigin FindOrigin(Node& node, const StreamKey& key,
                           Duration max_age = kMaxAge,
                           const StreamKey& run_key = StreamKey()) {
+    return FindOrigin(node, {key, kService, max_age, run_key});
+  }
+  StreamOrigin FindOrigin(Node& node, const StreamQuery& query) {
     int calls = 0;
     StreamOrigin origin;
     const TimePoint started_at = clock.Now();
-    node.directory->FindOrigin({key, kService, max_age, run_key},
-                               [&](const StreamOrigin& found) {
-                                 ++calls;
-                                 origin = found;
-                                 search_time = clock.Now() - started_at;
-                               });
+    node.directory->FindOrigin(query, [&](const StreamOrigin& found) {
+      ++calls;
+      origin = found;
+      search_time = clock.Now() - started_at;
+    });
     Deliver();
     if (calls == 0) {
-      Advance(std::chrono::milliseconds(400));
+      // A search for the part may follow that for the record.
+      Advance(std::chrono::milliseconds(query.own_part ? 700 : 400));
     }
     CHECK(calls == 1);
     return origin;
@@ -207,6 +213,8 @@
   std::vector<TargetEntry> targets;
   std::deque<Datagram> in_flight;
   int lost_datagrams = 0;
+  // Loses the datagrams for which it returns true, unless it is empty.
+  std::function<bool(const Datagram&)> loses;
   Duration search_time{0};
 };
 
--- a/src/peers/stream_message_test.cc
+++ b/src/peers/stream_message_test.cc
@@ -80,6 +80,12 @@
   CHECK(EncodeStreamMessage(batch).size() <= 1400);
 }
 
+TEST_CASE("A full batch of held parts fits into one packet") {
+  HeldPartBatch batch;
+  batch.parts.assign(kMaxPartsPerBatch, {{UINT64_MAX}, INT64_MAX});
+  CHECK(EncodeStreamMessage(batch).size() <= 1400);
+}
+
 TEST_CASE("Truncated and extended stream messages are rejected") {
   for (const StreamMessage& it : MakeMessages()) {
     INFO("kind ", KindOf(it));
