Ignore replies on held parts to an earlier run of a router

What callers saw: none was seen. A peer that replies late, as after a pause, could give a router that has restarted the answer to another question, so that a stream would go on at a version that did not begin it.

Cause: HeldPartDirectory numbered its requests from one in each run, and a reply names only the number. The ids now follow the wall clock at the start, as those of FleetStreamDirectory do, so those of two runs differ.

--- a/src/peers/fleet_stream_directory.cc
+++ b/src/peers/fleet_stream_directory.cc
@@ -50,10 +50,12 @@
       metrics_(metrics),
       on_new_version_(std::move(on_new_version)),
       keepers_(self, peers),
-      held_parts_(keepers_,
-                  [this](const std::string& vm, const StreamMessage& message) {
-                    Send(vm, message);
-                  }),
+      held_parts_(
+          keepers_,
+          [this](const std::string& vm, const StreamMessage& message) {
+            Send(vm, message);
+          },
+          static_cast<std::uint32_t>(clock.WallMicros())),
       records_(kMaxRecords),
       next_request_id_(static_cast<std::uint32_t>(clock.WallMicros())),
       history_interval_(kMinHistoryInterval) {}
--- a/src/peers/held_part_directory.cc
+++ b/src/peers/held_part_directory.cc
@@ -20,8 +20,12 @@
 
 }  // namespace
 
-HeldPartDirectory::HeldPartDirectory(KeeperSelection& keepers, Sender send)
-    : keepers_(keepers), send_(std::move(send)), records_(kMaxRecords) {}
+HeldPartDirectory::HeldPartDirectory(KeeperSelection& keepers, Sender send,
+                                     std::uint32_t last_request_id)
+    : keepers_(keepers),
+      send_(std::move(send)),
+      records_(kMaxRecords),
+      last_request_id_(last_request_id) {}
 
 void HeldPartDirectory::RecordHeld(TimePoint now, const TargetEntry& target,
                                    const std::vector<PromptPart>& parts) {
@@ -65,7 +69,7 @@
     search.callback(search.found);
     return;
   }
-  const std::uint32_t request_id = ++next_request_id_;
+  const std::uint32_t request_id = ++last_request_id_;
   Ask(search, request_id);
   searches_.insert_or_assign(request_id, std::move(search));
 }
--- a/src/peers/held_part_directory.h
+++ b/src/peers/held_part_directory.h
@@ -33,7 +33,10 @@
   using Callback = std::function<void(const std::optional<PartHolder>&)>;
 
   // `keepers` must outlive the directory. `send` sends a datagram to a router.
-  HeldPartDirectory(KeeperSelection& keepers, Sender send);
+  // Request ids follow `last_request_id`, which should differ between the runs
+  // of a router, so that late replies to an earlier run are ignored.
+  HeldPartDirectory(KeeperSelection& keepers, Sender send,
+                    std::uint32_t last_request_id);
 
   // Records the parts that a target holds, and sends the records to peers.
   void RecordHeld(TimePoint now, const TargetEntry& target,
@@ -68,7 +71,7 @@
   KeeperSelection& keepers_;
   const Sender send_;
   HeldPartRecords records_;
-  std::uint32_t next_request_id_ = 0;
+  std::uint32_t last_request_id_;
   std::map<std::uint32_t, Search> searches_;
   TimePoint next_housekeeping_at_;
 };
--- a/src/peers/held_part_directory_test.cc
+++ b/src/peers/held_part_directory_test.cc
@@ -34,10 +34,12 @@
   // own.
   explicit Router(int peer_count)
       : keepers({"self", "z", "west", 250, Duration(0)}, *this),
-        directory(keepers,
-                  [this](const std::string& vm, const StreamMessage& message) {
-                    sent.emplace_back(vm, message);
-                  }) {
+        directory(
+            keepers,
+            [this](const std::string& vm, const StreamMessage& message) {
+              sent.emplace_back(vm, message);
+            },
+            0) {
     for (int i = 0; i < peer_count; ++i) {
       peers.push_back({"p" + std::to_string(i), "z" + std::to_string(i), "west",
                        250, Duration(0)});
@@ -533,6 +535,40 @@
   }
 }
 
+TEST_CASE(
+    "A reply to an earlier run of a router is not taken for a later one's") {
+  RestartedFleet fleet;
+  Fleet::Node& node = *fleet.nodes[4];
+  fleet.Learn(0, 1, kPart.tokens + 1);
+  std::vector<Fleet::Datagram> replies;
+  fleet.loses = [&](const Fleet::Datagram& it) {
+    const auto message = DecodeStreamMessage(it.bytes);
+    if (std::holds_alternative<HeldPartReply>(*message)) {
+      replies.push_back(it);
+    }
+    return it.to == node.info.vm;
+  };
+  fleet.FindOrigin(node, QueryOf());
+  REQUIRE_FALSE(replies.empty());
+  node.Restart();
+  fleet.Advance(seconds(1));
+  // The replies arrive while the router searches for another part.
+  const auto late = std::exchange(replies, {});
+  StreamQuery query = QueryOf("other");
+  query.own_part->id = 0xdef;
+  std::optional<StreamOrigin> origin;
+  node.directory->FindOrigin(query,
+                             [&](const StreamOrigin& it) { origin = it; });
+  fleet.Advance(milliseconds(300));
+  REQUIRE_FALSE(origin.has_value());
+  for (const Fleet::Datagram& it : late) {
+    node.directory->HandleMessage(fleet.clock.Now(), it.from, it.bytes);
+  }
+  fleet.Advance(milliseconds(300));
+  REQUIRE(origin.has_value());
+  CHECK(origin->evidence == OriginEvidence::kNone);
+}
+
 TEST_CASE("A request for a part that is lost is sent again") {
   RestartedFleet fleet;
   fleet.Learn(0, 1, kPart.tokens + 1);
