Take a prompt part without a token count for unknown

What callers saw: none was seen. A resumption whose prompt header states no readable token count for the last part (zero) made any target that had read the part count as the writer of the stream.

Cause: a version is the writer if its targets hold more tokens than the prompt has, and StreamQuery::Of passed on the zero. Such a part is no longer asked for; the stream is refused unless a record, a run or a proof names its version.

--- a/src/dataplane/stream_directory.h
+++ b/src/dataplane/stream_directory.h
@@ -125,8 +125,9 @@
     if (!id.empty()) {
       query.key = StreamKey::Of(customer, id);
       query.run_key = StreamKey::OfRun(id);
-      // Ids that can't be read are zero.
-      if (!prompt.empty() && prompt.back().id != 0) {
+      // Ids and token counts that can't be read are zero.
+      if (!prompt.empty() && prompt.back().id != 0 &&
+          prompt.back().tokens > 0) {
         query.own_part = prompt.back();
       }
     }
@@ -142,8 +143,8 @@
   Duration max_age{0};
   // Key of the stream in the reports of targets; zero if `key` is.
   StreamKey run_key = {};
-  // The part of the prompt that belongs to the request; absent if the prompt is
-  // not known.
+  // The part of the prompt that belongs to the request, and its tokens; absent
+  // if one of them is not known.
   std::optional<PromptPart> own_part = std::nullopt;
   friend bool operator==(const StreamQuery&, const StreamQuery&) = default;
 };
--- a/src/dataplane/stream_directory_test.cc
+++ b/src/dataplane/stream_directory_test.cc
@@ -33,6 +33,12 @@
         std::nullopt);
 }
 
+TEST_CASE(
+    "A last part without a token count, which all have read, names none") {
+  CHECK(StreamQuery::Of(kCustomer, "r", {{1, 4000}, {2, 0}}).own_part ==
+        std::nullopt);
+}
+
 TEST_CASE("The keys of a stream, its run and a part of one name differ") {
   const ServiceId service = ServiceId::FromName("chat");
   const std::set<StreamKey> keys = {
