--- a/src/dataplane/stream_directory.h
+++ b/src/dataplane/stream_directory.h
@@ -122,7 +122,7 @@
   // `events` is the number of events that the caller received.
   static StreamQuery Of(CustomerId customer, std::string_view id,
                         const std::vector<PromptPart>& prompt,
-                        std::int64_t events) {
+                        std::int64_t events = 1) {
     StreamQuery query;
     if (!id.empty()) {
       query.key = StreamKey::Of(customer, id);
--- a/src/decisions/held_part_records.cc
+++ b/src/decisions/held_part_records.cc
@@ -29,7 +29,7 @@
 
 PartWriter WriterOf(const PartHolders& holders, std::int64_t min_tokens) {
   if (holders.is_incomplete) {
-    return {VersionId(), true};
+    return {};
   }
   PartWriter writer;
   for (const PartHolder& it : holders.by_version) {
--- a/src/decisions/held_part_records.h
+++ b/src/decisions/held_part_records.h
@@ -52,7 +52,7 @@
 
 // Returns the version that began a stream: the only one that holds at least
 // `min_tokens` of the part, those of the prompt and one for each event that the
-// caller received.
+// caller received. None if `holders` is incomplete.
 PartWriter WriterOf(const PartHolders& holders, std::int64_t min_tokens);
 
 // Not thread-safe.
