Correct comments on held parts and the survey of targets

PartHolder's comments left out that the version of one record may be unknown without a conflict, and that a record which was left out for lack of room is one. The others state what the methods need and do.

--- a/src/decisions/held_part_records.h
+++ b/src/decisions/held_part_records.h
@@ -1,8 +1,8 @@
 // Which software version's targets hold a prompt part in their memory.
 //
 // The last part of a prompt belongs to one request or its session. A target
-// that holds it read that request, and if it holds more tokens than the prompt
-// has, it also made events. Knowledge of several routers merges.
+// that holds it read that request, and if it holds more tokens of the part than
+// the prompt states, it also made events. Knowledge of several routers merges.
 #ifndef CORIANDERPOST_DECISIONS_HELD_PART_RECORDS_H_
 #define CORIANDERPOST_DECISIONS_HELD_PART_RECORDS_H_
 
@@ -19,11 +19,12 @@
 
 // What is known of the targets that hold a part.
 struct PartHolder {
-  // Unknown if there is a conflict.
+  // Unknown if there is a conflict, or if the target's entry names none.
   VersionId version;
   // The most tokens that one target holds of the part.
   std::int64_t tokens = 0;
-  // Targets of several versions hold the part, or of an unknown one.
+  // Targets of several versions may hold the part: of two records, the versions
+  // differ or are unknown, or a record was left out for lack of room.
   bool is_conflict = false;
   friend bool operator==(const PartHolder&, const PartHolder&) = default;
 };
@@ -45,8 +46,8 @@
 
   // Records that a target holds a part at `now`.
   void Add(TimePoint now, const StreamKey& key, const PartHolder& holder);
-  // Returns what is known of a part; nullopt if nothing is. A conflict if there
-  // was no room for a record, which may have been one of this part.
+  // Returns what is known of a part; nullopt if nothing is. A conflict while a
+  // record may be missing that was left out for lack of room.
   std::optional<PartHolder> Find(TimePoint now, const StreamKey& key) const;
   // Deletes expired records.
   void Expire(TimePoint now);
--- a/src/peers/held_part_directory.h
+++ b/src/peers/held_part_directory.h
@@ -1,9 +1,9 @@
 // Finds which software version's targets hold a prompt part, in a fleet whose
 // routers each have asked some of the targets.
 //
-// A router that asked a target sends what it learned of each part to the peers
-// chosen by the part's key, and a router that needs it asks the peers that may
-// have been chosen.
+// A router that asked a target keeps what it learned of each part and sends it
+// to the peers chosen by the part's key. A router that needs it asks the peers
+// that may have been chosen.
 #ifndef CORIANDERPOST_PEERS_HELD_PART_DIRECTORY_H_
 #define CORIANDERPOST_PEERS_HELD_PART_DIRECTORY_H_
 
@@ -41,16 +41,19 @@
   // Records the parts that a target holds, and sends the records to peers.
   void RecordHeld(TimePoint now, const TargetEntry& target,
                   const std::vector<PromptPart>& parts);
-  // Calls `callback` once, during the call or within a fraction of a second.
+  // Calls `callback` once, during the call or, from `Tick` or `Handle`, within
+  // a fraction of a second. Peers that do not reply in that time are left out.
   void Find(TimePoint now, const StreamKey& key, Callback callback);
   // Handle messages of the router at IPv4 address `from`.
   void Handle(TimePoint now, const HeldPartBatch& batch);
   void Handle(TimePoint now, const std::string& from,
               const HeldPartRequest& request);
   void Handle(const std::string& from, const HeldPartReply& reply);
-  // Ends searches that take too long. Must be called regularly.
+  // Sends requests again, ends searches that take too long and deletes expired
+  // records. Must be called regularly.
   void Tick(TimePoint now);
 
+  // Returns the number of records.
   std::size_t size() const { return records_.size(); }
 
  private:
--- a/src/router/target_survey.h
+++ b/src/router/target_survey.h
@@ -25,7 +25,8 @@
 // Used from the event loop only.
 class TargetSurvey {
  public:
-  // The arguments must outlive the survey.
+  // The arguments must outlive the survey. The survey must not be deleted while
+  // `fetcher` may still run its callbacks.
   TargetSurvey(Fetcher& fetcher, const Deployment& deployment,
                FleetStreamDirectory& directory, internal::Metrics& metrics)
       : fetcher_(fetcher),
@@ -34,8 +35,8 @@
         metrics_(metrics) {}
 
   // Asks the targets if it is time. Call regularly, from when the target list
-  // was loaded and `configuration` is in force; `targets` are those of the
-  // list.
+  // was loaded and `configuration` is in force: targets are asked only in the
+  // first seconds after the first call. `targets` are those of the list.
   void Tick(TimePoint now, const Configuration& configuration,
             const TargetTable& targets);
 
@@ -48,7 +49,7 @@
     bool is_answered = false;
   };
 
-  // Returns the services that streams which callers may resume go to.
+  // Returns the services of routes whose streams callers may resume.
   static std::set<std::string> ResumableServices(
       const Configuration& configuration);
   // Asks for the runs of a target, and then for the parts that it holds.
