--- a/src/decisions/held_part_records.h
+++ b/src/decisions/held_part_records.h
@@ -1,8 +1,8 @@
 // Which software versions' targets hold a prompt part in their memory.
 //
 // The last part of a prompt belongs to one request or its session. A target
-// that holds it read that request, and if it holds more tokens than the prompt
-// has, it also made events. Knowledge of several routers merges.
+// that holds it read that request, and if it holds more tokens of the part than
+// the prompt states, it also made events. Knowledge of several routers merges.
 #ifndef CORIANDERPOST_DECISIONS_HELD_PART_RECORDS_H_
 #define CORIANDERPOST_DECISIONS_HELD_PART_RECORDS_H_
 
--- a/src/peers/held_part_directory.h
+++ b/src/peers/held_part_directory.h
@@ -1,9 +1,9 @@
 // Finds which software version's targets hold a prompt part, in a fleet whose
 // routers each have asked some of the targets.
 //
-// A router that asked a target sends what it learned of each part to the peers
-// chosen by the part's key, and a router that needs it asks the peers that may
-// have been chosen.
+// A router that asked a target keeps what it learned of each part and sends it
+// to the peers chosen by the part's key. A router that needs it asks the peers
+// that may have been chosen.
 #ifndef CORIANDERPOST_PEERS_HELD_PART_DIRECTORY_H_
 #define CORIANDERPOST_PEERS_HELD_PART_DIRECTORY_H_
 
