--- a/tests/fleet/engine_fleet.cc
+++ b/tests/fleet/engine_fleet.cc
@@ -122,6 +122,9 @@
   const std::string_view path = ToView(request.message.target());
   if (path == deployment_.target_runs_path() ||
       path == platform::StandinHeldPartsPath()) {
+    if (ignores_questions) {
+      return;
+    }
     const std::string body = path == deployment_.target_runs_path()
                                  ? memory_.FormatRuns(incarnation_)
                                  : memory_.FormatHeldParts();
@@ -195,6 +198,13 @@
     SendEndlessly(caller, endless_response->part);
     return;
   }
+  memory_.Read(meta);
+  if (lost_start_interval > 0 && runs_.size() % lost_start_interval == 0) {
+    memory_.Generate(meta);
+    memory_.EndRun(meta);
+    caller->Abort();
+    return;
+  }
   caller->Write("HTTP/1.1 200 OK\r\n" +
                 platform::FormatStandinSignature(meta.request_id) +
                 extra_headers +
@@ -203,7 +213,6 @@
   const int last = queue_ ? static_cast<int>(meta.max_output_tokens /
                                              capacity_.tokens_per_event)
                           : stream.events;
-  memory_.Read(meta);
   SendEventsFrom(
       std::make_shared<const RunningStream>(
           RunningStream{caller, meta, incarnation_, last, slot}),
@@ -551,10 +560,11 @@
 void EngineFleet::ResumeLater(const OpenCall& open) {
   std::size_t router = random_() % (routers_.size() - 1);
   router += router >= open.call->router ? 1 : 0;
+  const Duration range = resume_policy_.max_delay - resume_policy_.min_delay;
   const auto delay = std::chrono::duration_cast<milliseconds>(
+      resume_policy_.min_delay +
       Duration(static_cast<std::int64_t>(
-          random_() %
-          static_cast<std::uint64_t>(resume_policy_.max_delay.count()))));
+          random_() % static_cast<std::uint64_t>(range.count()))));
   if (clock_.Now() + delay + kMinTryTime - open.call->began_at >=
       open.call->options.timeout) {
     return;
--- a/tests/fleet/engine_fleet.h
+++ b/tests/fleet/engine_fleet.h
@@ -103,6 +103,11 @@
   // lines of these responses.
   bool is_refusing = false;
   std::string refusal_headers;
+  // Whether the routers' questions stay without a response.
+  bool ignores_questions = false;
+  // Every n-th request that begins loses its connection after its first event
+  // was made and before it is sent; none if zero.
+  std::size_t lost_start_interval = 0;
 
  private:
   static constexpr Duration kDefaultDownTime = std::chrono::milliseconds(1500);
@@ -181,7 +186,9 @@
   int max_resumptions = 0;
   // Whether a caller tries again after its resumption was refused.
   bool retries_refused = false;
-  // Each try begins this long at most after the last one has ended.
+  // Each try begins this long at least, and less than `max_delay`, after the
+  // last one has ended.
+  Duration min_delay{0};
   Duration max_delay = std::chrono::milliseconds(100);
   std::uint64_t seed = 1;
 };
--- a/tests/fleet/random_load.cc
+++ b/tests/fleet/random_load.cc
@@ -7,10 +7,10 @@
 RandomLoad::RandomLoad(EngineFleet& fleet, std::vector<std::string> customers,
                        double requests_per_second, std::uint64_t first_parts,
                        std::uint64_t seed)
-    : fleet_(fleet),
+    : first_parts(first_parts),
+      fleet_(fleet),
       customers_(std::move(customers)),
       requests_per_second_(requests_per_second),
-      first_parts_(first_parts),
       random_(seed),
       next_(fleet.Now()) {}
 
@@ -21,10 +21,15 @@
     calls_.push_back(fleet_.Send(
         random_() % fleet_.routers().size(),
         customers_[random_() % customers_.size()],
-        {{1 + random_() % first_parts_, 300}, {random_(), 200}}, path));
+        {{1 + random_() % first_parts, 300}, {LastPart(), 200}}, options));
   }
 }
 
+std::uint64_t RandomLoad::LastPart() {
+  constexpr std::uint64_t kFirstSession = 1'000'000;
+  return sessions == 0 ? random_() : kFirstSession + random_() % sessions;
+}
+
 std::size_t RandomLoad::CountSince(TimePoint from) const {
   return Count("", from);
 }
--- a/tests/fleet/random_load.h
+++ b/tests/fleet/random_load.h
@@ -16,7 +16,6 @@
 // current time. Not thread-safe.
 class RandomLoad {
  public:
-  // The first part of a prompt is one of `first_parts`, the last part is new.
   RandomLoad(EngineFleet& fleet, std::vector<std::string> customers,
              double requests_per_second, std::uint64_t first_parts,
              std::uint64_t seed);
@@ -27,14 +26,20 @@
   std::size_t CountSince(TimePoint from) const;
   std::size_t Count(const std::string& status_line, TimePoint from) const;
 
-  // Path prefix of the requests.
-  std::string path = "/stream/";
+  // Path prefix and timeout of the requests.
+  CallOptions options;
+  // The first part of a prompt is one of this many.
+  std::uint64_t first_parts;
+  // Number of sessions, whose requests all have the same last part; zero if
+  // each request has its own.
+  std::uint64_t sessions = 0;
 
  private:
+  std::uint64_t LastPart();
+
   EngineFleet& fleet_;
   const std::vector<std::string> customers_;
   const double requests_per_second_;
-  const std::uint64_t first_parts_;
   std::mt19937_64 random_;
   TimePoint next_;
   std::vector<std::shared_ptr<const EngineCall>> calls_;
--- a/tests/fleet/restored_store_fleet_test.cc
+++ b/tests/fleet/restored_store_fleet_test.cc
@@ -58,7 +58,7 @@
   fleet.PublishConfiguration(3, 2);
   fleet.PlayFor(kApplyBound, std::ref(load));
   // Requests on the route of version 3 show that no router goes back.
-  load.path = AddedPath(2);
+  load.options.path = AddedPath(2);
   const TimePoint lost_at = fleet.Now();
   RestoreStore(fleet, load, copy);
   const std::size_t requests_before = fleet.store().request_count();
@@ -70,7 +70,7 @@
   // Its revision is that of a version in the former era.
   fleet.PublishConfiguration(7, 3);
   fleet.PlayFor(kApplyBound, std::ref(load));
-  load.path = AddedPath(3);
+  load.options.path = AddedPath(3);
   const TimePoint bound_at = fleet.Now();
   fleet.PlayFor(seconds(2), std::ref(load));
   fleet.PlayFor(seconds(1));
@@ -97,7 +97,7 @@
   const Store::Copy second = fleet.store().MakeCopy();
   fleet.PublishConfiguration(3, 2);
   fleet.PlayFor(kApplyBound, std::ref(load));
-  load.path = AddedPath(2);
+  load.options.path = AddedPath(2);
   const TimePoint lost_at = fleet.Now();
   RestoreStore(fleet, load, second);
   fleet.PlayFor(milliseconds(700), std::ref(load));
@@ -105,7 +105,7 @@
   fleet.PlayFor(kRewriteDelay, std::ref(load));
   fleet.PublishConfiguration(4, 3);
   fleet.PlayFor(kApplyBound, std::ref(load));
-  load.path = AddedPath(3);
+  load.options.path = AddedPath(3);
   fleet.PlayFor(seconds(2), std::ref(load));
   fleet.PlayFor(seconds(1));
   CHECK(load.Count("HTTP/1.1 404", lost_at) == 0);
