--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -1,4 +1,5 @@
 // Plays one scenario: play NAME RECORD
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <exception>
@@ -20,6 +21,11 @@
     std::cerr << "usage: play NAME RECORD\n";
     return 2;
   }
+  // The stand-ins of all clients and replicas share this process.
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
   Record record(argv[2]);
   Outcome outcome = Outcome::kCouldNotRun;
   try {
--- a/review/standins-2/parts.cc
+++ b/review/standins-2/parts.cc
@@ -8,12 +8,12 @@
 namespace review {
 namespace {
 
-constexpr double kMaxSeconds = 100;
+constexpr double kMaxSeconds = 80;
 constexpr int kPartsPerPrompt = 3900;
-constexpr double kRequestsPerSecond = 50;
-constexpr int kClientsPerRouter = 330;
+constexpr double kRequestsPerSecond = 40;
+constexpr int kClientsPerRouter = 500;
 constexpr int kEngines = 18;
-constexpr int kEvents = 24;
+constexpr int kEvents = 44;
 constexpr double kEventSeconds = 0.25;
 constexpr int kEndsThatBreakTheRule = 3;
 
@@ -43,8 +43,14 @@
   std::mt19937 random(std::hash<std::string>()(name));
   std::unique_ptr<Connection> connection;
   int number = 0;
-  for (double next = Now(); !ends; next += 1.0 / per_second) {
-    SleepFor(next - Now());
+  std::uniform_real_distribution<double> phase(0, 1.0 / per_second);
+  for (double next = Now() + phase(random); !ends; next += 1.0 / per_second) {
+    while (!ends && Now() < next) {
+      SleepFor(std::min(next - Now(), 0.1));
+    }
+    if (ends) {
+      break;
+    }
     if (!connection) {
       connection = Connection::To(router.ip(), kFrontPort);
       if (!connection) {
