--- a/review/standins-2/crash.cc
+++ b/review/standins-2/crash.cc
@@ -8,31 +8,45 @@
 namespace {
 
 constexpr double kContactSeconds = 4;
-constexpr double kDownSeconds = 2;
-constexpr int kEngines = 9;
-constexpr double kSoundPerSecond = 30;
-constexpr double kCrashingPerSecond = 3;
-constexpr double kCalmSeconds = 6;
-constexpr double kTroubleSeconds = 40;
+constexpr double kDownSeconds = 4;
+constexpr int kEngines = 18;
+constexpr int kSoundClients = 60;
+constexpr double kSoundPerSecond = 60;
+constexpr int kCrashingClients = 18;
+// A twentieth of the term-reports of the site.
+constexpr double kCrashingPerSecond = 9;
+constexpr double kCalmSeconds = 8;
+constexpr double kTroubleSeconds = 30;
+constexpr std::size_t kNamedAfterCrashes = 5;
 constexpr int kMaxLateArrivals = 3;
+constexpr int kMinCounted = 20;
+constexpr int kEvents = 6;
+constexpr char kFirstPart[] = "5c1e07a2:400";
 constexpr char kCrashingPart[] = "dead0001";
-constexpr char kCrashingBody[] = "the body that crashes replicas";
 
 // What crashes replicas.
 struct Crashing {
-  // The crash that `contactMs` counts from.
-  std::size_t named_after_crashes = 0;
   // Parts of the prompt before the one that crashes replicas.
   int parts_before = 0;
-  // The same request comes again; else no two are alike.
-  bool is_same_request = false;
   // A replica crashes after the first event of its answer, else before it.
   bool writes_event = false;
 };
 
-// A conversation: a part for each of its turns, which follow a shared one.
+struct Arrival {
+  double at = 0;
+  std::string id;
+};
+
+// A sound request. It begins when its client gets the first event.
+struct Sound {
+  double sent_at = 0;
+  bool has_begun = false;
+  bool is_complete = false;
+};
+
+// The shared first part, and one part for each turn of a conversation.
 std::string Conversation(int turns, std::mt19937& random) {
-  std::string prompt = "5c1e07a2:400";
+  std::string prompt = kFirstPart;
   for (int i = 0; i < turns; ++i) {
     char part[32];
     std::snprintf(part, sizeof(part), ",%08x:20",
@@ -42,22 +56,33 @@
   return prompt;
 }
 
-std::string OwnPart(std::mt19937& random) {
-  char part[32];
-  std::snprintf(part, sizeof(part), ",%08x:100",
-                static_cast<unsigned>(random()));
-  return part;
+// Returns the share that begins of the requests sent between the times.
+double ShareThatBegins(Record& record, const std::vector<Sound>& sound,
+                       double from, double to, const std::string& name,
+                       int& count) {
+  count = 0;
+  int begun = 0;
+  int complete = 0;
+  for (const Sound& it : sound) {
+    if (it.sent_at >= from && it.sent_at < to) {
+      ++count;
+      begun += it.has_begun ? 1 : 0;
+      complete += it.is_complete ? 1 : 0;
+    }
+  }
+  record.Line("of " + std::to_string(count) + " sound requests " + name + " " +
+              std::to_string(begun) + " began, " + std::to_string(complete) +
+              " were answered completely");
+  return count == 0 ? 0 : static_cast<double>(begun) / count;
 }
 
 Outcome PlayCrashing(Record& record, const Crashing& crashing) {
   Deployment deployment({10, 11, 12}, {"colombo", "kandy", "negombo"});
   std::mutex mutex;
-  struct Arrival {
-    double at = 0;
-    std::string id;
-  };
   std::vector<Arrival> arrivals;
   std::vector<double> crashes;
+  std::vector<Sound> sound;
+  int crashing_sent = 0;
   std::vector<Replica*> engines;
   std::vector<std::atomic<bool>> has_crashed(kEngines);
   const char* const zones[] = {"colombo", "kandy", "negombo"};
@@ -66,39 +91,35 @@
         "i-engine" + std::to_string(i), "huvo11a", zones[i % 3], 128,
         [&, i](Connection& connection, const Message& request) {
           const bool is_crashing =
-              crashing.is_same_request
-                  ? request.body == kCrashingBody
-                  : request.Header("corianderpost-prompt-prefix")
-                            .find(kCrashingPart) != std::string::npos;
-          const bool crashes_it = is_crashing && HasTrouble();
+              request.Header("corianderpost-prompt-prefix")
+                  .find(kCrashingPart) != std::string::npos;
           if (is_crashing) {
             const std::lock_guard lock(mutex);
             arrivals.push_back(
                 {Now(), request.Header("corianderpost-request-id")});
           }
           SleepFor(0.04);
-          if (crashes_it && crashing.writes_event) {
-            connection.Write(ResponseHead(request, 200,
-                                          "Content-Type: text/event-stream\r\n"
-                                          "Transfer-Encoding: chunked\r\n"
-                                          "\r\n") +
-                             Chunk("id: 1\ndata: words of the answer\n\n"));
-            SleepFor(0.005);
-          }
+          const bool crashes_it = is_crashing && HasTrouble();
+          const std::string head =
+              ResponseHead(request, 200,
+                           "Content-Type: text/event-stream\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n");
           if (crashes_it) {
+            if (crashing.writes_event) {
+              connection.Write(head +
+                               Chunk("id: 1\ndata: words of the answer\n\n"));
+              SleepFor(0.005);
+            }
             const std::lock_guard lock(mutex);
             if (!has_crashed[static_cast<std::size_t>(i)].exchange(true)) {
               crashes.push_back(Now());
             }
             return false;
           }
-          if (!connection.Write(
-                  ResponseHead(request, 200,
-                               "Content-Type: text/event-stream\r\n"
-                               "Transfer-Encoding: chunked\r\n\r\n"))) {
+          if (!connection.Write(head)) {
             return false;
           }
-          for (int n = 1; n <= 6; ++n) {
+          for (int n = 1; n <= kEvents; ++n) {
             if (!connection.Write(Chunk("id: " + std::to_string(n) +
                                         "\ndata: words of the answer\n\n"))) {
               return false;
@@ -116,34 +137,32 @@
   }
   std::atomic<bool> ends{false};
   std::atomic<bool> has_trouble{false};
-  std::map<std::string, double> sent;
-  std::atomic<int> sound_sent{0};
-  std::atomic<int> sound_served{0};
   std::thread crasher([&] {
-    // A crash ends the process: all its connections are reset, and it is back
-    // after some seconds.
+    // A crash ends the process: its connections and its port are closed, and it
+    // is back after some seconds.
     std::map<int, double> back_at;
     while (!ends) {
       for (int i = 0; i < kEngines; ++i) {
-        if (has_crashed[static_cast<std::size_t>(i)] && !back_at.contains(i)) {
-          engines[static_cast<std::size_t>(i)]->End();
+        std::atomic<bool>& has_ended = has_crashed[static_cast<std::size_t>(i)];
+        Replica& engine = *engines[static_cast<std::size_t>(i)];
+        if (has_ended && !back_at.contains(i)) {
+          engine.End();
           back_at[i] = Now() + kDownSeconds;
         } else if (back_at.contains(i) && Now() >= back_at[i]) {
           back_at.erase(i);
-          has_crashed[static_cast<std::size_t>(i)] = false;
-          engines[static_cast<std::size_t>(i)]->StartAgain("v1", 0.1);
+          has_ended = false;
+          engine.StartAgain("v1", 0.1);
         }
       }
       SleepFor(0.002);
     }
   });
-  std::vector<std::thread> clients;
   const auto client = [&](int index, bool is_crashing, double per_second) {
     std::mt19937 random(static_cast<unsigned>(index) * 31 + 7);
     std::exponential_distribution<double> pause(per_second);
     Router& router = *deployment.routers()[static_cast<std::size_t>(index) % 3];
     int number = 0;
-    for (double next = Now(); !ends; next += pause(random)) {
+    for (double next = Now() + pause(random); !ends; next += pause(random)) {
       while (!ends && Now() < next) {
         SleepFor(std::min(next - Now(), 0.1));
       }
@@ -154,82 +173,105 @@
       request.path = "/lohu930/2f";
       request.id = std::string(is_crashing ? "crash" : "sound") +
                    std::to_string(index) + "-" + std::to_string(++number);
+      request.body = "request " + request.id;
       request.deadline_ms = 4000;
       std::string prompt;
-      if (!is_crashing) {
-        prompt = Conversation(2, random) + OwnPart(random);
-        request.body = "a sound request of client " + std::to_string(index);
-      } else if (crashing.is_same_request) {
-        prompt = "5c1e07a2:400,91bd3f06:410,e4402b7d:250";
-        request.body = kCrashingBody;
-      } else {
+      if (is_crashing) {
         prompt = Conversation(crashing.parts_before - 1, random) + "," +
-                 kCrashingPart + ":50" + OwnPart(random);
-        request.body = "request " + request.id;
+                 kCrashingPart + ":50";
+      } else {
+        prompt = Conversation(2, random);
       }
+      char own_part[32];
+      std::snprintf(own_part, sizeof(own_part), ",%08x:100",
+                    static_cast<unsigned>(random()));
       request.headers =
           "Corianderpost-Model: m\r\nCorianderpost-Token-Count: 2000,36\r\n"
           "Corianderpost-Prompt-Prefix: " +
-          prompt + "\r\n";
-      const double at = Now();
-      if (is_crashing) {
-        const std::lock_guard lock(mutex);
-        sent[request.id] = at;
+          prompt + own_part + "\r\n";
+      Sound result;
+      result.sent_at = Now();
+      if (const auto connection = Connection::To(router.ip(), kFrontPort)) {
+        connection->SetTimeout(5);
+        Message head;
+        if (connection->Write(Format(request)) &&
+            connection->ReadResponseHead(head) && head.Status() == 200) {
+          std::string part;
+          while (connection->ReadBodyPart(head, part, result.is_complete)) {
+            result.has_begun = true;
+          }
+        }
       }
-      Message response;
-      const auto connection = Connection::To(router.ip(), kFrontPort);
-      const bool is_served = connection && connection->Write(Format(request)) &&
-                             connection->ReadResponse(response) &&
-                             response.Status() == 200;
-      if (!is_crashing) {
-        ++sound_sent;
-        sound_served += is_served ? 1 : 0;
+      const std::lock_guard lock(mutex);
+      if (is_crashing) {
+        ++crashing_sent;
+      } else {
+        sound.push_back(result);
       }
     }
   };
-  for (int i = 0; i < 30; ++i) {
-    clients.emplace_back(client, i, false, kSoundPerSecond / 30);
+  const double began_at = Now();
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kSoundClients; ++i) {
+    clients.emplace_back(client, i, false, kSoundPerSecond / kSoundClients);
   }
-  for (int i = 30; i < 36; ++i) {
-    clients.emplace_back(client, i, true, kCrashingPerSecond / 6);
+  for (int i = 0; i < kCrashingClients; ++i) {
+    clients.emplace_back(client, kSoundClients + i, true,
+                         kCrashingPerSecond / kCrashingClients);
   }
   SleepFor(kCalmSeconds);
   has_trouble = true;
+  const double trouble_at = Now();
   record.Line("clients now also send the requests that crash replicas");
   SleepFor(kTroubleSeconds);
+  const double ended_at = Now();
   ends = true;
   for (std::thread& it : clients) {
     it.join();
   }
   crasher.join();
   const std::lock_guard lock(mutex);
-  record.Line(std::to_string(sent.size()) + " such requests were sent, " +
+  record.Line(std::to_string(crashing_sent) + " such requests were sent, " +
               std::to_string(arrivals.size()) + " reached replicas, " +
               std::to_string(crashes.size()) + " crashes");
-  record.Line(std::to_string(sound_sent) + " sound requests were sent, " +
-              std::to_string(sound_served) + " answered completely");
-  if (crashes.size() < crashing.named_after_crashes) {
+  int calm_count = 0;
+  const double calm_share = ShareThatBegins(record, sound, began_at, trouble_at,
+                                            "in calm", calm_count);
+  if (crashes.empty()) {
+    int count = 0;
+    ShareThatBegins(record, sound, trouble_at, ended_at, "beside the others",
+                    count);
     return Outcome::kHeld;
   }
-  const double named_at = crashes[crashing.named_after_crashes - 1];
+  // "The fifth crash (the last, if there are fewer)."
+  const double named_at =
+      crashes[std::min(crashes.size(), kNamedAfterCrashes) - 1];
+  int late_count = 0;
+  const double late_share =
+      ShareThatBegins(record, sound, named_at + 2 * kContactSeconds, ended_at,
+                      "from 2 x contactMs after the fifth crash", late_count);
+  const bool is_lost = calm_count >= kMinCounted && late_count >= kMinCounted &&
+                       late_share < 0.5 * calm_share;
   int late = 0;
-  for (const Arrival& it : arrivals) {
-    // Routers send at once, and a request is under way for less than 0.05 s.
-    if (it.at <= named_at + kContactSeconds + 0.05) {
-      continue;
-    }
-    ++late;
-    if (late <= 20) {
-      record.Line("  " + it.id + " reached a replica " +
-                  std::to_string(it.at - named_at) + " s after crash " +
-                  std::to_string(crashing.named_after_crashes));
+  if (crashes.size() >= kNamedAfterCrashes) {
+    for (const Arrival& it : arrivals) {
+      // Routers send at once, and a request is under way for less than 0.05 s.
+      if (it.at > named_at + kContactSeconds + 0.05) {
+        ++late;
+        if (late <= 10) {
+          record.Line("  " + it.id + " reached a replica " +
+                      std::to_string(it.at - named_at) +
+                      " s after the fifth crash");
+        }
+      }
     }
   }
   record.Line(std::to_string(late) +
-              " such requests reached replicas later than contactMs after "
-              "crash " +
-              std::to_string(crashing.named_after_crashes));
-  return late > kMaxLateArrivals ? Outcome::kBroken : Outcome::kHeld;
+              " such requests reached replicas later than contactMs after the "
+              "fifth crash");
+  record.Line(std::string("LOST ") + (is_lost ? "broken" : "held") +
+              ", BUDGET " + (late > kMaxLateArrivals ? "broken" : "held"));
+  return is_lost ? Outcome::kBroken : Outcome::kHeld;
 }
 
 }  // namespace
@@ -238,20 +280,16 @@
   const char* const variant = std::getenv("VARIANT");
   const bool writes_event =
       variant == nullptr || std::string(variant) != "before-event";
-  return PlayCrashing(record, {.named_after_crashes = 3,
-                               .parts_before = 0,
-                               .is_same_request = true,
-                               .writes_event = writes_event});
+  return PlayCrashing(record,
+                      {.parts_before = 3, .writes_event = writes_event});
 }
 
 Outcome PlayDeepPart(Record& record) {
   const char* const variant = std::getenv("VARIANT");
   const bool is_deep =
       variant == nullptr || std::string(variant) != "first-parts";
-  return PlayCrashing(record, {.named_after_crashes = 5,
-                               .parts_before = is_deep ? 70 : 3,
-                               .is_same_request = false,
-                               .writes_event = false});
+  return PlayCrashing(
+      record, {.parts_before = is_deep ? 70 : 3, .writes_event = false});
 }
 
 }  // namespace review
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -12,8 +12,10 @@
 int main(int argc, char** argv) {
   using namespace review;
   const std::map<std::string, Outcome (*)(Record&)> scenarios = {
-      {"restart", PlayRestart},    {"crash-after-event", PlayCrashAfterEvent},
-      {"deep-part", PlayDeepPart}, {"stale", PlayStale},
+      {"restart", PlayRestart},
+      {"crash-after-event", PlayCrashAfterEvent},
+      {"deep-part", PlayDeepPart},
+      {"stale", PlayStale},
   };
   const auto scenario = argc == 3 ? scenarios.find(argv[1]) : scenarios.end();
   if (scenario == scenarios.end()) {
--- a/review/standins-2/restart.cc
+++ b/review/standins-2/restart.cc
@@ -10,11 +10,14 @@
 
 constexpr int kEvents = 8;
 constexpr double kEventSeconds = 0.06;
-constexpr int kRounds = 6;
+constexpr int kRounds = 10;
+constexpr double kSettlingSeconds = 3;
 constexpr double kDownSeconds = 0.6;
-// Within `heartbeatMs`, 1200 ms.
+// It registers itself at once.
 constexpr double kFirstPingAfter = 0;
 constexpr double kStreamBegins = 0.1;
+constexpr int kStreamsAtOnce = 2;
+constexpr int kMaxJoined = 2;
 
 }  // namespace
 
@@ -72,9 +75,8 @@
     return Outcome::kCouldNotRun;
   }
   Router& router = *deployment.routers()[0];
-  int number = 0;
-  int joined = 0;
-  int from_restarted = 0;
+  std::atomic<int> number{0};
+  std::atomic<int> joined{0};
   // Returns the versions of the events that the client gets, in order.
   const auto stream = [&](const std::string& name) {
     Request request;
@@ -118,37 +120,45 @@
     record.Line(line);
     return versions;
   };
-  std::string version = "v1";
-  for (int round = 1; round <= kRounds; ++round) {
-    // The routers' knowledge of the service's versions settles.
-    SleepFor(7);
-    // Which replica serves these prompts.
+  for (int round = 1; round <= kRounds && joined <= kMaxJoined; ++round) {
+    SleepFor(round == 1 ? 7 : kSettlingSeconds);
+    // Shows which replica serves these prompts.
     stream("calm");
+    const std::string version = HasTrouble() ? "v2" : "v1";
     restarted.End();
-    version = HasTrouble() ? (version == "v1" ? "v2" : "v1") : version;
     record.Line("i-first ends");
     SleepFor(kDownSeconds);
     first.version = version;
     first.breaks_after = 3;
-    second.breaks_after = 0;
     restarted.StartAgain(version, kFirstPingAfter);
     record.Line("i-first is back as " + version);
     SleepFor(kStreamBegins);
-    const std::vector<std::string> versions = stream("stream");
-    first.breaks_after = 0;
-    bool has_other = false;
-    for (const std::string& it : versions) {
-      has_other = has_other || it != versions.front();
+    std::vector<std::thread> clients;
+    for (int i = 0; i < kStreamsAtOnce; ++i) {
+      clients.emplace_back([&] {
+        const std::vector<std::string> versions = stream("stream");
+        for (const std::string& it : versions) {
+          if (it != versions.front()) {
+            ++joined;
+            break;
+          }
+        }
+      });
     }
-    joined += has_other ? 1 : 0;
-    from_restarted += !versions.empty() && versions.front() == version ? 1 : 0;
-    if (joined > 0) {
-      break;
+    for (std::thread& it : clients) {
+      it.join();
     }
+    // The former version comes back.
+    first.breaks_after = 0;
+    SleepFor(kSettlingSeconds);
+    restarted.End();
+    SleepFor(kDownSeconds);
+    first.version = "v1";
+    restarted.StartAgain("v1", kFirstPingAfter);
   }
   record.Line(std::to_string(joined) +
               " streams have events of two software versions");
-  return joined > 0 ? Outcome::kBroken : Outcome::kHeld;
+  return joined > kMaxJoined ? Outcome::kBroken : Outcome::kHeld;
 }
 
 }  // namespace review
