--- a/review/standins-2/crash.cc
+++ b/review/standins-2/crash.cc
@@ -93,6 +93,8 @@
           const bool is_crashing =
               request.Header("corianderpost-prompt-prefix")
                   .find(kCrashingPart) != std::string::npos;
+          record.Detail("ran " + request.Header("corianderpost-request-id") +
+                        " at i-engine" + std::to_string(i));
           if (is_crashing) {
             const std::lock_guard lock(mutex);
             arrivals.push_back(
@@ -191,17 +193,23 @@
           prompt + own_part + "\r\n";
       Sound result;
       result.sent_at = Now();
+      int status = 0;
+      record.Detail("sent " + request.id);
       if (const auto connection = Connection::To(router.ip(), kFrontPort)) {
         connection->SetTimeout(5);
         Message head;
         if (connection->Write(Format(request)) &&
-            connection->ReadResponseHead(head) && head.Status() == 200) {
+            connection->ReadResponseHead(head)) {
+          status = head.Status();
           std::string part;
           while (connection->ReadBodyPart(head, part, result.is_complete)) {
-            result.has_begun = true;
+            result.has_begun = status == 200;
           }
         }
       }
+      record.Detail("answered " + request.id + " " + std::to_string(status) +
+                    (result.is_complete ? ", complete" : ", broken off"));
+      result.is_complete = result.is_complete && status == 200;
       const std::lock_guard lock(mutex);
       if (is_crashing) {
         ++crashing_sent;
--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -61,6 +61,13 @@
   std::cout << time << text << std::endl;
 }
 
+void Record::Detail(const std::string& text) {
+  char time[32];
+  std::snprintf(time, sizeof(time), "%9.3f ", Now());
+  const std::lock_guard lock(mutex_);
+  out_ << time << "  " << text << '\n';
+}
+
 Network::Network() {
   for (int i = 0; i < 200; ++i) {
     const int n = static_cast<int>(getpid()) + i;
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -32,11 +32,14 @@
 inline constexpr int kMemoryMb = 110;
 inline constexpr int kGraceSeconds = 8;
 
-// Writes lines with the time to the record and to standard output. Thread-safe.
+// Writes lines with the time to the record. Thread-safe.
 class Record {
  public:
   explicit Record(const std::string& path) : out_(path) {}
+  // Also to standard output.
   void Line(const std::string& text);
+  // What was sent, answered and run, one line each.
+  void Detail(const std::string& text);
 
  private:
   std::mutex mutex_;
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -12,6 +12,7 @@
 int main(int argc, char** argv) {
   using namespace review;
   const std::map<std::string, Outcome (*)(Record&)> scenarios = {
+      {"parts", PlayParts},
       {"restart", PlayRestart},
       {"crash-after-event", PlayCrashAfterEvent},
       {"deep-part", PlayDeepPart},
--- a/review/standins-2/parts.cc
+++ b/review/standins-2/parts.cc
@@ -39,7 +39,7 @@
 // Sends requests at an even rate on kept connections.
 void Send(const Router& router, const std::string& name, bool is_stream,
           int parts, double per_second, const std::atomic<bool>& ends,
-          Counts& counts) {
+          Record& record, Counts& counts) {
   std::mt19937 random(std::hash<std::string>()(name));
   std::unique_ptr<Connection> connection;
   int number = 0;
@@ -72,15 +72,20 @@
       request.body = std::string(600, 'x');
     }
     ++counts.sent;
+    record.Detail("sent " + request.id);
     connection->SetTimeout(13);
     Message response;
     if (!connection->Write(Format(request)) ||
         !connection->ReadResponse(response)) {
       ++counts.lost;
+      record.Detail("answered " + request.id + " " +
+                    std::to_string(response.Status()) + ", broken off");
       connection.reset();
       continue;
     }
     ++(response.Status() == 200 ? counts.served : counts.refused);
+    record.Detail("answered " + request.id + " " +
+                  std::to_string(response.Status()) + ", complete");
     if (ToLower(response.Header("connection")) == "close") {
       connection.reset();
     }
@@ -98,7 +103,8 @@
 
 Outcome PlayParts(Record& record) {
   Deployment deployment({10, 11}, {"colombo", "negombo"});
-  const auto run_stream = [](Connection& connection, const Message& request) {
+  const auto run_stream = [&](Connection& connection, const Message& request) {
+    record.Detail("ran " + request.Header("corianderpost-request-id"));
     SleepFor(0.03);
     if (!connection.Write(ResponseHead(request, 200,
                                        "Content-Type: text/event-stream\r\n"
@@ -114,7 +120,8 @@
     }
     return connection.Write("0\r\n\r\n");
   };
-  const auto run_award = [](Connection& connection, const Message& request) {
+  const auto run_award = [&](Connection& connection, const Message& request) {
+    record.Detail("ran " + request.Header("corianderpost-request-id"));
     SleepFor(0.015);
     const std::string body(800, 'a');
     return connection.Write(ResponseHead(
@@ -152,10 +159,11 @@
       clients.emplace_back(Send, std::cref(*router),
                            router->name() + "-chat" + std::to_string(i), true,
                            parts, kRequestsPerSecond / kClientsPerRouter,
-                           std::cref(ends), std::ref(odd));
+                           std::cref(ends), std::ref(record), std::ref(odd));
     }
     clients.emplace_back(Send, std::cref(*router), router->name() + "-award",
-                         false, 0, 5, std::cref(ends), std::ref(ordinary));
+                         false, 0, 5, std::cref(ends), std::ref(record),
+                         std::ref(ordinary));
   }
   std::vector<int> ended(deployment.routers().size());
   std::vector<double> peak_mb(ended.size());
--- a/review/standins-2/stale.cc
+++ b/review/standins-2/stale.cc
@@ -23,7 +23,8 @@
 
 Outcome PlayStale(Record& record) {
   Deployment deployment({10, 11, 12}, {"colombo", "kandy", "negombo"});
-  const auto run_stream = [](Connection& connection, const Message& request) {
+  const auto run_stream = [&](Connection& connection, const Message& request) {
+    record.Detail("ran " + request.Header("corianderpost-request-id"));
     if (!connection.Write(ResponseHead(request, 200,
                                        "Content-Type: text/event-stream\r\n"
                                        "Transfer-Encoding: chunked\r\n\r\n"))) {
@@ -46,6 +47,7 @@
       const std::lock_guard lock(mutex);
       ran_at[request.Header("corianderpost-request-id")] = Now();
     }
+    record.Detail("ran " + request.Header("corianderpost-request-id"));
     SleepFor(0.015);
     return connection.Write(
         ResponseHead(request, 200, "Content-Length: 5\r\n\r\naward"));
@@ -105,10 +107,14 @@
             "Corianderpost-Prompt-Prefix: 5c1e07a2:100,91bd3f06:100,e4402b7d:"
             "100\r\n";
         ++open;
+        record.Detail("sent " + request.id);
         Message response;
         const bool is_answered = connection->Write(Format(request)) &&
                                  connection->ReadResponse(response);
         --open;
+        record.Detail("answered " + request.id + " " +
+                      std::to_string(response.Status()) +
+                      (is_answered ? ", complete" : ", broken off"));
         if (!is_answered || ToLower(response.Header("connection")) == "close") {
           connection.reset();
         }
@@ -144,12 +150,15 @@
         request.key = kOtherKey;
         request.body = std::string(600, 'x');
         const double at = Now();
+        record.Detail("sent " + request.id);
         Message response;
         if (!connection->Write(Format(request)) ||
             !connection->ReadResponse(response) ||
             ToLower(response.Header("connection")) == "close") {
           connection.reset();
         }
+        record.Detail("answered " + request.id + " " +
+                      std::to_string(response.Status()));
         const std::lock_guard lock(mutex);
         sent[request.id] = {at, response.Status()};
       }
